Add the event loop, HTTP server and client, store client and stand-ins

Cause: the slices need an I/O layer and outside systems to run against. Ruled out: Beast's own time-outs on client connections, since the decision code owns every time-out.

--- /dev/null
+++ b/radishmoor/net/event_loop.cc
@@ -0,0 +1,132 @@
+#include "radishmoor/net/event_loop.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <list>
+#include <map>
+#include <utility>
+
+namespace radishmoor {
+
+namespace asio = boost::asio;
+
+// All timers share one Asio timer, set to the earliest of them.
+struct EventLoop::Impl {
+  asio::io_context io{1};
+  asio::steady_timer timer{io};
+  std::map<std::pair<Time, TimerId>, std::function<void()>> tasks;
+  std::map<TimerId, Time> times;
+  TimerId next_timer = 1;
+  Time armed = kTimeMax;
+  std::list<asio::signal_set> signals;
+
+  void Arm();
+  void Expire();
+  void WaitForSignal(asio::signal_set* set, std::function<void()> task);
+};
+
+namespace {
+
+Time MonotonicNow() {
+  return Time(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+}  // namespace
+
+void EventLoop::Impl::Arm() {
+  if (tasks.empty())
+    return;
+  Time earliest = tasks.begin()->first.first;
+  if (earliest >= armed)
+    return;
+  armed = earliest;
+  timer.expires_at(asio::steady_timer::time_point(earliest.time_since_epoch()));
+  timer.async_wait([this](const boost::system::error_code& error) {
+    if (error)
+      return;
+    armed = kTimeMax;
+    Expire();
+    Arm();
+  });
+}
+
+void EventLoop::Impl::Expire() {
+  Time now = MonotonicNow();
+  while (!tasks.empty() && tasks.begin()->first.first <= now) {
+    auto node = tasks.extract(tasks.begin());
+    times.erase(node.key().second);
+    node.mapped()();
+  }
+}
+
+void EventLoop::Impl::WaitForSignal(asio::signal_set* set,
+                                    std::function<void()> task) {
+  set->async_wait([this, set, task = std::move(task)](
+                      const boost::system::error_code& error, int) mutable {
+    if (error)
+      return;
+    task();
+    WaitForSignal(set, std::move(task));
+  });
+}
+
+EventLoop::EventLoop() : impl_(std::make_unique<Impl>()) {}
+EventLoop::~EventLoop() = default;
+
+Time EventLoop::now() const {
+  return MonotonicNow();
+}
+
+WallMillis EventLoop::wall_now() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+TimerId EventLoop::RunAt(Time when, std::function<void()> task) {
+  TimerId id = impl_->next_timer++;
+  impl_->tasks.emplace(std::pair(when, id), std::move(task));
+  impl_->times.emplace(id, when);
+  impl_->Arm();
+  return id;
+}
+
+TimerId EventLoop::RunAfter(Duration delay, std::function<void()> task) {
+  return RunAt(now() + delay, std::move(task));
+}
+
+void EventLoop::Cancel(TimerId timer) {
+  auto it = impl_->times.find(timer);
+  if (it == impl_->times.end())
+    return;
+  impl_->tasks.erase(std::pair(it->second, timer));
+  impl_->times.erase(it);
+}
+
+void EventLoop::Post(std::function<void()> task) {
+  asio::post(impl_->io, std::move(task));
+}
+
+void EventLoop::OnSignal(int signal, std::function<void()> task) {
+  asio::signal_set& set = impl_->signals.emplace_back(impl_->io, signal);
+  impl_->WaitForSignal(&set, std::move(task));
+}
+
+void EventLoop::Run() {
+  auto guard = asio::make_work_guard(impl_->io);
+  impl_->io.run();
+}
+
+void EventLoop::Stop() {
+  impl_->io.stop();
+}
+
+asio::io_context& EventLoop::io_context() {
+  return impl_->io;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/net/http_client.cc
@@ -0,0 +1,323 @@
+#include "radishmoor/net/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "radishmoor/net/event_loop.h"
+
+namespace radishmoor {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+class ClientConnection;
+
+HttpResponse ToResponse(http::response<http::string_body>&& message) {
+  HttpResponse response;
+  response.status = message.result_int();
+  for (const auto& field : message) {
+    response.headers.emplace_back(std::string(field.name_string()),
+                                  std::string(field.value()));
+  }
+  response.body = std::move(message.body());
+  return response;
+}
+
+}  // namespace
+
+struct HttpClient::Impl {
+  EventLoop& loop;
+  HttpClientHandlers handlers;
+  uint64_t max_response_bytes;
+  std::unordered_map<ConnectionId, std::shared_ptr<ClientConnection>>
+      connections;
+};
+
+namespace {
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(ConnectionId id, const std::shared_ptr<HttpClient::Impl>& c)
+      : id_(id), client_(c), socket_(c->loop.io_context()) {}
+
+  void Open(const Endpoint& endpoint) {
+    tcp::endpoint address(asio::ip::make_address(endpoint.ip), endpoint.port);
+    socket_.async_connect(address,
+                          [self = shared_from_this()](error_code error) {
+                            self->OnConnected(error);
+                          });
+  }
+
+  bool Send(const HttpRequest& request) {
+    if (state_ != State::kIdle)
+      return false;
+    state_ = State::kBusy;
+    request_.emplace();
+    request_->version(11);
+    request_->method_string(request.method);
+    request_->target(request.target);
+    for (const auto& [name, value] : request.headers)
+      request_->set(name, value);
+    request_->body() = request.body;
+    request_->prepare_payload();
+    response_.emplace();
+    response_->body_limit(client_->max_response_bytes);
+    response_->header_limit(64 * 1024);
+    if (request.method == "HEAD")
+      response_->skip(true);
+    http::async_write(socket_, *request_,
+                      [self = shared_from_this()](error_code error, size_t) {
+                        if (error)
+                          self->FailExchange(error.message());
+                      });
+    http::async_read(socket_, buffer_, *response_,
+                     [self = shared_from_this()](error_code error, size_t) {
+                       self->OnRead(error);
+                     });
+    return true;
+  }
+
+  void Close() {
+    state_ = State::kClosed;
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+  }
+
+ private:
+  enum class State { kConnecting, kIdle, kBusy, kClosed };
+
+  // Ends the connection; later completions find it closed and do nothing.
+  void Forget() {
+    Close();
+    client_->connections.erase(id_);
+  }
+
+  void OnConnected(error_code error) {
+    if (state_ == State::kClosed)
+      return;
+    auto self = shared_from_this();
+    if (error) {
+      Forget();
+      client_->handlers.on_open_failed(id_, error.message());
+      return;
+    }
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    state_ = State::kIdle;
+    WatchForClose();
+    client_->handlers.on_opened(id_);
+  }
+
+  void OnRead(error_code error) {
+    if (state_ != State::kBusy)
+      return;
+    if (error) {
+      FailExchange(error.message());
+      return;
+    }
+    bool whole = !response_->need_eof() || response_->get().result_int() == 204;
+    if (!whole) {
+      FailExchange("response without a length");
+      return;
+    }
+    // Bytes beyond the response belong to no request: the connection is out of
+    // step and must not carry another exchange.
+    bool reusable = response_->keep_alive() && buffer_.size() == 0;
+    auto self = shared_from_this();
+    HttpResponse response = ToResponse(response_->release());
+    request_.reset();
+    if (reusable) {
+      state_ = State::kIdle;
+      WatchForClose();
+    } else {
+      Forget();
+    }
+    client_->handlers.on_response(id_, std::move(response), reusable);
+  }
+
+  void FailExchange(const std::string& error) {
+    if (state_ != State::kBusy)
+      return;
+    auto self = shared_from_this();
+    Forget();
+    client_->handlers.on_exchange_failed(id_, error);
+  }
+
+  // Anything that arrives on an idle connection, the end included, makes it
+  // unusable.
+  void WatchForClose() {
+    if (watching_)
+      return;
+    watching_ = true;
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code) {
+                         self->watching_ = false;
+                         self->OnIdleReadable();
+                       });
+  }
+
+  void OnIdleReadable() {
+    if (state_ != State::kIdle)
+      return;
+    error_code error;
+    // The wait may have been triggered by the bytes of the last response.
+    if (socket_.available(error) == 0 && !error) {
+      char byte;
+      ssize_t n =
+          ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+      if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        WatchForClose();
+        return;
+      }
+    }
+    auto self = shared_from_this();
+    Forget();
+    client_->handlers.on_closed(id_);
+  }
+
+  ConnectionId id_;
+  std::shared_ptr<HttpClient::Impl> client_;
+  tcp::socket socket_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request<http::string_body>> request_;
+  std::optional<http::response_parser<http::string_body>> response_;
+  State state_ = State::kConnecting;
+  bool watching_ = false;
+};
+
+}  // namespace
+
+HttpClient::HttpClient(EventLoop& loop,
+                       HttpClientHandlers handlers,
+                       uint64_t max_response_bytes)
+    : impl_(std::make_shared<Impl>(
+          Impl{loop, std::move(handlers), max_response_bytes, {}})) {}
+
+HttpClient::~HttpClient() {
+  for (auto& [id, connection] : impl_->connections)
+    connection->Close();
+  impl_->connections.clear();
+}
+
+void HttpClient::Open(ConnectionId id, const Endpoint& endpoint) {
+  auto connection = std::make_shared<ClientConnection>(id, impl_);
+  impl_->connections.emplace(id, connection);
+  connection->Open(endpoint);
+}
+
+bool HttpClient::Send(ConnectionId id, const HttpRequest& request) {
+  auto it = impl_->connections.find(id);
+  return it != impl_->connections.end() && it->second->Send(request);
+}
+
+void HttpClient::Close(ConnectionId id) {
+  auto node = impl_->connections.extract(id);
+  if (!node.empty())
+    node.mapped()->Close();
+}
+
+size_t HttpClient::connection_count() const {
+  return impl_->connections.size();
+}
+
+struct HttpFetcher::Impl {
+  struct Exchange {
+    Endpoint endpoint;
+    HttpRequest request;
+    Callback callback;
+    TimerId timer = 0;
+    bool sent = false;
+  };
+
+  explicit Impl(EventLoop& event_loop)
+      : loop(event_loop),
+        client(event_loop,
+               {.on_opened = [this](ConnectionId id) { Write(id); },
+                .on_open_failed =
+                    [this](ConnectionId id, std::string error) {
+                      Finish(id, Failure{false, std::move(error)});
+                    },
+                .on_response =
+                    [this](ConnectionId id, HttpResponse response, bool keep) {
+                      if (keep)
+                        idle[exchanges.at(id).endpoint].push_back(id);
+                      Finish(id, std::move(response));
+                    },
+                .on_exchange_failed =
+                    [this](ConnectionId id, std::string error) {
+                      Finish(id, Failure{true, std::move(error)});
+                    },
+                .on_closed =
+                    [this](ConnectionId id) {
+                      for (auto& [endpoint, ids] : idle)
+                        std::erase(ids, id);
+                    }}) {}
+
+  void Write(ConnectionId id) {
+    auto it = exchanges.find(id);
+    if (it == exchanges.end())
+      return;
+    it->second.sent = true;
+    client.Send(id, it->second.request);
+  }
+
+  void Finish(ConnectionId id, Result result) {
+    auto node = exchanges.extract(id);
+    if (node.empty())
+      return;
+    loop.Cancel(node.mapped().timer);
+    node.mapped().callback(std::move(result));
+  }
+
+  EventLoop& loop;
+  HttpClient client;
+  uint64_t next_id = 1;
+  std::map<ConnectionId, Exchange> exchanges;
+  std::map<Endpoint, std::vector<ConnectionId>> idle;
+};
+
+HttpFetcher::HttpFetcher(EventLoop& loop)
+    : impl_(std::make_shared<Impl>(loop)) {}
+
+HttpFetcher::~HttpFetcher() {
+  for (auto& [id, exchange] : impl_->exchanges)
+    impl_->loop.Cancel(exchange.timer);
+}
+
+void HttpFetcher::Fetch(const Endpoint& endpoint,
+                        HttpRequest request,
+                        Duration timeout,
+                        Callback callback) {
+  std::vector<ConnectionId>& idle = impl_->idle[endpoint];
+  bool reuse = !idle.empty();
+  ConnectionId id = reuse ? idle.back() : ConnectionId{impl_->next_id++};
+  if (reuse)
+    idle.pop_back();
+  Impl::Exchange& exchange = impl_->exchanges[id];
+  exchange = {endpoint, std::move(request), std::move(callback)};
+  exchange.timer = impl_->loop.RunAfter(timeout, [impl = impl_.get(), id] {
+    bool sent = impl->exchanges.at(id).sent;
+    impl->client.Close(id);
+    impl->Finish(id, Failure{sent, "timed out"});
+  });
+  if (reuse) {
+    impl_->Write(id);
+  } else {
+    impl_->client.Open(id, endpoint);
+  }
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/net/http_server.cc
@@ -0,0 +1,354 @@
+#include "radishmoor/net/http_server.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+#include "radishmoor/net/event_loop.h"
+
+namespace radishmoor {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+class Session;
+
+}  // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+  Impl(EventLoop& event_loop,
+       const HttpServerLimits& server_limits,
+       HttpServerHandlers server_handlers)
+      : loop(event_loop),
+        limits(server_limits),
+        handlers(std::move(server_handlers)),
+        acceptor(event_loop.io_context()) {}
+
+  void Accept();
+  void Admit(tcp::socket socket);
+
+  EventLoop& loop;
+  HttpServerLimits limits;
+  HttpServerHandlers handlers;
+  tcp::acceptor acceptor;
+  bool accepting = false;
+  bool closed = false;
+  ExchangeId next_exchange = 1;
+  uint64_t next_connection = 1;
+  std::unordered_set<std::shared_ptr<Session>> sessions;
+  std::unordered_map<ExchangeId, std::shared_ptr<Session>> exchanges;
+};
+
+namespace {
+
+HttpRequest ToRequest(http::request<http::string_body>&& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers.emplace_back(std::string(field.name_string()),
+                                 std::string(field.value()));
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+unsigned StatusOfReadError(const error_code& error) {
+  if (error == http::error::header_limit)
+    return 431;
+  if (error == http::error::body_limit)
+    return 413;
+  if (error == beast::error::timeout)
+    return 408;
+  return 400;
+}
+
+// A connection: reads one request, waits for its response, writes it, repeats.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(tcp::socket socket, std::shared_ptr<HttpServer::Impl> server)
+      : stream_(std::move(socket)),
+        server_(std::move(server)),
+        number_(server_->next_connection++) {}
+
+  uint64_t number() const { return number_; }
+
+  void Start() { AwaitRequest(); }
+
+  bool idle() const { return state_ == State::kIdle; }
+
+  void Close() {
+    error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.socket().close(ignored);
+    server_->sessions.erase(shared_from_this());
+  }
+
+  void Respond(HttpResponse response) {
+    state_ = State::kWriting;
+    exchange_ = 0;
+    bool keep_alive = keep_alive_ && server_->accepting;
+    Write(std::move(response), keep_alive);
+  }
+
+  void Abort(std::string partial) {
+    if (partial.empty()) {
+      Close();
+      return;
+    }
+    partial_ = std::move(partial);
+    asio::async_write(
+        stream_, asio::buffer(partial_),
+        [self = shared_from_this()](error_code, size_t) { self->Close(); });
+  }
+
+ private:
+  enum class State { kIdle, kReading, kProcessing, kWriting };
+
+  void AwaitRequest() {
+    state_ = State::kIdle;
+    if (buffer_.size() > 0) {
+      ReadRequest();
+      return;
+    }
+    // The read time-out runs from the first byte, so that an idle connection
+    // is not taken for a slow sender.
+    stream_.expires_after(server_->limits.idle_timeout);
+    stream_.async_read_some(
+        buffer_.prepare(4096),
+        [self = shared_from_this()](error_code error, size_t bytes) {
+          self->OnFirstBytes(error, bytes);
+        });
+  }
+
+  void OnFirstBytes(error_code error, size_t bytes) {
+    if (error) {
+      Close();
+      return;
+    }
+    buffer_.commit(bytes);
+    ReadRequest();
+  }
+
+  void ReadRequest() {
+    state_ = State::kReading;
+    parser_.emplace();
+    parser_->header_limit(server_->limits.max_header_bytes);
+    parser_->body_limit(server_->limits.max_body_bytes);
+    stream_.expires_after(server_->limits.read_timeout);
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](error_code error, size_t) {
+                       self->OnRequest(error);
+                     });
+  }
+
+  void OnRequest(error_code error) {
+    stream_.expires_never();
+    if (error == http::error::end_of_stream ||
+        error == asio::error::connection_reset ||
+        error == asio::error::operation_aborted) {
+      Close();
+      return;
+    }
+    if (error) {
+      RefuseInput(error);
+      return;
+    }
+    state_ = State::kProcessing;
+    keep_alive_ = parser_->get().keep_alive();
+    head_ = parser_->get().method() == http::verb::head;
+    exchange_ = server_->next_exchange++;
+    server_->exchanges.emplace(exchange_, shared_from_this());
+    WatchForClose();
+    server_->handlers.on_request(exchange_, ToRequest(parser_->release()));
+  }
+
+  void RefuseInput(error_code error) {
+    // A timed-out stream is already closed by Beast.
+    if (!stream_.socket().is_open()) {
+      Close();
+      return;
+    }
+    unsigned status = StatusOfReadError(error);
+    HttpResponse response{.status = status};
+    if (server_->handlers.on_bad_input)
+      response = server_->handlers.on_bad_input(status, error.message());
+    state_ = State::kWriting;
+    Write(std::move(response), false);
+  }
+
+  // Learns that the caller closed the connection while its request is being
+  // processed. Reads nothing: bytes of a next request stay in the kernel.
+  void WatchForClose() {
+    if (watching_)
+      return;
+    watching_ = true;
+    stream_.socket().async_wait(
+        tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+          self->watching_ = false;
+          if (!error && self->state_ == State::kProcessing)
+            self->CheckClosed();
+        });
+  }
+
+  void CheckClosed() {
+    char byte;
+    ssize_t n = ::recv(stream_.socket().native_handle(), &byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0)
+      return;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+      WatchForClose();
+      return;
+    }
+    ExchangeId exchange = std::exchange(exchange_, 0);
+    server_->exchanges.erase(exchange);
+    auto self = shared_from_this();
+    Close();
+    server_->handlers.on_abandoned(exchange);
+  }
+
+  void Write(HttpResponse response, bool keep_alive) {
+    message_.emplace();
+    message_->version(11);
+    message_->result(response.status);
+    for (auto& [name, value] : response.headers)
+      message_->set(name, value);
+    message_->body() = std::move(response.body);
+    message_->keep_alive(keep_alive);
+    message_->prepare_payload();
+    if (head_)
+      message_->body().clear();
+    stream_.expires_after(server_->limits.write_timeout);
+    http::async_write(
+        stream_, *message_,
+        [self = shared_from_this(), keep_alive](error_code error, size_t) {
+          self->OnWritten(error, keep_alive);
+        });
+  }
+
+  void OnWritten(error_code error, bool keep_alive) {
+    message_.reset();
+    if (error || !keep_alive || !server_->accepting) {
+      Close();
+      return;
+    }
+    AwaitRequest();
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<HttpServer::Impl> server_;
+  uint64_t number_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::response<http::string_body>> message_;
+  std::string partial_;
+  State state_ = State::kIdle;
+  ExchangeId exchange_ = 0;
+  bool keep_alive_ = true;
+  bool head_ = false;
+  bool watching_ = false;
+};
+
+}  // namespace
+
+void HttpServer::Impl::Accept() {
+  acceptor.async_accept(
+      [self = shared_from_this()](error_code error, tcp::socket socket) {
+        if (self->closed || !self->accepting)
+          return;
+        if (!error)
+          self->Admit(std::move(socket));
+        self->Accept();
+      });
+}
+
+void HttpServer::Impl::Admit(tcp::socket socket) {
+  if (sessions.size() >= limits.max_connections)
+    return;  // Closes the socket: the caller sees the connection end.
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto session =
+      std::make_shared<Session>(std::move(socket), shared_from_this());
+  sessions.insert(session);
+  session->Start();
+}
+
+HttpServer::HttpServer(EventLoop& loop,
+                       const HttpServerLimits& limits,
+                       HttpServerHandlers handlers)
+    : impl_(std::make_shared<Impl>(loop, limits, std::move(handlers))) {}
+
+HttpServer::~HttpServer() {
+  impl_->closed = true;
+  StopAccepting();
+  impl_->exchanges.clear();
+  auto sessions = impl_->sessions;
+  for (const auto& session : sessions)
+    session->Close();
+}
+
+Endpoint HttpServer::Listen(const Endpoint& endpoint) {
+  tcp::endpoint address(asio::ip::make_address(endpoint.ip), endpoint.port);
+  impl_->acceptor.open(address.protocol());
+  impl_->acceptor.set_option(tcp::acceptor::reuse_address(true));
+  impl_->acceptor.bind(address);
+  impl_->acceptor.listen(4096);
+  impl_->accepting = true;
+  impl_->Accept();
+  return {endpoint.ip, impl_->acceptor.local_endpoint().port()};
+}
+
+void HttpServer::StopAccepting() {
+  impl_->accepting = false;
+  error_code ignored;
+  impl_->acceptor.close(ignored);
+  auto sessions = impl_->sessions;
+  for (const auto& session : sessions) {
+    if (session->idle())
+      session->Close();
+  }
+}
+
+void HttpServer::Respond(ExchangeId exchange, HttpResponse response) {
+  auto node = impl_->exchanges.extract(exchange);
+  if (!node.empty())
+    node.mapped()->Respond(std::move(response));
+}
+
+void HttpServer::Abort(ExchangeId exchange, std::string partial) {
+  auto node = impl_->exchanges.extract(exchange);
+  if (!node.empty())
+    node.mapped()->Abort(std::move(partial));
+}
+
+uint64_t HttpServer::ConnectionOf(ExchangeId exchange) const {
+  auto it = impl_->exchanges.find(exchange);
+  return it == impl_->exchanges.end() ? 0 : it->second->number();
+}
+
+uint64_t HttpServer::next_connection() const {
+  return impl_->next_connection;
+}
+
+size_t HttpServer::connection_count() const {
+  return impl_->sessions.size();
+}
+
+size_t HttpServer::exchange_count() const {
+  return impl_->exchanges.size();
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/net/store_client.cc
@@ -0,0 +1,87 @@
+#include "radishmoor/net/store_client.h"
+
+#include <utility>
+
+#include "radishmoor/net/event_loop.h"
+#include "radishmoor/net/http_client.h"
+#include "radishmoor/net/store_json.h"
+
+namespace radishmoor {
+namespace {
+
+constexpr uint32_t kMaxOutstanding = 64;
+
+}  // namespace
+
+struct StoreClient::Impl {
+  EventLoop& loop;
+  Endpoint endpoint;
+  Duration timeout;
+  HttpFetcher fetcher;
+  Counters counters;
+  uint32_t outstanding = 0;
+
+  StoreReply Convert(const StoreRequest& request, HttpFetcher::Result result);
+};
+
+StoreReply StoreClient::Impl::Convert(const StoreRequest& request,
+                                      HttpFetcher::Result result) {
+  if (auto* failure = std::get_if<HttpFetcher::Failure>(&result)) {
+    if (!failure->sent) {
+      ++counters.unavailable;
+      return UnavailableReply{failure->error};
+    }
+    ++counters.unknown;
+    return UnknownReply{failure->error};
+  }
+  const HttpResponse& response = std::get<HttpResponse>(result);
+  counters.bytes_received += response.body.size();
+  try {
+    StoreReply reply = DecodeStoreReply(request, response);
+    if (std::holds_alternative<UnavailableReply>(reply))
+      ++counters.unavailable;
+    return reply;
+  } catch (const StoreFormatError& error) {
+    // An answer that cannot be read does not tell whether a write took effect.
+    ++counters.unknown;
+    return UnknownReply{error.what()};
+  }
+}
+
+StoreClient::StoreClient(EventLoop& loop,
+                         const Endpoint& endpoint,
+                         Duration timeout)
+    : impl_(new Impl{loop, endpoint, timeout, HttpFetcher(loop), {}, 0}) {}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::Execute(const StoreRequest& request,
+                          std::function<void(StoreReply)> callback) {
+  ++impl_->counters.requests;
+  if (impl_->outstanding >= kMaxOutstanding) {
+    ++impl_->counters.unavailable;
+    impl_->loop.Post([callback = std::move(callback)] {
+      callback(UnavailableReply{"too many outstanding requests"});
+    });
+    return;
+  }
+  ++impl_->outstanding;
+  HttpRequest message = EncodeStoreRequest(request);
+  impl_->counters.bytes_sent += message.body.size() + message.target.size();
+  impl_->fetcher.Fetch(
+      impl_->endpoint, std::move(message), impl_->timeout,
+      [impl = std::weak_ptr(impl_), request,
+       callback = std::move(callback)](HttpFetcher::Result result) {
+        auto self = impl.lock();
+        if (!self)
+          return;
+        --self->outstanding;
+        callback(self->Convert(request, std::move(result)));
+      });
+}
+
+const StoreClient::Counters& StoreClient::counters() const {
+  return impl_->counters;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/net/store_json.h
@@ -0,0 +1,40 @@
+// The platform's HTTP and JSON form of store requests and replies. The store
+// client and the platform stand-in share it, so that both sides agree.
+//
+//   POST /table/read    {"keys": [...]}                   -> {"rows": [...]}
+//   POST /table/scan    {"prefix", "after", "limit"}      -> {"rows": [...]}
+//   POST /table/commit  {"operation", "expects", "writes"}
+//        200 {"versions": [...]}  or  409 {"rows": [...]}
+//   PUT  /object/<key>, GET /object/<key>, GET /objects?prefix=<prefix>
+//   GET  /hosts                                           -> {"hosts": [...]}
+//
+// 503 says that the request had no effect.
+
+#ifndef RADISHMOOR_NET_STORE_JSON_H_
+#define RADISHMOOR_NET_STORE_JSON_H_
+
+#include <stdexcept>
+
+#include "radishmoor/net/http_message.h"
+#include "radishmoor/store/table.h"
+
+namespace radishmoor {
+
+// A message that does not have the form above.
+class StoreFormatError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+HttpRequest EncodeStoreRequest(const StoreRequest& request);
+// Throws StoreFormatError.
+StoreRequest DecodeStoreRequest(const HttpRequest& request);
+
+HttpResponse EncodeStoreReply(const StoreReply& reply);
+// `request` is the one that the response answers. Throws StoreFormatError.
+StoreReply DecodeStoreReply(const StoreRequest& request,
+                            const HttpResponse& response);
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_NET_STORE_JSON_H_
--- /dev/null
+++ b/radishmoor/standins/platform_server.cc
@@ -0,0 +1,201 @@
+#include "radishmoor/standins/platform_server.h"
+
+#include <boost/json.hpp>
+#include <string>
+#include <utility>
+
+#include "radishmoor/base/random.h"
+#include "radishmoor/net/event_loop.h"
+#include "radishmoor/net/http_client.h"
+#include "radishmoor/net/http_server.h"
+#include "radishmoor/net/store_json.h"
+#include "radishmoor/store/memory_table.h"
+
+namespace radishmoor {
+
+namespace json = boost::json;
+
+namespace {
+
+enum class FaultMode { kUp, kDown, kSlow, kLoseAnswers };
+
+struct Faults {
+  FaultMode mode = FaultMode::kUp;
+  Duration delay = Duration::zero();
+  double probability = 1.0;
+};
+
+FaultMode ModeFromName(std::string_view name) {
+  if (name == "down")
+    return FaultMode::kDown;
+  if (name == "slow")
+    return FaultMode::kSlow;
+  if (name == "lose-answers")
+    return FaultMode::kLoseAnswers;
+  return FaultMode::kUp;
+}
+
+HttpServerLimits PlatformLimits() {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 64 * 1024 * 1024;
+  return limits;
+}
+
+HttpResponse Text(unsigned status, std::string body) {
+  return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
+}
+
+}  // namespace
+
+struct PlatformServer::Impl {
+  Impl(EventLoop& event_loop, uint64_t seed)
+      : loop(event_loop),
+        random(seed),
+        fetcher(event_loop),
+        server(event_loop,
+               PlatformLimits(),
+               {.on_request =
+                    [this](ExchangeId id, HttpRequest request) {
+                      OnRequest(id, request);
+                    },
+                .on_abandoned = [](ExchangeId) {}}) {}
+
+  void OnRequest(ExchangeId id, const HttpRequest& request);
+  void OnAdmin(ExchangeId id, const HttpRequest& request);
+  void OnStoreRequest(ExchangeId id, const HttpRequest& request);
+  void SetFaults(const json::object& body);
+  void SetHosts(const json::object& body);
+  void Forward(ExchangeId id,
+               std::string_view operation,
+               const json::object& body);
+  HttpResponse Stats() const;
+
+  EventLoop& loop;
+  Random random;
+  HttpFetcher fetcher;
+  MemoryTable table;
+  Faults faults;
+  uint64_t requests = 0;
+  HttpServer server;
+};
+
+void PlatformServer::Impl::OnRequest(ExchangeId id,
+                                     const HttpRequest& request) {
+  bool admin = request.target == "/faults" || request.target == "/stats" ||
+               request.target.starts_with("/operations/") ||
+               (request.target == "/hosts" && request.method == "POST");
+  try {
+    if (admin) {
+      OnAdmin(id, request);
+    } else {
+      OnStoreRequest(id, request);
+    }
+  } catch (const std::exception& error) {
+    server.Respond(id, Text(400, error.what()));
+  }
+}
+
+void PlatformServer::Impl::OnAdmin(ExchangeId id, const HttpRequest& request) {
+  if (request.target == "/stats") {
+    server.Respond(id, Stats());
+    return;
+  }
+  json::value parsed = json::parse(request.body);
+  const json::object& body = parsed.as_object();
+  constexpr std::string_view kOperations = "/operations/";
+  if (request.target.starts_with(kOperations)) {
+    Forward(id, std::string_view(request.target).substr(kOperations.size()),
+            body);
+    return;
+  }
+  if (request.target == "/faults") {
+    SetFaults(body);
+  } else {
+    SetHosts(body);
+  }
+  server.Respond(id, Text(200, "ok\n"));
+}
+
+void PlatformServer::Impl::OnStoreRequest(ExchangeId id,
+                                          const HttpRequest& request) {
+  ++requests;
+  if (faults.mode == FaultMode::kDown) {
+    server.Respond(id, Text(503, "down"));
+    return;
+  }
+  HttpResponse response =
+      EncodeStoreReply(table.Handle(DecodeStoreRequest(request)));
+  if (faults.mode == FaultMode::kLoseAnswers &&
+      random.Chance(faults.probability)) {
+    server.Abort(id);
+    return;
+  }
+  if (faults.mode == FaultMode::kSlow) {
+    loop.RunAfter(faults.delay, [this, id, response = std::move(response)] {
+      server.Respond(id, response);
+    });
+    return;
+  }
+  server.Respond(id, std::move(response));
+}
+
+void PlatformServer::Impl::SetFaults(const json::object& body) {
+  Faults next;
+  next.mode = ModeFromName(body.at("mode").as_string());
+  if (const json::value* delay = body.if_contains("delay_ms"))
+    next.delay = Milliseconds(delay->to_number<int64_t>());
+  if (const json::value* probability = body.if_contains("probability"))
+    next.probability = probability->to_number<double>();
+  faults = next;
+}
+
+void PlatformServer::Impl::SetHosts(const json::object& body) {
+  HttpResponse as_reply{200, {}, json::serialize(body)};
+  auto list =
+      std::get<HostListReply>(DecodeStoreReply(ReadHostList{}, as_reply));
+  const json::value* lag = body.if_contains("lag_ms");
+  Duration delay = Milliseconds(lag ? lag->to_number<int64_t>() : 0);
+  loop.RunAfter(
+      delay, [this, list = std::move(list)] { table.SetHostList(list.hosts); });
+}
+
+void PlatformServer::Impl::Forward(ExchangeId id,
+                                   std::string_view operation,
+                                   const json::object& body) {
+  auto endpoint = ParseEndpoint(std::string(body.at("address").as_string()));
+  if (!endpoint) {
+    server.Respond(id, Text(400, "address is not ip:port"));
+    return;
+  }
+  HttpRequest forwarded{
+      "POST", "/_standin/" + std::string(operation), {}, json::serialize(body)};
+  fetcher.Fetch(*endpoint, std::move(forwarded), Seconds(2),
+                [this, id](HttpFetcher::Result result) {
+                  if (auto* response = std::get_if<HttpResponse>(&result)) {
+                    server.Respond(id, std::move(*response));
+                    return;
+                  }
+                  server.Respond(
+                      id,
+                      Text(502, std::get<HttpFetcher::Failure>(result).error));
+                });
+}
+
+HttpResponse PlatformServer::Impl::Stats() const {
+  json::object stats{{"requests", requests},
+                     {"commits", table.commits()},
+                     {"conflicts", table.conflicts()},
+                     {"rows", table.row_count()}};
+  return Text(200, json::serialize(stats) + "\n");
+}
+
+PlatformServer::PlatformServer(EventLoop& loop, uint64_t seed)
+    : impl_(std::make_unique<Impl>(loop, seed)) {}
+
+PlatformServer::~PlatformServer() = default;
+
+Endpoint PlatformServer::Listen(const Endpoint& endpoint) {
+  return impl_->server.Listen(endpoint);
+}
+
+}  // namespace radishmoor
