--- /dev/null
+++ b/radishmoor/membership/peers.cc
@@ -0,0 +1,226 @@
+#include "radishmoor/membership/peers.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishmoor {
+
+Peers::Peers(PeersOptions options)
+    : options_(std::move(options)), random_(options_.seed) {}
+
+void Peers::AddKnown(const MemberRecord& record) {
+  if (record.id == options_.self || peers_.size() >= kMaxPeers)
+    return;
+  peers_.try_emplace(record.id, PeerInfo{record}).first->second.configured =
+      true;
+}
+
+void Peers::SetSelf(Incarnation incarnation, ConfigVersion version) {
+  incarnation_ = incarnation;
+  version_ = version;
+}
+
+std::vector<PeerAction> Peers::Tick(Time now, HybridTime stamp) {
+  Actions out;
+  if (!started_) {
+    started_ = true;
+    next_heartbeat_ = next_scan_ = now;
+  }
+  if (now >= next_heartbeat_) {
+    next_heartbeat_ =
+        now + random_.Between(kHeartbeatPeriod * 9 / 10, kHeartbeatPeriod);
+    SendHeartbeats(now, stamp, out);
+  }
+  if (tag_ != 0 && now - scan_sent_ >= kCallTimeout) {
+    tag_ = 0;
+    ++counters_.scan_failures;
+  }
+  if (tag_ == 0 && now >= next_scan_) {
+    scan_after_.clear();
+    scan_bytes_ = 0;
+    seen_.clear();
+    Scan(now, out);
+  }
+  UpdateLiveness(now, out);
+  return out;
+}
+
+Time Peers::next_wake() const {
+  return std::min(next_heartbeat_,
+                  tag_ != 0 ? scan_sent_ + kCallTimeout : next_scan_);
+}
+
+void Peers::SendHeartbeats(Time /*now*/, HybridTime stamp, Actions& out) {
+  std::vector<const PeerInfo*> others;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.record.zone == options_.zone)
+      Send(peer, stamp, out);
+    else
+      others.push_back(&peer);
+  }
+  for (size_t i = 0; i < kOtherZoneTargets && !others.empty(); ++i) {
+    size_t pick = random_.Below(others.size());
+    Send(*others[pick], stamp, out);
+    others.erase(others.begin() + static_cast<ptrdiff_t>(pick));
+  }
+}
+
+void Peers::Send(const PeerInfo& peer, HybridTime stamp, Actions& out) {
+  ++counters_.heartbeats_sent;
+  std::string address =
+      peer.record.addresses.empty() ? "" : peer.record.addresses.front();
+  out.push_back(SendHeartbeat{
+      peer.record.id, std::move(address),
+      Heartbeat{options_.self, incarnation_, options_.role, options_.zone,
+                options_.address, version_, stamp}});
+}
+
+void Peers::Scan(Time now, Actions& out) {
+  tag_ = next_tag_++;
+  scan_sent_ = now;
+  out.push_back(
+      StoreCall{tag_, ScanRows{kMemberPrefix, scan_after_, kScanLimit}});
+}
+
+std::vector<PeerAction> Peers::Handle(Time now, const StoreAnswer& answer) {
+  Actions out;
+  if (tag_ == 0 || answer.tag != tag_)
+    return out;
+  tag_ = 0;
+  if (const auto* rows = std::get_if<RowsReply>(&answer.reply)) {
+    OnRows(now, rows->rows, out);
+  } else {
+    ++counters_.scan_failures;
+    next_scan_ = now + random_.Between(kScanPeriod / 2, kScanPeriod);
+  }
+  return out;
+}
+
+void Peers::OnRows(Time now, const std::vector<Row>& rows, Actions& out) {
+  for (const Row& row : rows) {
+    scan_bytes_ += static_cast<int64_t>(row.key.size() + row.value.size());
+    OnRow(now, row);
+  }
+  if (rows.size() < kScanLimit) {
+    EndScan(now, out);
+    return;
+  }
+  scan_after_ = rows.back().key;
+  Scan(now, out);
+}
+
+void Peers::OnRow(Time now, const Row& row) {
+  std::optional<MemberRecord> record = DecodeMember(row.value);
+  if (!record || record->id == options_.self)
+    return;
+  seen_.insert(record->id);
+  if (peers_.size() >= kMaxPeers && !peers_.contains(record->id))
+    return;
+  PeerInfo& peer = peers_[record->id];
+  if (row.version <= peer.row_version) {
+    if (row.version == peer.row_version)
+      peer.row_seen = scan_sent_;
+    return;
+  }
+  if (record->incarnation > peer.record.incarnation)
+    peer.version = 0;
+  peer.version = std::max(peer.version, record->version);
+  peer.record = std::move(*record);
+  peer.row_version = row.version;
+  peer.row_changed = peer.row_seen = now;
+}
+
+// Drops peers whose row is gone, unless heartbeats still arrive.
+void Peers::EndScan(Time now, Actions& out) {
+  ++counters_.scans;
+  counters_.scan_bytes += static_cast<uint64_t>(scan_bytes_);
+  scanned_ = true;
+  Duration by_bytes = Seconds(1) * scan_bytes_ / kScanBytesPerSecond;
+  scan_interval_ =
+      std::max(by_bytes, random_.Between(kScanPeriod * 4 / 5, kScanPeriod));
+  next_scan_ = now + scan_interval_;
+  for (auto& [id, peer] : peers_) {
+    if (peer.row_version != 0 && !seen_.contains(id)) {
+      peer.row_version = 0;
+      peer.live = peer.live && IsLive(now, peer);
+      if (!peer.live)
+        out.push_back(PeerLost{id});
+    }
+  }
+  std::erase_if(peers_, [&](const auto& entry) {
+    const PeerInfo& peer = entry.second;
+    return !seen_.contains(entry.first) && !peer.live && !peer.configured;
+  });
+  UpdateLiveness(now, out);
+}
+
+std::vector<PeerAction> Peers::Handle(Time now, const Heartbeat& heartbeat) {
+  Actions out;
+  if (heartbeat.from == options_.self || heartbeat.incarnation.value == 0)
+    return out;
+  ++counters_.heartbeats_received;
+  if (peers_.size() >= kMaxPeers && !peers_.contains(heartbeat.from))
+    return out;
+  PeerInfo& peer = peers_[heartbeat.from];
+  if (heartbeat.incarnation < peer.record.incarnation) {
+    ++counters_.old_heartbeats;
+    return out;
+  }
+  if (heartbeat.incarnation > peer.record.incarnation) {
+    peer.version = 0;
+    peer.record.id = heartbeat.from;
+    peer.record.incarnation = heartbeat.incarnation;
+    peer.record.role = heartbeat.role;
+    peer.record.zone = heartbeat.zone;
+    peer.record.addresses = {heartbeat.address};
+  }
+  peer.last_heartbeat = now;
+  peer.version = std::max(peer.version, heartbeat.version);
+  UpdateLiveness(now, out);
+  return out;
+}
+
+bool Peers::IsLive(Time now, const PeerInfo& peer) const {
+  bool heard =
+      peer.last_heartbeat && now - *peer.last_heartbeat < kHeartbeatTerm;
+  if (heard || peer.record.zone == options_.zone)
+    return heard;
+  return peer.row_version != 0 &&
+         now - peer.row_changed < Member::kTakeover + scan_interval_;
+}
+
+void Peers::UpdateLiveness(Time now, Actions& out) {
+  for (auto& [id, peer] : peers_) {
+    bool live = IsLive(now, peer);
+    if (live == peer.live)
+      continue;
+    peer.live = live;
+    if (live)
+      out.push_back(PeerJoined{id});
+    else
+      out.push_back(PeerLost{id});
+  }
+}
+
+const PeerInfo* Peers::Find(const MemberId& id) const {
+  auto it = peers_.find(id);
+  return it == peers_.end() ? nullptr : &it->second;
+}
+
+std::vector<const PeerInfo*> Peers::Live() const {
+  std::vector<const PeerInfo*> live;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.live)
+      live.push_back(&peer);
+  }
+  return live;
+}
+
+std::vector<const PeerInfo*> Peers::Known() const {
+  std::vector<const PeerInfo*> known;
+  for (const auto& [id, peer] : peers_)
+    known.push_back(&peer);
+  return known;
+}
+
+}  // namespace radishmoor
