Add the fleet controller: gate, budgets, waves, moves, retirement, lending

Cause: control needs one interface for changes of host phase, pool and epoch that others can build on. Ruled out: recording the reason of a drain in the log; it follows from wanted pool, intent, round and lending plan, so a controller that takes over reaches the same decision without a second record. Conclusion: interface is usable by the wiring; behaviour is not yet shown by a run.

--- /dev/null
+++ b/radishmoor/fleet/controller.cc
@@ -0,0 +1,489 @@
+#include "radishmoor/fleet/controller.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "radishmoor/base/invariant.h"
+
+namespace radishmoor {
+namespace {
+
+EventKind EventOf(HostPhase phase) {
+  switch (phase) {
+    case HostPhase::kActive:
+      return EventKind::kHostActive;
+    case HostPhase::kDraining:
+      return EventKind::kHostDraining;
+    case HostPhase::kDrained:
+      return EventKind::kHostDrained;
+    case HostPhase::kRebooting:
+      return EventKind::kHostRebooting;
+    case HostPhase::kRetired:
+      return EventKind::kHostRetired;
+  }
+  return EventKind::kHostActive;
+}
+
+bool SameFences(const std::vector<RowExpectation>& a,
+                const std::vector<RowExpectation>& b) {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                    [](const RowExpectation& x, const RowExpectation& y) {
+                      return x.key == y.key && x.version == y.version;
+                    });
+}
+
+}  // namespace
+
+Controller::Controller(ControllerOptions options, MemberId self, uint64_t seed)
+    : options_(std::move(options)),
+      self_(std::move(self)),
+      writer_(options_.writer, seed),
+      gate_(options_.gate),
+      health_(options_.health),
+      wave_(options_.wave),
+      retirement_(options_.retirement),
+      lender_(options_.lending) {}
+
+std::vector<FleetAction> Controller::SetConfig(Time now,
+                                               const FleetState& state,
+                                               RowVersion head_row,
+                                               ConfigVersion snapshot) {
+  if (state.version > state_.version) {
+    state_ = state;
+    head_ = {head_row, snapshot};
+    ObserveState(now);
+  } else if (state.version == state_.version && head_.row == 0) {
+    head_ = {head_row, snapshot};
+  }
+  return Step(now);
+}
+
+std::vector<FleetAction> Controller::SetMembers(Time now, MemberList members) {
+  uint32_t controls = 0;
+  for (const MemberView& member : members.members) {
+    if (member.role == MemberRole::kControl)
+      ++controls;
+  }
+  writer_.SetSharers(controls);
+  gate_.ObserveMembers(std::move(members));
+  return Step(now);
+}
+
+std::vector<FleetAction> Controller::SetHostList(
+    Time now,
+    std::span<const HostListEntry> hosts) {
+  gate_.ObserveHostList(hosts);
+  return Step(now);
+}
+
+std::vector<FleetAction> Controller::SetHealth(
+    Time now,
+    std::span<const HostObservation> observations) {
+  health_.Observe(observations);
+  return Step(now);
+}
+
+std::vector<FleetAction> Controller::SetLeases(Time now,
+                                               std::vector<PoolLease> leases) {
+  std::map<PoolId, PoolLease> held;
+  for (PoolLease& lease : leases) {
+    auto old = leases_.find(lease.pool);
+    if (old == leases_.end() || !SameFences(old->second.fences, lease.fences))
+      fenced_off_.erase(lease.pool);
+    PoolId pool = lease.pool;
+    held.emplace(std::move(pool), std::move(lease));
+  }
+  leases_ = std::move(held);
+  return Step(now);
+}
+
+std::vector<FleetAction> Controller::SetLoads(Time now,
+                                              std::span<const PoolLoad> loads) {
+  lender_.ObserveLoads(now, loads);
+  retirement_.ObserveLoads(now, loads);
+  return Step(now);
+}
+
+std::vector<FleetAction> Controller::Handle(Time now,
+                                            const StoreAnswer& answer) {
+  if (std::optional<WriteResult> result = writer_.Handle(now, answer))
+    ApplyResult(now, *result);
+  return Step(now);
+}
+
+std::vector<FleetAction> Controller::Handle(Time now,
+                                            const PlatformResult& result) {
+  const HostState* host = state_.FindHost(result.host);
+  if (!host)
+    return Step(now);
+  PlatformState& platform = platform_[result.host];
+  switch (result.kind) {
+    case PlatformResultKind::kTasksCheckpointed:
+      platform.checkpointed_key = result.key;
+      break;
+    case PlatformResultKind::kRebootStarted:
+      break;
+    case PlatformResultKind::kRebootFinished:
+      if (platform.rebooted_key == result.key)
+        break;
+      figures_.requests_cut += result.requests_cut;
+      wave_.CountCut(result.requests_cut);
+      platform.rebooted_key = result.key;
+      platform.rebooted_at = now;
+      break;
+    case PlatformResultKind::kRebootFailed:
+      if (host->phase == HostPhase::kRebooting &&
+          host->drain_version == result.key) {
+        wave_.NoteRebootFailed(result.host);
+      }
+      break;
+    case PlatformResultKind::kAdmitted:
+      platform.admitted_key = result.key;
+      break;
+  }
+  return Step(now);
+}
+
+std::vector<FleetAction> Controller::Tick(Time now) {
+  return Step(now);
+}
+
+void Controller::ObserveState(Time now) {
+  gate_.ObserveState(now, state_);
+  retirement_.ObserveState(now, state_);
+  health_.Forget(state_);
+  std::erase_if(platform_,
+                [&](const auto& item) { return !state_.FindHost(item.first); });
+  std::vector<HostId> soon = SoonDueHosts(state_);
+  soon_due_ = {soon.begin(), soon.end()};
+}
+
+void Controller::ApplyResult(Time now, const WriteResult& result) {
+  switch (result.outcome) {
+    case WriteOutcome::kCommitted:
+      ++figures_.commits;
+      ReportChange(result.delta);
+      // The view may have delivered this change, or later ones, already.
+      if (result.delta.version == next_version()) {
+        state_.Apply(result.delta);
+        head_ = result.head;
+        ObserveState(now);
+      }
+      break;
+    case WriteOutcome::kConflict:
+      ++figures_.conflicts;
+      for (const std::string& key : result.conflicts) {
+        // A stale head waits for the view; a stale fence for the lease.
+        if (key != kConfigHeadKey && !key.starts_with("config/delta/"))
+          FenceOff();
+        else if (state_.version < result.delta.version)
+          head_.row = 0;
+      }
+      break;
+    case WriteOutcome::kNotWritten:
+      break;
+  }
+}
+
+void Controller::FenceOff() {
+  auto lease = leases_.find(change_lease_.pool);
+  // The lease may have been renewed with other rows since the change was sent.
+  if (lease != leases_.end() &&
+      SameFences(lease->second.fences, change_lease_.fences)) {
+    fenced_off_.insert(change_lease_.pool);
+  }
+}
+
+void Controller::ReportChange(const ConfigDelta& delta) {
+  for (const HostState& host : delta.hosts) {
+    const HostState* before = state_.FindHost(host.id);
+    TimelineEvent event;
+    event.kind = EventOf(host.phase);
+    event.host = host.id;
+    event.pool = host.pool;
+    event.config = delta.version;
+    if (host.phase == HostPhase::kDraining)
+      ++figures_.drains_started;
+    if (host.phase == HostPhase::kRebooting) {
+      ++figures_.reboots;
+      wave_.CountReboot();
+    }
+    if (host.phase == HostPhase::kRetired)
+      ++figures_.retired;
+    if (IsNewcomer(host)) {
+      event.kind = EventKind::kHostMoved;
+      ++figures_.moves;
+      wave_.CountMove();
+    }
+    bool back = before && before->phase == HostPhase::kDraining &&
+                host.phase == HostPhase::kActive;
+    if (back) {
+      ++figures_.give_backs;
+      event.detail = "drain given back";
+    }
+    actions_.emplace_back(std::move(event));
+  }
+}
+
+const PoolLease* Controller::Lease(Time now, const PoolId& pool) const {
+  auto it = leases_.find(pool);
+  bool held = it != leases_.end() && now < it->second.valid_until &&
+              !fenced_off_.contains(pool);
+  return held ? &it->second : nullptr;
+}
+
+HostPurpose Controller::Purpose(const HostState& host) const {
+  return PurposeOf(state_, host, plan_, wave_.paused());
+}
+
+std::vector<FleetAction> Controller::Step(Time now) {
+  health_.ObserveZones(now, gate_);
+  // Plans once a second at most: loads arrive at that rate.
+  if (now - plan_at_ >= Seconds(1)) {
+    plan_ = lender_.Plan(now, state_);
+    plan_at_ = now;
+  }
+  BudgetTable budgets(now, state_, health_);
+  for (FleetAction& action : wave_.Observe(now, state_, health_, budgets))
+    actions_.push_back(std::move(action));
+  RequestPlatform(now, budgets);
+  writer_.Tick(now);
+  if (writer_.Ready(now) && head_.row != 0) {
+    if (std::optional<Change> change = NextChange(now, budgets)) {
+      change_lease_ = *Lease(now, change->lease);
+      writer_.Start(now, std::move(change->delta), head_, change_lease_.fences,
+                    std::move(change->removed_rows));
+    }
+  }
+  for (StoreCall& call : writer_.TakeCalls())
+    actions_.emplace_back(std::move(call));
+  Time wake = writer_.next_wake();
+  next_wake_ = now + Seconds(1);
+  if (wake > now)
+    next_wake_ = std::min(next_wake_, wake);
+  return std::exchange(actions_, {});
+}
+
+bool Controller::WantsAdmission(const HostState& host,
+                                const BudgetTable& budgets) const {
+  if (host.phase != HostPhase::kDrained)
+    return false;
+  HostPurpose purpose = Purpose(host);
+  if (purpose.retire || purpose.hold)
+    return false;
+  if (IsNewcomer(host))
+    return !purpose.move_to;
+  return !purpose.any() || budgets.Exceeded(host.pool);
+}
+
+void Controller::RequestPlatform(Time now, const BudgetTable& budgets) {
+  for (const auto& [id, host] : state_.hosts) {
+    if (host.phase == HostPhase::kActive || host.phase == HostPhase::kRetired)
+      continue;
+    if (!Lease(now, host.pool))
+      continue;
+    PlatformState& platform = platform_[id];
+    bool retry = now >= platform.retry_at;
+    auto request = [&](uint64_t* sent_key, uint64_t key, FleetAction action) {
+      if (*sent_key == key && !retry)
+        return;
+      *sent_key = key;
+      platform.retry_at = now + options_.platform_retry;
+      actions_.push_back(std::move(action));
+    };
+    if (host.phase == HostPhase::kDraining &&
+        platform.checkpointed_key != host.drain_version) {
+      request(&platform.checkpoint_key, host.drain_version,
+              CheckpointTasks{id, host.drain_version});
+    } else if (host.phase == HostPhase::kRebooting &&
+               platform.rebooted_key != host.drain_version) {
+      request(&platform.reboot_key, host.drain_version,
+              RebootHost{id, host.drain_version, host.maintained});
+    } else if (WantsAdmission(host, budgets) &&
+               platform.admitted_key != host.epoch) {
+      request(&platform.admit_key, host.epoch,
+              AdmitHost{id, host.pool, host.epoch});
+    }
+  }
+}
+
+Controller::Change Controller::HostChange(HostState next,
+                                          const PoolId& lease) const {
+  Change change;
+  change.delta.version = next_version();
+  change.delta.author = self_.str();
+  change.delta.hosts.push_back(std::move(next));
+  change.lease = lease;
+  return change;
+}
+
+std::optional<Controller::Change> Controller::NextChange(
+    Time now,
+    const BudgetTable& budgets) {
+  if (std::optional<Change> change = GiveBack(now, budgets))
+    return change;
+  if (std::optional<Change> change = Progress(now, budgets))
+    return change;
+  if (std::optional<Change> change = FinishRetirement(now))
+    return change;
+  return StartOne(now, budgets);
+}
+
+std::optional<Controller::Change> Controller::GiveBack(
+    Time now,
+    const BudgetTable& budgets) {
+  for (const auto& [id, host] : state_.hosts) {
+    // Returning a host that is itself lost restores nothing.
+    if (host.phase != HostPhase::kDraining || !budgets.Exceeded(host.pool) ||
+        !health_.Healthy(now, host) || !Lease(now, host.pool)) {
+      continue;
+    }
+    hold_until_[host.pool] = now + options_.give_back_hold;
+    return HostChange(Activate(host), host.pool);
+  }
+  return std::nullopt;
+}
+
+std::optional<Controller::Change> Controller::Progress(
+    Time now,
+    const BudgetTable& budgets) {
+  for (const auto& [id, host] : state_.hosts) {
+    if (!Lease(now, host.pool))
+      continue;
+    if (std::optional<HostState> next = ProgressHost(now, host, budgets))
+      return HostChange(std::move(*next), host.pool);
+  }
+  return std::nullopt;
+}
+
+std::optional<HostState> Controller::ProgressHost(
+    Time now,
+    const HostState& host,
+    const BudgetTable& budgets) const {
+  auto platform = platform_.find(host.id);
+  switch (host.phase) {
+    case HostPhase::kActive:
+    case HostPhase::kRetired:
+      return std::nullopt;
+    case HostPhase::kDraining: {
+      if (!Purpose(host).any())
+        return Activate(host);
+      bool idle = platform != platform_.end() &&
+                  platform->second.checkpointed_key == host.drain_version &&
+                  health_.Running(now, host.id) == 0 &&
+                  gate_.Check(now, host).open;
+      return idle ? std::optional(FinishDrain(host)) : std::nullopt;
+    }
+    case HostPhase::kRebooting: {
+      bool back = platform != platform_.end() &&
+                  platform->second.rebooted_key == host.drain_version &&
+                  health_.HealthySince(now, host, platform->second.rebooted_at);
+      return back ? std::optional(FinishReboot(host)) : std::nullopt;
+    }
+    case HostPhase::kDrained:
+      return LeaveDrained(now, host, budgets);
+  }
+  return std::nullopt;
+}
+
+std::optional<HostState> Controller::LeaveDrained(
+    Time now,
+    const HostState& host,
+    const BudgetTable& budgets) const {
+  HostPurpose purpose = Purpose(host);
+  bool newcomer = IsNewcomer(host);
+  // Maintenance and moves wait for the budget; the host returns instead.
+  bool withheld = !newcomer && budgets.Exceeded(host.pool);
+  if (purpose.retire)
+    return Retire(host);
+  if (purpose.maintain && !newcomer && !withheld) {
+    if (wave_.MayReboot(now, state_, health_, host) &&
+        health_.Running(now, host.id) == 0) {
+      return StartReboot(host, next_version(), state_.rules.maintenance);
+    }
+    // A host that also moves completes the round in its new pool.
+    if (!purpose.move_to)
+      return std::nullopt;
+  }
+  if (purpose.move_to && !withheld)
+    return FlipPool(host, *purpose.move_to);
+  auto platform = platform_.find(host.id);
+  bool admitted = platform != platform_.end() &&
+                  platform->second.admitted_key == host.epoch &&
+                  health_.Healthy(now, host);
+  return admitted && WantsAdmission(host, budgets)
+             ? std::optional(Activate(host))
+             : std::nullopt;
+}
+
+std::optional<Controller::Change> Controller::FinishRetirement(Time now) {
+  for (const auto& [id, pool] : state_.pools) {
+    if (!pool.closed || !Lease(now, id))
+      continue;
+    std::optional<ConfigDelta> delta = Retirement::RemovePool(state_, id);
+    if (!delta)
+      continue;
+    delta->version = next_version();
+    delta->author = self_.str();
+    return Change{std::move(*delta), id, {options_.lease_prefix + id.str()}};
+  }
+  return std::nullopt;
+}
+
+bool Controller::MayStart(Time now,
+                          const HostState& host,
+                          const BudgetTable& budgets) {
+  if (host.phase != HostPhase::kActive || !Lease(now, host.pool) ||
+      health_.DrainWouldStall(host.zone)) {
+    return false;
+  }
+  HostPurpose purpose = Purpose(host);
+  bool other = purpose.retire || purpose.hold || purpose.move_to;
+  if (!other &&
+      (!purpose.maintain || !wave_.MayStart(now, state_, health_, host))) {
+    return false;
+  }
+  auto hold = hold_until_.find(host.pool);
+  if (hold != hold_until_.end() && now < hold->second)
+    return false;
+  const PoolState* pool = state_.FindPool(host.pool);
+  if (pool && pool->closed && !retirement_.MayRelease(now, state_, host))
+    return false;
+  if (budgets.MayTake(host))
+    return true;
+  ++figures_.budget_refusals;
+  return false;
+}
+
+std::optional<Controller::Change> Controller::StartOne(
+    Time now,
+    const BudgetTable& budgets) {
+  // Operators' intents and moves come before the round.
+  for (const auto& [id, host] : state_.hosts) {
+    if (!IsDue(state_, host) && MayStart(now, host, budgets))
+      return HostChange(StartDrain(host, next_version()), host.pool);
+  }
+  for (const HostId& id : MaintenanceOrder(state_)) {
+    const HostState& host = *state_.FindHost(id);
+    if (MayStart(now, host, budgets))
+      return HostChange(StartDrain(host, next_version()), host.pool);
+  }
+  return std::nullopt;
+}
+
+GateVerdict Controller::Gate(Time now, const HostId& host) const {
+  const HostState* state = state_.FindHost(host);
+  return state ? gate_.Check(now, *state)
+               : GateVerdict{false, GateBlock::kNotDraining, {}};
+}
+
+FleetFigures Controller::figures() const {
+  FleetFigures figures = figures_;
+  figures.unavailable = writer_.unavailable();
+  figures.unknown = writer_.unknown();
+  figures.resolved_committed = writer_.resolved_committed();
+  figures.wave_pauses = wave_.pauses();
+  return figures;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/fleet/controller.h
@@ -0,0 +1,169 @@
+// The fleet controller of one control process: moves, availability budgets,
+// maintenance waves, retirement and lending.
+//
+//   Controller controller(options, MemberId("c-1"), seed);
+//   Perform(controller.SetConfig(now, state, head_row, snapshot));
+//   Perform(controller.SetLeases(now, leases));
+//   ...
+//   Perform(controller.Tick(now));          // at next_wake() at the latest
+//
+// Every method returns the actions that follow from the input; the caller
+// carries them out and returns StoreAnswers and PlatformResults. All progress
+// is in the configuration log. The memory of a controller only holds timers and
+// the answers of the platform, which a successor asks for again.
+//
+// Cost of each input: O(hosts * wave hosts) with a change to decide, else
+// O(hosts).
+
+#ifndef RADISHMOOR_FLEET_CONTROLLER_H_
+#define RADISHMOOR_FLEET_CONTROLLER_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "radishmoor/fleet/budget.h"
+#include "radishmoor/fleet/change_writer.h"
+#include "radishmoor/fleet/drain_gate.h"
+#include "radishmoor/fleet/lending.h"
+#include "radishmoor/fleet/moves.h"
+#include "radishmoor/fleet/retirement.h"
+#include "radishmoor/fleet/types.h"
+#include "radishmoor/fleet/wave.h"
+
+namespace radishmoor {
+
+struct ControllerOptions {
+  DrainGateOptions gate;
+  HealthOptions health;
+  WaveOptions wave;
+  RetirementOptions retirement;
+  ChangeWriterOptions writer;
+  LendingPolicy lending = StaticSpare{};
+  // After giving a reservation back, nothing new starts in the pool this long,
+  // so that health that comes and goes does not drain hosts in turn.
+  Duration give_back_hold = Seconds(30);
+  // An action without result is repeated after this time.
+  Duration platform_retry = Seconds(10);
+  // Prefix of the lease rows that a removed pool takes along.
+  std::string lease_prefix = "lease/";
+};
+
+class Controller {
+ public:
+  Controller(ControllerOptions options, MemberId self, uint64_t seed);
+
+  // The accepted configuration as the view holds it, the version of the row
+  // `config/head` with it, and the snapshot that the head names. An older
+  // version than the one known is ignored.
+  std::vector<FleetAction> SetConfig(Time now,
+                                     const FleetState& state,
+                                     RowVersion head_row,
+                                     ConfigVersion snapshot);
+  std::vector<FleetAction> SetMembers(Time now, MemberList members);
+  std::vector<FleetAction> SetHostList(Time now,
+                                       std::span<const HostListEntry> hosts);
+  // Health of hosts in every phase: a host that returns from a reboot or a move
+  // is admitted only when it is healthy.
+  std::vector<FleetAction> SetHealth(
+      Time now,
+      std::span<const HostObservation> observations);
+  // All leases that the process holds now; others are lost.
+  std::vector<FleetAction> SetLeases(Time now, std::vector<PoolLease> leases);
+  std::vector<FleetAction> SetLoads(Time now, std::span<const PoolLoad> loads);
+  std::vector<FleetAction> Handle(Time now, const StoreAnswer& answer);
+  std::vector<FleetAction> Handle(Time now, const PlatformResult& result);
+  std::vector<FleetAction> Tick(Time now);
+
+  // When Tick should be called next; at most one second after the last input,
+  // since health and silence age.
+  Time next_wake() const { return next_wake_; }
+
+  bool SoonDue(const HostId& host) const { return soon_due_.contains(host); }
+  // Why a draining host waits, for `status`.
+  GateVerdict Gate(Time now, const HostId& host) const;
+  bool wave_paused() const { return wave_.paused(); }
+  const FleetState& state() const { return state_; }
+  FleetFigures figures() const;
+
+ private:
+  struct Change {
+    ConfigDelta delta;
+    PoolId lease;
+    std::vector<std::string> removed_rows;
+  };
+
+  // Remembers for each host the key of an action and of its result.
+  struct PlatformState {
+    uint64_t checkpoint_key = 0;
+    uint64_t checkpointed_key = 0;
+    uint64_t reboot_key = 0;
+    uint64_t rebooted_key = 0;
+    Time rebooted_at{};
+    uint64_t admit_key = 0;
+    uint64_t admitted_key = 0;
+    Time retry_at{};
+  };
+
+  std::vector<FleetAction> Step(Time now);
+  void ObserveState(Time now);
+  void ApplyResult(Time now, const WriteResult& result);
+  void FenceOff();
+  void ReportChange(const ConfigDelta& delta);
+
+  // The lease of the pool when it holds now, else null.
+  const PoolLease* Lease(Time now, const PoolId& pool) const;
+
+  // Platform actions that the committed phases call for.
+  void RequestPlatform(Time now, const BudgetTable& budgets);
+  bool WantsAdmission(const HostState& host, const BudgetTable& budgets) const;
+
+  // The next change to commit, by urgency: returning reservations, progress of
+  // hosts that left service, then new starts.
+  std::optional<Change> NextChange(Time now, const BudgetTable& budgets);
+  std::optional<Change> GiveBack(Time now, const BudgetTable& budgets);
+  std::optional<Change> Progress(Time now, const BudgetTable& budgets);
+  std::optional<HostState> ProgressHost(Time now,
+                                        const HostState& host,
+                                        const BudgetTable& budgets) const;
+  std::optional<HostState> LeaveDrained(Time now,
+                                        const HostState& host,
+                                        const BudgetTable& budgets) const;
+  std::optional<Change> FinishRetirement(Time now);
+  std::optional<Change> StartOne(Time now, const BudgetTable& budgets);
+  bool MayStart(Time now, const HostState& host, const BudgetTable& budgets);
+  HostPurpose Purpose(const HostState& host) const;
+  Change HostChange(HostState next, const PoolId& lease) const;
+  ConfigVersion next_version() const { return state_.version + 1; }
+
+  ControllerOptions options_;
+  MemberId self_;
+  ChangeWriter writer_;
+  DrainGate gate_;
+  HealthView health_;
+  Wave wave_;
+  Retirement retirement_;
+  Lender lender_;
+  LendingPlan plan_;
+  Time plan_at_{};
+
+  FleetState state_;
+  HeadRow head_;
+  std::map<PoolId, PoolLease> leases_;
+  // Leases whose fences failed; unused until they come with other versions.
+  std::set<PoolId> fenced_off_;
+  PoolLease change_lease_;  // That of the change in flight.
+  std::map<PoolId, Time> hold_until_;
+  std::map<HostId, PlatformState> platform_;
+  std::set<HostId> soon_due_;
+  std::vector<FleetAction> actions_;
+  FleetFigures figures_;
+  Time next_wake_{};
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_FLEET_CONTROLLER_H_
--- /dev/null
+++ b/radishmoor/fleet/wave.cc
@@ -0,0 +1,289 @@
+#include "radishmoor/fleet/wave.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace radishmoor {
+namespace {
+
+using RackKey = std::pair<ZoneId, RackId>;
+
+RackKey RackOf(const HostState& host) {
+  return {host.zone, host.rack};
+}
+
+bool Completed(const FleetState& state, const HostState& host) {
+  return !state.rules.maintenance.empty() &&
+         host.maintained == state.rules.maintenance &&
+         host.phase != HostPhase::kRebooting &&
+         host.phase != HostPhase::kRetired;
+}
+
+bool InSparePool(const FleetState& state, const HostState& host) {
+  const PoolState* pool = state.FindPool(host.pool);
+  return pool && pool->spare;
+}
+
+TimelineEvent WaveEvent(EventKind kind,
+                        const FleetState& state,
+                        std::string detail) {
+  TimelineEvent event;
+  event.kind = kind;
+  event.config = state.version;
+  event.detail = std::move(detail);
+  return event;
+}
+
+}  // namespace
+
+bool IsDue(const FleetState& state, const HostState& host) {
+  if (state.rules.maintenance.empty() ||
+      host.maintained == state.rules.maintenance) {
+    return false;
+  }
+  const PoolState* pool = state.FindPool(host.pool);
+  return host.phase != HostPhase::kRetired &&
+         host.phase != HostPhase::kRebooting &&
+         host.intent != HostIntent::kRetire && pool && !pool->closed;
+}
+
+bool InMaintenance(const FleetState& state, const HostState& host) {
+  if (host.phase == HostPhase::kRebooting)
+    return true;
+  return IsDue(state, host) && host.phase != HostPhase::kActive &&
+         !IsNewcomer(host);
+}
+
+std::vector<HostId> MaintenanceOrder(const FleetState& state) {
+  std::vector<const HostState*> due;
+  for (const auto& [id, host] : state.hosts) {
+    if (IsDue(state, host))
+      due.push_back(&host);
+  }
+  std::sort(due.begin(), due.end(), [](const HostState* a, const HostState* b) {
+    return std::tie(a->zone, a->rack, a->id) <
+           std::tie(b->zone, b->rack, b->id);
+  });
+  auto canary = std::find_if(due.begin(), due.end(), [&](const HostState* h) {
+    return InSparePool(state, *h);
+  });
+  if (canary != due.end())
+    std::rotate(due.begin(), canary, canary + 1);
+  std::vector<HostId> order;
+  order.reserve(due.size());
+  for (const HostState* host : due)
+    order.push_back(host->id);
+  return order;
+}
+
+std::vector<HostId> SoonDueHosts(const FleetState& state) {
+  std::set<RackKey> next;
+  std::vector<HostId> order = MaintenanceOrder(state);
+  // The racks that are in maintenance and as many again that come next.
+  size_t racks = 2 * size_t{std::max(state.rules.max_racks_in_maintenance, 1U)};
+  for (const HostId& id : order) {
+    RackKey rack = RackOf(*state.FindHost(id));
+    if (next.size() < racks)
+      next.insert(rack);
+  }
+  std::vector<HostId> soon;
+  for (const auto& [id, host] : state.hosts) {
+    const PoolState* pool = state.FindPool(host.pool);
+    const PoolState* wanted = state.FindPool(host.wanted_pool);
+    bool moving = host.wanted_pool != host.pool && wanted && !wanted->spare;
+    bool leaving = host.phase != HostPhase::kActive ||
+                   host.intent != HostIntent::kServe || (pool && pool->closed);
+    bool due = IsDue(state, host) && next.contains(RackOf(host));
+    if (moving || leaving || due)
+      soon.push_back(id);
+  }
+  return soon;
+}
+
+void Wave::StartRound(Time now, const FleetState& state) {
+  round_ = state.rules.maintenance;
+  started_ = now;
+  report_ = {.round = round_};
+  paused_ = false;
+  calm_since_ = now;
+  completed_at_.clear();
+  reboot_failed_.clear();
+  bool any_due = false;
+  for (const auto& [id, host] : state.hosts) {
+    any_due |= IsDue(state, host);
+    bool touched = !round_.empty() && host.maintained == round_;
+    report_.partial |= touched;
+  }
+  // A round that was complete when first seen was reported by another process.
+  finished_ = round_.empty() || !any_due;
+}
+
+void Wave::FollowHosts(Time now, const FleetState& state) {
+  for (const auto& [id, host] : state.hosts) {
+    if (Completed(state, host))
+      completed_at_.emplace(id, now);
+    if (host.phase == HostPhase::kRebooting) {
+      rebooting_since_.emplace(id, now);
+    } else {
+      rebooting_since_.erase(id);
+      reboot_failed_.erase(id);
+    }
+  }
+}
+
+uint32_t Wave::Failures(Time now,
+                        const FleetState& state,
+                        const HealthView& health) const {
+  uint32_t failures = 0;
+  for (const auto& [id, since] : rebooting_since_) {
+    if (reboot_failed_.contains(id) || now - since > options_.reboot_timeout)
+      ++failures;
+  }
+  for (const auto& [id, at] : completed_at_) {
+    const HostState* host = state.FindHost(id);
+    // A partition makes every host of a zone unreachable, whether rebooted or
+    // not, so it says nothing about the round.
+    if (!host || now - at > options_.probation ||
+        health.Partitioned(host->zone)) {
+      continue;
+    }
+    HostHealth seen = health.Of(now, *host);
+    if (seen == HostHealth::kFailed || seen == HostHealth::kUnreachable)
+      ++failures;
+  }
+  return failures;
+}
+
+void Wave::UpdatePause(Time now,
+                       uint32_t failures,
+                       uint32_t limit,
+                       std::vector<FleetAction>* actions) {
+  if (failures >= limit) {
+    calm_since_ = now;
+    if (paused_)
+      return;
+    paused_ = true;
+    ++pauses_;
+    TimelineEvent event;
+    event.kind = EventKind::kWavePaused;
+    event.detail = "round=" + round_ + " failed=" + std::to_string(failures);
+    actions->push_back(event);
+    return;
+  }
+  if (!paused_ || now - calm_since_ < options_.resume_after)
+    return;
+  paused_ = false;
+  TimelineEvent event;
+  event.kind = EventKind::kWaveStarted;
+  event.detail = "round=" + round_ + " resumed";
+  actions->push_back(event);
+}
+
+std::vector<FleetAction> Wave::Observe(Time now,
+                                       const FleetState& state,
+                                       const HealthView& health,
+                                       const BudgetTable& budgets) {
+  std::vector<FleetAction> actions;
+  if (state.rules.maintenance != round_) {
+    StartRound(now, state);
+    if (!finished_) {
+      actions.emplace_back(
+          WaveEvent(EventKind::kWaveStarted, state, "round=" + round_));
+    }
+  }
+  FollowHosts(now, state);
+  // Before the canary passed, its failure alone pauses the wave.
+  uint32_t limit =
+      CanaryPassed(now, state, health) ? options_.pause_failures : 1;
+  UpdatePause(now, Failures(now, state, health), limit, &actions);
+  if (finished_)
+    return actions;
+  for (const auto& [id, pool] : state.pools) {
+    uint32_t& used = report_.budget_used[id];
+    used = std::max(used, budgets.unavailable(id));
+  }
+  for (const auto& [id, host] : state.hosts) {
+    if (IsDue(state, host) || host.phase == HostPhase::kRebooting)
+      return actions;
+  }
+  finished_ = true;
+  report_.roll_out = now - started_;
+  actions.emplace_back(report_);
+  actions.emplace_back(
+      WaveEvent(EventKind::kWaveFinished, state, "round=" + round_));
+  return actions;
+}
+
+bool Wave::CanaryPassed(Time now,
+                        const FleetState& state,
+                        const HealthView& health) const {
+  for (const auto& [id, at] : completed_at_) {
+    const HostState* host = state.FindHost(id);
+    if (host && now - at >= options_.canary_soak && health.Healthy(now, *host))
+      return true;
+  }
+  return false;
+}
+
+bool Wave::MayStart(Time now,
+                    const FleetState& state,
+                    const HealthView& health,
+                    const HostState& host) const {
+  if (paused_ || !IsDue(state, host))
+    return false;
+  std::set<RackKey> racks;
+  std::set<ZoneId> zones;
+  uint32_t in_pool = 0;
+  for (const auto& [id, other] : state.hosts) {
+    if (!InMaintenance(state, other))
+      continue;
+    in_pool += other.pool == host.pool ? 1 : 0;
+    // A drain that cannot be acknowledged may last as long as a partition.
+    // Counting it would stop the wave in all other zones.
+    if (other.phase == HostPhase::kDraining &&
+        health.DrainWouldStall(other.zone)) {
+      continue;
+    }
+    racks.insert(RackOf(other));
+    zones.insert(other.zone);
+  }
+  const PoolState* pool = state.FindPool(host.pool);
+  if (!pool || in_pool >= std::max(pool->wave_limit, 1U))
+    return false;
+  if (!CanaryPassed(now, state, health))
+    return racks.empty() && completed_at_.empty();
+  if (racks.contains(RackOf(host)))
+    return true;
+  // One zone at a time, so that a bad round meets one failure domain only.
+  bool other_zone = !zones.empty() && !zones.contains(host.zone);
+  return !other_zone &&
+         racks.size() < std::max(state.rules.max_racks_in_maintenance, 1U);
+}
+
+bool Wave::MayReboot(Time now,
+                     const FleetState& state,
+                     const HealthView& health,
+                     const HostState& host) const {
+  if (paused_)
+    return false;
+  std::set<RackKey> rebooting;
+  uint32_t in_pool = 0;
+  for (const auto& [id, other] : state.hosts) {
+    if (other.phase != HostPhase::kRebooting)
+      continue;
+    rebooting.insert(RackOf(other));
+    in_pool += other.pool == host.pool ? 1 : 0;
+  }
+  const PoolState* pool = state.FindPool(host.pool);
+  if (!pool || in_pool >= std::max(pool->wave_limit, 1U))
+    return false;
+  // A host that drained for another reason does not overtake the canary.
+  if (!CanaryPassed(now, state, health))
+    return rebooting.empty() && completed_at_.empty();
+  return rebooting.contains(RackOf(host)) ||
+         rebooting.size() < std::max(state.rules.max_racks_in_maintenance, 1U);
+}
+
+}  // namespace radishmoor
