Add the settings tables, structured logs and metrics

Cause: the programs need one way to read settings, to log changes of state and to be scraped. Ruled out: TCLAP's own value arguments and messages, because TCLAP stops at its first error and takes a following flag as a value; the table checks each token first and TCLAP then assigns values. A histogram without clamping: log(-1) is not a number and Boost.Histogram files it in the last bucket. Change: radishmoor/ops/settings, program_settings (entry, control, ctl), log, metrics; docs/settings.md is generated and a test compares it. Switches and free arguments are part of the table so that radishmoorctl can share it. Conclusion: the interfaces are ready for the daemons.

--- /dev/null
+++ b/radishmoor/ops/log.cc
@@ -0,0 +1,142 @@
+#include "radishmoor/ops/log.h"
+
+#include <atomic>
+#include <boost/core/null_deleter.hpp>
+#include <boost/date_time/posix_time/posix_time.hpp>
+#include <boost/json.hpp>
+#include <boost/log/attributes/clock.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/utility/manipulators/add_value.hpp>
+#include <boost/make_shared.hpp>
+#include <iostream>
+#include <mutex>
+#include <vector>
+
+namespace radishmoor {
+namespace {
+
+namespace json = boost::json;
+namespace log = boost::log;
+
+using Sink = log::sinks::synchronous_sink<log::sinks::text_ostream_backend>;
+
+// Above every level: nothing is written before StartLog().
+constexpr int kNoLevel = 100;
+std::atomic<int> least_level{kNoLevel};
+
+constexpr const char* kLevelNames[] = {"debug", "info", "warning", "error"};
+
+std::string UtcNow() {
+  auto now = boost::posix_time::microsec_clock::universal_time();
+  std::string text = boost::posix_time::to_iso_extended_string(now);
+  // The fraction is left out when it is 0.
+  if (text.size() == 19)
+    text += ".000000";
+  return text + "Z";
+}
+
+json::value ToJson(const LogField& field) {
+  return std::visit([](const auto& v) { return json::value(v); },
+                    field.value());
+}
+
+bool IsPlain(std::string_view text) {
+  if (text.empty())
+    return false;
+  for (unsigned char c : text) {
+    if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f)
+      return false;
+  }
+  return true;
+}
+
+// A text with a space, quote or control character is quoted as in JSON, so
+// that a value never starts a new line or a new key.
+std::string KeyValueText(const LogField& field) {
+  const auto* text = std::get_if<std::string>(&field.value());
+  if (text != nullptr && IsPlain(*text))
+    return *text;
+  return json::serialize(ToJson(field));
+}
+
+std::string KeyValueLine(LogLevel level,
+                         std::string_view event,
+                         std::initializer_list<LogField> fields) {
+  std::string line = "time=" + UtcNow() +
+                     " level=" + kLevelNames[static_cast<int>(level)] +
+                     " event=" + std::string(event);
+  for (const LogField& field : fields)
+    line += " " + field.key() + "=" + KeyValueText(field);
+  return line;
+}
+
+std::string JsonLine(LogLevel level,
+                     std::string_view event,
+                     std::initializer_list<LogField> fields) {
+  json::object line{{"time", UtcNow()},
+                    {"level", kLevelNames[static_cast<int>(level)]},
+                    {"event", event}};
+  for (const LogField& field : fields)
+    line[field.key()] = ToJson(field);
+  return json::serialize(line);
+}
+
+std::atomic<LogFormat> line_format{LogFormat::kKeyValue};
+
+std::mutex& SinkMutex() {
+  static std::mutex mutex;
+  return mutex;
+}
+
+boost::shared_ptr<Sink>& CurrentSink() {
+  static boost::shared_ptr<Sink> sink;
+  return sink;
+}
+
+}  // namespace
+
+void StartLog(const LogOptions& options) {
+  auto backend = boost::make_shared<log::sinks::text_ostream_backend>();
+  if (options.stream) {
+    // The deleter's copy of the shared pointer keeps the stream alive.
+    backend->add_stream(boost::shared_ptr<std::ostream>(
+        options.stream.get(), [keep = options.stream](std::ostream*) {}));
+  } else {
+    backend->add_stream(
+        boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+  }
+  backend->auto_flush(true);
+  auto sink = boost::make_shared<Sink>(backend);
+  sink->set_formatter(log::expressions::stream << log::expressions::smessage);
+  std::lock_guard lock(SinkMutex());
+  if (CurrentSink())
+    log::core::get()->remove_sink(CurrentSink());
+  CurrentSink() = sink;
+  log::core::get()->add_sink(sink);
+  line_format = options.format;
+  least_level = static_cast<int>(options.level);
+}
+
+void Log(LogLevel level,
+         std::string_view event,
+         std::initializer_list<LogField> fields) {
+  if (static_cast<int>(level) < least_level.load(std::memory_order_relaxed))
+    return;
+  log::sources::logger_mt logger;
+  auto record = logger.open_record();
+  if (!record)
+    return;
+  log::record_ostream stream(record);
+  stream << (line_format == LogFormat::kJson
+                 ? JsonLine(level, event, fields)
+                 : KeyValueLine(level, event, fields));
+  stream.flush();
+  logger.push_record(std::move(record));
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/ops/log.h
@@ -0,0 +1,88 @@
+// Structured log lines on standard error, as key=value or JSON.
+//
+//   StartLog({.format = LogFormat::kJson, .level = LogLevel::kInfo});
+//   LogInfo("lease-acquired", {{"pool", pool.str()}, {"token", token}});
+//
+// A line is for a change of state: the start of a drain, the loss of a peer.
+// What happens for each request is counted (metrics.h), not logged. Before
+// StartLog() nothing is written. Thread-safe.
+
+#ifndef RADISHMOOR_OPS_LOG_H_
+#define RADISHMOOR_OPS_LOG_H_
+
+#include <concepts>
+#include <cstdint>
+#include <initializer_list>
+#include <iosfwd>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace radishmoor {
+
+enum class LogLevel : uint8_t { kDebug, kInfo, kWarning, kError };
+enum class LogFormat : uint8_t { kKeyValue, kJson };
+
+struct LogOptions {
+  LogFormat format = LogFormat::kKeyValue;
+  LogLevel level = LogLevel::kInfo;  // Lines below it are dropped.
+  std::shared_ptr<std::ostream> stream = nullptr;  // Null: standard error.
+};
+
+// A key with a text, a number or a truth value. Text longer than 1024 bytes is
+// cut.
+class LogField {
+ public:
+  using Value = std::variant<std::string, int64_t, uint64_t, double, bool>;
+
+  LogField(std::string_view key, std::string_view value)
+      : key_(key), value_(std::string(value.substr(0, kMaxValueBytes))) {}
+  LogField(std::string_view key, const char* value)
+      : LogField(key, std::string_view{value}) {}
+  LogField(std::string_view key, const std::string& value)
+      : LogField(key, std::string_view{value}) {}
+  LogField(std::string_view key, bool value) : key_(key), value_(value) {}
+  LogField(std::string_view key, double value) : key_(key), value_(value) {}
+  template <std::signed_integral T>
+  LogField(std::string_view key, T value)
+      : key_(key), value_(static_cast<int64_t>(value)) {}
+  template <std::unsigned_integral T>
+  LogField(std::string_view key, T value)
+      : key_(key), value_(static_cast<uint64_t>(value)) {}
+
+  const std::string& key() const { return key_; }
+  const Value& value() const { return value_; }
+
+ private:
+  static constexpr size_t kMaxValueBytes = 1024;
+
+  std::string key_;
+  Value value_;
+};
+
+// Replaces the sink of an earlier call.
+void StartLog(const LogOptions& options);
+
+// Writes one line with the time (UTC), the level, the event and the fields.
+// `event` and the keys are fixed lower-case words joined by '-' or '_'.
+void Log(LogLevel level,
+         std::string_view event,
+         std::initializer_list<LogField> fields = {});
+
+inline void LogInfo(std::string_view event,
+                    std::initializer_list<LogField> fields = {}) {
+  Log(LogLevel::kInfo, event, fields);
+}
+inline void LogWarning(std::string_view event,
+                       std::initializer_list<LogField> fields = {}) {
+  Log(LogLevel::kWarning, event, fields);
+}
+inline void LogError(std::string_view event,
+                     std::initializer_list<LogField> fields = {}) {
+  Log(LogLevel::kError, event, fields);
+}
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_OPS_LOG_H_
--- /dev/null
+++ b/radishmoor/ops/program_settings.h
@@ -0,0 +1,76 @@
+// The settings of radishmoor's programs: their tables and typed values.
+//
+//   ParseResult result = EntrySettingsTable().Parse(argc, argv, environ);
+//   if (auto code = result.Report(std::cout, std::cerr))
+//     return *code;
+//   EntrySettings settings = EntrySettingsFrom(result.values);
+
+#ifndef RADISHMOOR_OPS_PROGRAM_SETTINGS_H_
+#define RADISHMOOR_OPS_PROGRAM_SETTINGS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "radishmoor/base/ids.h"
+#include "radishmoor/base/time.h"
+#include "radishmoor/ops/log.h"
+#include "radishmoor/ops/settings.h"
+
+namespace radishmoor {
+
+struct EntrySettings {
+  MemberId member;
+  ZoneId zone;
+  SocketAddress listen_address;    // For callers.
+  SocketAddress admin_address;     // /metrics, /healthz, /readyz, /timeline.
+  SocketAddress peer_address;      // For other processes of radishmoor.
+  SocketAddress platform_address;  // Table service, object store, host list.
+  std::vector<SocketAddress> seed_peers;
+  LogFormat log_format = LogFormat::kKeyValue;
+  LogLevel log_level = LogLevel::kInfo;
+  Duration grace_period{};
+  size_t max_header_bytes = 0;
+  size_t max_body_bytes = 0;
+  Duration request_read_timeout{};
+  size_t max_caller_connections = 0;
+  size_t timeline_ring_size = 0;
+  Duration timeline_flush_period{};
+};
+
+enum class LendingPolicy : uint8_t {
+  kStatic,      // Spare hosts stay where the inventory puts them.
+  kHysteresis,  // Lends when load crosses a threshold for some time.
+  kAhead,       // Lends before an expected peak.
+};
+
+struct ControlSettings {
+  MemberId member;
+  ZoneId zone;
+  SocketAddress admin_address;
+  SocketAddress peer_address;
+  SocketAddress platform_address;
+  LogFormat log_format = LogFormat::kKeyValue;
+  LogLevel log_level = LogLevel::kInfo;
+  uint32_t max_writes_per_second = 0;
+  LendingPolicy lending_policy = LendingPolicy::kHysteresis;
+  Duration grace_period{};
+};
+
+SettingsTable EntrySettingsTable();
+EntrySettings EntrySettingsFrom(const SettingValues& values);
+
+SettingsTable ControlSettingsTable();
+ControlSettings ControlSettingsFrom(const SettingValues& values);
+
+// radishmoorctl: --platform-address, --author, --timeout-ms and --json, and
+// commands as arguments.
+SettingsTable CtlSettingsTable();
+
+// The text of docs/settings.md: the tables of all programs.
+std::string SettingsPage();
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_OPS_PROGRAM_SETTINGS_H_
