Test the fleet controller on a simulated site with faults

Cause: the controller had no run that shows its rules. Ruled out: one test for each fault only; pairs and all faults together run as well, ten minutes each with a settling time. Change: testing/fleet_sim.h (processes, leases, send rules, platform, oracle) and controller_test.cc: 66 random runs with fixed seeds and one directed test for each mechanism.

--- /dev/null
+++ b/radishmoor/fleet/testing/controller_test.cc
@@ -0,0 +1,618 @@
+#include "radishmoor/fleet/controller.h"
+
+#include <catch2/catch.hpp>
+
+#include "radishmoor/base/invariant.h"
+#include "radishmoor/fleet/testing/fleet_sim.h"
+
+namespace radishmoor {
+namespace {
+
+constexpr Time At(int64_t seconds) {
+  return kTimeZero + Seconds(seconds);
+}
+
+std::string Join(const std::vector<std::string>& lines) {
+  std::string text;
+  for (const std::string& line : lines)
+    text += line + "\n";
+  return text;
+}
+
+// No host is on its way and no work is left for control.
+std::string Unfinished(const FleetState& state) {
+  std::string text;
+  for (const auto& [id, host] : state.hosts) {
+    if (host.intent != HostIntent::kServe)
+      continue;
+    bool home = host.pool == host.wanted_pool ||
+                state.FindPool(host.wanted_pool)->spare;
+    if (host.phase != HostPhase::kActive || IsDue(state, host) || !home) {
+      text += id.str() + " phase " +
+              std::to_string(static_cast<int>(host.phase)) + " pool " +
+              host.pool.str() + " wanted " + host.wanted_pool.str() +
+              " maintained " + host.maintained + "\n";
+    }
+  }
+  return text;
+}
+
+// Runs ten minutes with faults and lets the site settle without.
+void RunRandom(uint64_t seed, const SimFaults& faults) {
+  SetInvariantSeed(seed);
+  SimOptions options;
+  options.seed = seed;
+  options.faults = faults;
+  options.controllers = 2 + static_cast<int>(seed % 2);
+  options.control.wave.canary_soak = Seconds(10);
+  options.control.wave.reboot_timeout = Seconds(120);
+  options.control.wave.resume_after = Seconds(30);
+  FleetSim sim(options);
+  sim.SetRound("m0");
+  sim.EditHost(HostId("h103"),
+               [](HostState* h) { h->wanted_pool = PoolId("b"); });
+  sim.Run(At(600), At(600));
+  sim.Operate([](FleetState* state, ConfigDelta* delta) {
+    for (auto& [id, pool] : state->pools) {
+      pool.max_unavailable = 2;
+      delta->pools.push_back(pool);
+    }
+    for (auto& [id, host] : state->hosts) {
+      host.intent = HostIntent::kServe;
+      delta->hosts.push_back(host);
+    }
+  });
+  sim.Run(At(2000));
+  INFO("seed " << seed);
+  INFO(Join(sim.violations));
+  CHECK(sim.violations.empty());
+  INFO(Unfinished(*sim.truth()));
+  CHECK(Unfinished(*sim.truth()).empty());
+  CHECK(sim.drains > 10);
+}
+
+// Guards against any rule of 6.3 and 6.4 broken by one kind of fault, by pairs
+// and by all at once.
+TEST_CASE("random faults keep the rules, and work finishes after them") {
+  using Flag = bool SimFaults::*;
+  const std::vector<Flag> flags{
+      &SimFaults::store_down,     &SimFaults::store_slow,
+      &SimFaults::lost_answers,   &SimFaults::pauses,
+      &SimFaults::kills,          &SimFaults::partitions,
+      &SimFaults::racks,          &SimFaults::reboots_fail,
+      &SimFaults::platform_drops, &SimFaults::operators};
+  uint64_t seed = 20261204;
+  RunRandom(seed++, {});
+  for (size_t a = 0; a < flags.size(); ++a) {
+    for (size_t b = a; b < flags.size(); ++b) {
+      SimFaults faults;
+      faults.*flags[a] = true;
+      faults.*flags[b] = true;
+      RunRandom(seed++, faults);
+    }
+  }
+  for (int i = 0; i < 10; ++i) {
+    SimFaults faults;
+    for (Flag flag : flags)
+      faults.*flag = true;
+    RunRandom(seed++, faults);
+  }
+}
+
+// Drain gate.
+
+struct GateCase {
+  FleetState state;
+  DrainGate gate{DrainGateOptions{.max_request_time = Seconds(60)}};
+  HostState host;
+  MemberView member;
+
+  GateCase() {
+    host.id = HostId("h");
+    host.zone = ZoneId("z0");
+    host.phase = HostPhase::kDraining;
+    host.drain_version = 7;
+    state.version = 7;
+    state.hosts[host.id] = host;
+    gate.ObserveState(At(100), state);
+    member.id = MemberId("e");
+    member.incarnation = {1};
+    member.zone = host.zone;
+    member.host = "eh";
+    member.host_instance = 3;
+    member.version_in_force = 6;
+    member.last_change = At(100);
+  }
+  GateBlock Check(int64_t seconds, std::vector<MemberView> members) {
+    gate.ObserveMembers({At(100), std::move(members)});
+    return gate.Check(At(seconds), host).block;
+  }
+};
+
+// Guards against a host handed over while a member of its zone may still send
+// or has requests in flight, however long it is silent.
+TEST_CASE("a member of the host's zone must acknowledge and be idle") {
+  GateCase c;
+  CHECK(c.Check(1'000'000, {c.member}) == GateBlock::kLocalNotAcknowledged);
+  c.member.version_in_force = 7;
+  c.member.busy = {c.host.id};
+  CHECK(c.Check(1'000'000, {c.member}) == GateBlock::kLocalBusy);
+  c.member.busy = {HostId("other")};
+  CHECK(c.Check(100, {c.member}) == GateBlock::kNone);
+  c.member.role = MemberRole::kControl;
+  c.member.version_in_force = 0;
+  CHECK(c.Check(100, {c.member}) == GateBlock::kNone);
+}
+
+// Guards against a lagging host list or a reused name taken as proof of an end.
+TEST_CASE("only the confirmed end of the very instance excuses a member") {
+  GateCase c;
+  auto list = [&](HostListState state, uint64_t instance) {
+    std::vector<HostListEntry> hosts{{"eh", state, instance}};
+    c.gate.ObserveHostList(hosts);
+    return c.Check(200, {c.member});
+  };
+  CHECK(list(HostListState::kTerminated, 2) != GateBlock::kNone);
+  CHECK(list(HostListState::kTerminated, 4) != GateBlock::kNone);
+  CHECK(list(HostListState::kLeaving, 3) != GateBlock::kNone);
+  CHECK(list(HostListState::kLive, 4) != GateBlock::kNone);
+  CHECK(list(HostListState::kTerminated, 3) == GateBlock::kNone);
+  // An older copy of the list does not take the proof back.
+  CHECK(list(HostListState::kLive, 3) == GateBlock::kNone);
+  c.member.host = "";
+  CHECK(c.Check(200, {c.member}) != GateBlock::kNone);
+}
+
+TEST_CASE("a newer incarnation replaces the row of an older one") {
+  GateCase c;
+  MemberView newer = c.member;
+  newer.incarnation = {2};
+  newer.version_in_force = 8;
+  CHECK(c.Check(100, {c.member, newer}) == GateBlock::kNone);
+  CHECK(c.Check(100, {newer, c.member}) == GateBlock::kNone);
+  std::swap(newer.version_in_force, c.member.version_in_force);
+  CHECK(c.Check(100, {c.member, newer}) != GateBlock::kNone);
+}
+
+// Guards against a reboot under requests of an unreachable member of another
+// zone: its sends end after 5 s + 1 s, its requests at their deadline.
+TEST_CASE("a member of another zone is bounded by view age and deadline") {
+  GateCase c;
+  c.member.zone = ZoneId("z1");
+  CHECK(c.Check(105, {c.member}) == GateBlock::kRemoteMaySend);
+  CHECK(c.Check(106, {c.member}) == GateBlock::kRemoteMayBeBusy);
+  CHECK(c.Check(165, {c.member}) == GateBlock::kRemoteMayBeBusy);
+  CHECK(c.Check(166, {c.member}) == GateBlock::kNone);
+  // Acknowledged and busy: silent, then still renewing.
+  c.member.version_in_force = 7;
+  c.member.busy = {c.host.id};
+  CHECK(c.Check(165, {c.member}) == GateBlock::kRemoteMayBeBusy);
+  CHECK(c.Check(166, {c.member}) == GateBlock::kNone);
+  c.member.last_change = At(160);
+  CHECK(c.Check(170, {c.member}) == GateBlock::kRemoteMayBeBusy);
+  c.member.busy.clear();
+  CHECK(c.Check(100, {c.member}) == GateBlock::kNone);
+  GateCase unbounded;
+  unbounded.gate = DrainGate{DrainGateOptions{.max_request_time = Seconds(0)}};
+  unbounded.gate.ObserveState(At(100), unbounded.state);
+  unbounded.member.zone = ZoneId("z1");
+  CHECK(unbounded.Check(1'000'000, {unbounded.member}) ==
+        GateBlock::kRemoteMayBeBusy);
+}
+
+// Guards against a member that registered between the reading of the list and
+// the drain.
+TEST_CASE("a member list read before the drain was known proves nothing") {
+  GateCase c;
+  c.gate.ObserveMembers({At(99), {}});
+  CHECK(c.gate.Check(At(200), c.host).block == GateBlock::kMembersNotRead);
+  c.gate.ObserveMembers({At(100), {}});
+  CHECK(c.gate.Check(At(200), c.host).open);
+  // A second drain of the host counts from its own start.
+  c.host.drain_version = 9;
+  c.state.hosts[c.host.id] = c.host;
+  CHECK_FALSE(c.gate.Check(At(200), c.host).open);
+  c.gate.ObserveState(At(200), c.state);
+  CHECK(c.gate.Check(At(200), c.host).block == GateBlock::kMembersNotRead);
+}
+
+// Writer.
+
+struct WriterCase {
+  ChangeWriter writer;
+  ConfigDelta delta;
+  uint64_t tag = 0;
+
+  explicit WriterCase(uint64_t seed) : writer(ChangeWriterOptions{}, seed) {
+    delta.version = 5;
+    delta.author = "c";
+  }
+  // Sends the change and returns it with its operation id.
+  ConfigDelta Start(Time now) {
+    writer.Start(now, delta, {44, 0}, {{"lease/a", 3}}, {});
+    StoreCall call = writer.TakeCalls().at(0);
+    tag = call.tag;
+    const Transaction& t = std::get<CommitRows>(call.request).transaction;
+    return DecodeDelta(t.writes.at(1).value);
+  }
+  std::optional<WriteResult> Answer(Time now, StoreReply reply) {
+    return writer.Handle(now, {tag, std::move(reply)});
+  }
+  std::optional<WriteResult> ReadBack(Time now, const std::string& delta_text) {
+    writer.Tick(now);
+    tag = writer.TakeCalls().at(0).tag;
+    Row row{ConfigDeltaKey(5), delta_text.empty() ? 0U : 50U, delta_text};
+    return Answer(now,
+                  RowsReply{{row, {kConfigHeadKey, 49, EncodeHead({5, 0})}}});
+  }
+};
+
+// Guards against a change done twice, or taken as failed, after a lost answer.
+TEST_CASE("a lost answer is resolved by the operation id of the delta") {
+  for (int outcome = 0; outcome < 3; ++outcome) {
+    WriterCase c(1);
+    ConfigDelta sent = c.Start(At(10));
+    CHECK_FALSE(c.Answer(At(11), UnknownReply{}));
+    CHECK_FALSE(c.writer.Ready(At(20)));
+    ConfigDelta other = sent;
+    other.operation.value ^= 2;
+    std::string text = outcome == 0   ? EncodeDelta(sent)
+                       : outcome == 1 ? EncodeDelta(other)
+                                      : "";
+    std::optional<WriteResult> result = c.ReadBack(At(20), text);
+    REQUIRE(result);
+    CHECK(result->outcome == (outcome == 0   ? WriteOutcome::kCommitted
+                              : outcome == 1 ? WriteOutcome::kConflict
+                                             : WriteOutcome::kNotWritten));
+    CHECK(result->head.row == (outcome == 0 ? 49 : 0));
+  }
+  // A store that never answers counts as an unknown outcome, and its late
+  // answer changes nothing.
+  WriterCase c(1);
+  c.Start(At(10));
+  c.writer.Tick(At(41));
+  CHECK(c.writer.unknown() == 1);
+  CHECK_FALSE(c.Answer(At(41), CommittedReply{{49, 50}}));
+  CHECK_FALSE(c.writer.idle());
+}
+
+// Guards against a burst of writes when the store returns, and against more
+// than the site's rate.
+TEST_CASE("writes are limited and back off with jitter") {
+  std::set<Time> returns;
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    WriterCase c(seed);
+    int calls = 0;
+    Time now = At(10);
+    for (; now < At(610); now += Milliseconds(1)) {
+      if (!c.writer.Ready(now))
+        continue;
+      c.Start(now);
+      c.Answer(now, UnavailableReply{});
+      ++calls;
+    }
+    CHECK(calls < 130);
+    while (!c.writer.Ready(now))
+      now += Milliseconds(1);
+    returns.insert(now);
+  }
+  CHECK(returns.size() >= 7);
+  CHECK(*returns.rbegin() - *returns.begin() > Seconds(1));
+  WriterCase c(1);
+  c.writer.SetSharers(4);
+  int calls = 0;
+  for (Time now = At(10); now < At(20); now += Milliseconds(1)) {
+    if (!c.writer.Ready(now))
+      continue;
+    c.Start(now);
+    c.Answer(now, CommittedReply{{1, 2}});
+    ++calls;
+  }
+  CHECK(calls == 250);
+}
+
+// Waves, moves, retirement and lending on a site without random faults.
+
+SimOptions Quiet(uint64_t seed = 7) {
+  SimOptions options;
+  options.seed = seed;
+  options.control.wave.canary_soak = Seconds(30);
+  options.control.wave.resume_after = Seconds(30);
+  return options;
+}
+
+uint32_t CountPhase(const FleetSim& sim, HostPhase phase) {
+  uint32_t count = 0;
+  for (const auto& [id, host] : sim.truth()->hosts)
+    count += host.phase == phase ? 1 : 0;
+  return count;
+}
+
+void CheckClean(const FleetSim& sim) {
+  INFO(Join(sim.violations));
+  CHECK(sim.violations.empty());
+}
+
+// Guards against a round that takes more than its limits, or that goes on
+// before the canary was healthy for its time.
+TEST_CASE("a wave keeps canary, rack, zone and pool limits and reports") {
+  SimOptions options = Quiet();
+  options.max_racks = 1;
+  options.hosts_per_pool = 8;
+  FleetSim sim(options);
+  sim.Run(At(30));
+  sim.SetRound("m1");
+  Time canary_done = kTimeMax;
+  bool limits_kept = true;
+  bool canary_alone = true;
+  bool spare_first = true;
+  sim.on_step = [&] {
+    std::set<RackId> racks;
+    std::map<PoolId, uint32_t> pools;
+    uint32_t out = 0;
+    for (const auto& [id, host] : sim.truth()->hosts) {
+      bool done = host.maintained == "m1" && host.phase == HostPhase::kActive;
+      if (done)
+        canary_done = std::min(canary_done, sim.now());
+      if (!InMaintenance(*sim.truth(), host))
+        continue;
+      ++out;
+      racks.insert(host.rack);
+      ++pools[host.pool];
+      if (canary_done == kTimeMax)
+        spare_first &= host.pool == PoolId("spare");
+    }
+    limits_kept &= racks.size() <= 1;
+    for (const auto& [pool, count] : pools)
+      limits_kept &= count <= 2;
+    if (canary_done == kTimeMax)
+      canary_alone &= out <= 1;
+    else if (sim.now() < canary_done + Seconds(29))
+      canary_alone &= out == 0;
+  };
+  sim.Run(At(1500));
+  CHECK(limits_kept);
+  CHECK(canary_alone);
+  CHECK(spare_first);
+  CHECK(Unfinished(*sim.truth()).empty());
+  REQUIRE(sim.reports.size() == sim.procs.size());
+  CHECK(sim.reports[0].hosts_maintained + sim.reports[1].hosts_maintained ==
+        24);
+  CHECK_FALSE(sim.reports[0].partial);
+  CHECK(sim.reports[0].requests_cut == 0);
+  CHECK(sim.reports[0].budget_used[PoolId("a")] <= 2);
+  CheckClean(sim);
+}
+
+// Guards against a round that goes on while hosts do not survive it.
+TEST_CASE("failures after reboot pause the wave until they are over") {
+  FleetSim sim(Quiet());
+  sim.Run(At(30));
+  sim.SetRound("m1");
+  std::vector<HostId> failed;
+  sim.on_step = [&] {
+    for (const auto& [id, host] : sim.truth()->hosts) {
+      bool done = host.maintained == "m1" && host.phase == HostPhase::kActive;
+      bool known = std::find(failed.begin(), failed.end(), id) != failed.end();
+      // The canary passes; the next two hosts fail after their return.
+      if (done && !known && failed.size() < 3) {
+        failed.push_back(id);
+        if (failed.size() > 1)
+          sim.FailHost(id, At(500) - sim.now());
+      }
+    }
+  };
+  sim.Run(At(300));
+  REQUIRE(failed.size() == 3);
+  CHECK(sim.procs[0].controller->wave_paused());
+  uint64_t drains = sim.drains;
+  sim.Run(At(520));
+  CHECK(sim.drains == drains);
+  CHECK(CountPhase(sim, HostPhase::kActive) == 18);
+  sim.on_step = nullptr;
+  sim.Run(At(1500));
+  CHECK(Unfinished(*sim.truth()).empty());
+  CheckClean(sim);
+}
+
+// Guards against reservations kept while losses take the budget.
+TEST_CASE("losses start nothing and give reservations back") {
+  SimOptions options = Quiet();
+  options.control.wave.canary_soak = Seconds(0);
+  options.max_racks = 3;
+  FleetSim sim(options);
+  sim.Run(At(30));
+  // Members of zone 0 stay busy: paused, so that no drain there ends.
+  for (FleetSim::Entry& entry : sim.entries)
+    entry.paused_until = At(36);
+  sim.EditHost(HostId("h100"),
+               [](HostState* h) { h->wanted_pool = PoolId("b"); });
+  sim.Run(At(33));
+  REQUIRE(sim.truth()->FindHost(HostId("h100"))->phase == HostPhase::kDraining);
+  sim.FailHost(HostId("h101"), Seconds(200));
+  sim.FailHost(HostId("h102"), Seconds(200));
+  sim.Run(At(36));
+  CHECK(sim.truth()->FindHost(HostId("h100"))->phase == HostPhase::kActive);
+  sim.EditHost(HostId("h103"),
+               [](HostState* h) { h->intent = HostIntent::kDrain; });
+  sim.Run(At(200));
+  CHECK(sim.drains == 1);
+  CHECK(sim.truth()->FindHost(HostId("h103"))->phase == HostPhase::kActive);
+  sim.Run(At(400));
+  CHECK(sim.truth()->FindHost(HostId("h100"))->pool == PoolId("b"));
+  CHECK(sim.truth()->FindHost(HostId("h103"))->phase == HostPhase::kDrained);
+  CheckClean(sim);
+}
+
+// Guards against progress that only a controller's memory holds: each action of
+// a small wave with a move is once the last of its process.
+TEST_CASE("a controller killed at any step is continued from the log") {
+  uint64_t total = 0;
+  for (uint64_t k = 0; k == 0 || k <= total; ++k) {
+    for (bool after : {false, true}) {
+      SimOptions options = Quiet();
+      options.hosts_per_pool = 2;
+      options.max_unavailable = 1;
+      options.control.wave.canary_soak = Seconds(5);
+      FleetSim sim(options);
+      sim.kill_at = k;
+      sim.kill_after = after;
+      sim.Run(At(20));
+      sim.SetRound("m1");
+      sim.EditHost(HostId("h100"),
+                   [](HostState* h) { h->wanted_pool = PoolId("b"); });
+      sim.Run(At(600));
+      INFO("killed at action " << k << " after it: " << after);
+      CHECK(Unfinished(*sim.truth()).empty());
+      CheckClean(sim);
+      if (k == 0)
+        total = sim.actions;
+    }
+  }
+  CHECK(total > 20);
+}
+
+// Guards against a paused process that acts on a lease it lost.
+TEST_CASE("a controller without a valid lease writes and asks nothing") {
+  FleetSim sim(Quiet());
+  sim.Run(At(20));
+  sim.SetRound("m1");
+  for (FleetSim::Proc& proc : sim.procs)
+    proc.paused_until = At(300);
+  sim.Run(At(299));
+  uint64_t actions = sim.actions;
+  sim.store_up = false;
+  sim.Run(At(400));
+  CHECK(sim.actions == actions);
+  CheckClean(sim);
+}
+
+// Guards against writes of a holder whose lease was taken over: only the fence
+// rows tell it apart, since the head is current.
+TEST_CASE("a write with an old fence fails and is not repeated") {
+  SimOptions options = Quiet();
+  options.controllers = 1;
+  FleetSim sim(options);
+  sim.Run(At(20));
+  uint64_t sent = 0;
+  sim.intercept = [&](FleetSim::Proc& proc, const StoreCall& call) {
+    ++sent;
+    Transaction steal{{99}, {}, {}};
+    for (const char* pool : {"a", "b", "spare"})
+      steal.writes.push_back({std::string("lease/") + pool, "thief"});
+    sim.Apply(CommitRows{steal});
+    proc.next_poll = At(1000);
+    sim.Answer(proc, call.tag, sim.Apply(call.request), Milliseconds(5));
+    return true;
+  };
+  sim.SetRound("m1");
+  sim.Run(At(25));
+  // One attempt for each of the three leases.
+  CHECK(sent == 3);
+  CHECK(sim.drains == 0);
+  CHECK(sim.procs[0].controller->figures().conflicts == 3);
+}
+
+// Guards against a partition that stops the wave elsewhere or moves hosts that
+// cannot be reached.
+TEST_CASE("hosts of a partitioned zone stay as they are, others go on") {
+  SimOptions options = Quiet();
+  options.pools = {"a", "spare"};
+  options.hosts_per_pool = 12;
+  options.max_unavailable = 6;
+  options.controllers = 3;
+  options.control.wave.canary_soak = Seconds(5);
+  FleetSim sim(options);
+  sim.Run(At(20));
+  sim.Partition(ZoneId("z1"), Seconds(1500));
+  sim.Run(At(60));
+  sim.SetRound("m1");
+  sim.EditHost(HostId("h101"),
+               [](HostState* h) { h->intent = HostIntent::kDrain; });
+  sim.Run(At(1400));
+  for (const auto& [id, host] : sim.truth()->hosts) {
+    bool cut = host.zone == ZoneId("z1");
+    CHECK(host.maintained == (cut ? "" : "m1"));
+    CHECK(host.phase == HostPhase::kActive);
+  }
+  sim.Run(At(2500));
+  CHECK(Unfinished(*sim.truth()).empty());
+  CheckClean(sim);
+}
+
+TEST_CASE("hosts move, retire, and a closed service goes down to nothing") {
+  FleetSim sim(Quiet());
+  sim.Run(At(20));
+  sim.EditHost(HostId("h100"),
+               [](HostState* h) { h->wanted_pool = PoolId("b"); });
+  sim.EditHost(HostId("h106"),
+               [](HostState* h) { h->intent = HostIntent::kRetire; });
+  sim.Run(At(120));
+  const HostState* moved = sim.truth()->FindHost(HostId("h100"));
+  CHECK(moved->pool == PoolId("b"));
+  CHECK(moved->epoch == 2);
+  CHECK(moved->phase == HostPhase::kActive);
+  CHECK(sim.truth()->FindHost(HostId("h106"))->phase == HostPhase::kRetired);
+  // One host of the closed pool goes to another pool; the last one waits for
+  // the queue.
+  sim.loads = {{PoolId("a"), 1, 5}};
+  sim.EditHost(HostId("h101"),
+               [](HostState* h) { h->wanted_pool = PoolId("b"); });
+  sim.EditPool(PoolId("a"), [](PoolState* p) { p->closed = true; });
+  sim.Run(At(145));
+  CHECK(sim.Serving(PoolId("a")) == 1);
+  CHECK(sim.truth()->FindPool(PoolId("a")));
+  sim.loads = {{PoolId("a"), 0, 0}};
+  sim.Run(At(250));
+  CHECK_FALSE(sim.truth()->FindPool(PoolId("a")));
+  CHECK_FALSE(sim.truth()->FindHost(HostId("h102")));
+  CHECK(sim.truth()->FindHost(HostId("h101"))->pool == PoolId("b"));
+  StoreReply lease = sim.Apply(ReadRows{{"lease/a"}});
+  CHECK(std::get<RowsReply>(lease).rows.at(0).version == 0);
+  CheckClean(sim);
+}
+
+TEST_CASE("work is kept off hosts that are due soon") {
+  FleetSim sim(Quiet());
+  sim.Run(At(20));
+  const Controller& control = *sim.procs[0].controller;
+  CHECK_FALSE(control.SoonDue(HostId("h100")));
+  sim.EditHost(HostId("h110"),
+               [](HostState* h) { h->intent = HostIntent::kDrain; });
+  sim.SetRound("m1");
+  sim.Run(At(22));
+  CHECK(control.SoonDue(HostId("h110")));
+  CHECK(control.SoonDue(HostId("h100")));
+}
+
+// Guards against lending that follows a peak too late or never ends.
+TEST_CASE("policies lend for a peak and take back after it") {
+  const LendingPolicy hysteresis = Hysteresis{};
+  const LendingPolicy ahead =
+      AheadOfPeak{.period = Seconds(300), .bins = 60, .lead = Seconds(60)};
+  for (const LendingPolicy& policy : {hysteresis, ahead}) {
+    bool learns = std::holds_alternative<AheadOfPeak>(policy);
+    SimOptions options = Quiet();
+    options.control.lending = policy;
+    FleetSim sim(options);
+    uint32_t most = 0;
+    uint32_t before_peak = 0;
+    sim.on_step = [&] {
+      int64_t into = (sim.now() - kTimeZero) / Seconds(1) % 300;
+      bool peak = into >= 150 && into < 180;
+      sim.loads = {{PoolId("a"), peak ? 9.0 : 1.0, 0}, {PoolId("b"), 1.0, 0}};
+      uint32_t serving = sim.Serving(PoolId("a"));
+      most = std::max(most, serving);
+      if (into == 149 && sim.now() > At(300))
+        before_peak = std::max(before_peak, serving);
+    };
+    sim.Run(At(600));
+    CHECK(most > 6);
+    CHECK((before_peak > 6) == learns);
+    CHECK(sim.Serving(PoolId("a")) == 6);
+    CheckClean(sim);
+  }
+}
+
+}  // namespace
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/fleet/testing/fleet_sim.h
@@ -0,0 +1,784 @@
+// Virtual-time model of a site for tests and benches of the fleet controller:
+// control processes with leases, entry processes that follow the send rules of
+// docs/design.md 6.3, one MemoryTable, and a platform that reboots hosts. Each
+// committed change and each send is checked by an oracle that sees everything.
+
+#ifndef RADISHMOOR_FLEET_TESTING_FLEET_SIM_H_
+#define RADISHMOOR_FLEET_TESTING_FLEET_SIM_H_
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "radishmoor/base/random.h"
+#include "radishmoor/fleet/controller.h"
+#include "radishmoor/store/memory_table.h"
+
+namespace radishmoor {
+
+// Fault classes that a run injects.
+struct SimFaults {
+  bool store_down = false;
+  bool store_slow = false;
+  bool lost_answers = false;
+  bool pauses = false;  // Control and entry processes stop for minutes.
+  bool kills = false;   // Control and entry processes are killed.
+  bool partitions = false;
+  bool racks = false;
+  bool reboots_fail = false;
+  bool platform_drops = false;  // Actions and results are lost or repeated.
+  bool operators = false;
+};
+
+struct SimOptions {
+  uint64_t seed = 1;
+  SimFaults faults;
+  int controllers = 2;
+  int zones = 3;
+  int entries_per_zone = 2;
+  std::vector<std::string> pools{"a", "b", "spare"};
+  int hosts_per_pool = 6;
+  uint32_t max_unavailable = 2;
+  uint32_t wave_limit = 2;
+  uint32_t max_racks = 2;
+  Duration reboot_time = Seconds(20);
+  Duration step = Milliseconds(200);
+  double sends = 2;  // Mean requests for each entry process and step.
+  Duration max_request_time = Seconds(20);
+  ControllerOptions control;
+};
+
+class FleetSim {
+ public:
+  struct Proc {
+    MemberId id;
+    ZoneId zone;
+    std::unique_ptr<Controller> controller;
+    uint64_t generation = 0;
+    bool alive = true;
+    Time paused_until{};
+    Time next_poll{};
+    Time renewed{};
+    RowVersion member_row = 0;
+    std::map<PoolId, RowVersion> leases;
+    std::map<std::string, std::pair<RowVersion, Time>> seen;
+  };
+
+  struct Entry {
+    MemberView row;  // As it would be written now.
+    bool alive = true;
+    bool dirty = true;
+    Time paused_until{};
+    Time next_poll{};
+    Time next_renewal{};
+    std::shared_ptr<const FleetState> view;
+    Time view_sent{};
+    std::map<HostId, std::vector<Time>> in_flight;  // Ends of requests.
+  };
+
+  explicit FleetSim(SimOptions options)
+      : options_(std::move(options)), random_(options_.seed) {
+    options_.control.gate.max_request_time = options_.max_request_time;
+    options_.control.retirement.max_request_time = options_.max_request_time;
+    Build();
+  }
+
+  // Runs until `end`. Faults start only before `faults_end`.
+  void Run(Time end, Time faults_end = kTimeZero) {
+    while (now_ < end) {
+      now_ += options_.step;
+      while (!queue_.empty() && queue_.begin()->first <= now_) {
+        auto event = queue_.extract(queue_.begin());
+        event.mapped()();
+      }
+      if (now_ < faults_end)
+        InjectFaults();
+      for (Entry& entry : entries)
+        StepEntry(entry);
+      for (Proc& proc : procs)
+        StepProc(proc);
+      if (on_step)
+        on_step();
+    }
+  }
+
+  // A change by an operator, committed at once.
+  void Operate(const std::function<void(FleetState*, ConfigDelta*)>& edit) {
+    FleetState next = *truth();
+    ConfigDelta delta;
+    delta.version = next.version + 1;
+    delta.operation = {random_.Next() | 1};
+    delta.author = "operator";
+    edit(&next, &delta);
+    Transaction t{delta.operation, {{kConfigHeadKey, HeadRowVersion()}}, {}};
+    t.writes.push_back({kConfigHeadKey, EncodeHead({delta.version, 0})});
+    t.writes.push_back({ConfigDeltaKey(delta.version), EncodeDelta(delta)});
+    table.Handle(CommitRows{t});
+    FollowLog();
+  }
+  void SetRound(const std::string& round) {
+    Operate([&](FleetState* state, ConfigDelta* delta) {
+      delta->rules = state->rules;
+      delta->rules.maintenance = round;
+      delta->rules_changed = true;
+    });
+  }
+  void EditHost(const HostId& id, const std::function<void(HostState*)>& edit) {
+    Operate([&](FleetState* state, ConfigDelta* delta) {
+      edit(&state->hosts[id]);
+      delta->hosts.push_back(state->hosts[id]);
+    });
+  }
+  void EditPool(const PoolId& id, const std::function<void(PoolState*)>& edit) {
+    Operate([&](FleetState* state, ConfigDelta* delta) {
+      edit(&state->pools[id]);
+      delta->pools.push_back(state->pools[id]);
+    });
+  }
+
+  void FailHost(const HostId& id, Duration time) {
+    Down& down = down_[id];
+    if (down.until <= now_)
+      down.since = now_;
+    down.until = std::max(down.until, now_ + time);
+    for (Entry& entry : entries)
+      entry.in_flight.erase(id);
+  }
+  void FailRack(const RackId& rack, Duration time) {
+    for (const auto& [id, host] : truth()->hosts) {
+      if (host.rack == rack)
+        FailHost(id, time);
+    }
+  }
+  void Partition(const ZoneId& zone, Duration time) {
+    Down& down = partition_[zone];
+    if (down.until <= now_)
+      down.since = now_;
+    down.until = std::max(down.until, now_ + time);
+  }
+  void KillProc(Proc& proc, Duration time) {
+    proc.alive = false;
+    proc.controller.reset();
+    uint64_t generation = ++proc.generation;
+    At(time, [this, &proc, generation] {
+      if (proc.generation == generation)
+        StartProc(proc);
+    });
+  }
+  // The host list shows the end after a lag. `replaced` gives the entry host a
+  // new instance; otherwise only the process starts again.
+  void KillEntry(Entry& entry, Duration time, bool replaced) {
+    entry.alive = false;
+    entry.in_flight.clear();
+    if (replaced) {
+      std::string host = entry.row.host;
+      uint64_t instance = entry.row.host_instance;
+      At(Seconds(20), [this, host, instance] {
+        host_list_.push_back({host, HostListState::kTerminated, instance});
+      });
+    }
+    At(time, [this, &entry, replaced] {
+      entry.alive = true;
+      entry.row.incarnation.value++;
+      entry.row.host_instance += replaced ? 1 : 0;
+      entry.view = nullptr;
+      entry.row.version_in_force = 0;
+      entry.dirty = true;
+    });
+  }
+
+  void At(Duration delay, std::function<void()> action) {
+    queue_.emplace(now_ + delay, std::move(action));
+  }
+
+  Time now() const { return now_; }
+  const std::shared_ptr<const FleetState>& truth() const {
+    return history_.back();
+  }
+  bool IsDown(const HostId& id) const {
+    auto it = down_.find(id);
+    return it != down_.end() && it->second.until > now_;
+  }
+  uint32_t InFlight(const HostId& id) const {
+    uint32_t count = 0;
+    for (const Entry& entry : entries) {
+      auto it = entry.in_flight.find(id);
+      if (it == entry.in_flight.end())
+        continue;
+      for (Time end : it->second)
+        count += end > now_ ? 1 : 0;
+    }
+    return count;
+  }
+  // Hosts of the pool that could serve now.
+  uint32_t Serving(const PoolId& pool) const {
+    uint32_t count = 0;
+    for (const auto& [id, host] : truth()->hosts) {
+      count +=
+          host.pool == pool && host.phase == HostPhase::kActive && !IsDown(id)
+              ? 1
+              : 0;
+    }
+    return count;
+  }
+
+  std::vector<Proc> procs;
+  std::vector<Entry> entries;
+  MemoryTable table;
+  std::vector<std::string> violations;
+  std::vector<WaveReport> reports;
+  std::vector<TimelineEvent> events;
+  std::vector<PoolLoad> loads;
+  std::function<void()> on_step;
+  // Replaces the store's reply to a commit when set; for scripted tests.
+  std::function<bool(Proc&, const StoreCall&)> intercept;
+  // Kills the process at this action, counted over all; 0: never.
+  uint64_t kill_at = 0;
+  bool kill_after = false;
+  uint64_t actions = 0;
+  uint64_t sends = 0;
+  uint64_t drains = 0;
+  bool store_up = true;
+
+ private:
+  struct Down {
+    Time since{};
+    Time until{};
+  };
+  struct PlatformHost {
+    ConfigVersion reboot_key = 0;
+    bool done = false;
+    HostEpoch epoch = 0;
+  };
+
+  void Build() {
+    FleetState state;
+    ConfigDelta delta;
+    delta.version = 1;
+    delta.operation = {1};
+    int index = 0;
+    for (const std::string& name : options_.pools) {
+      PoolState pool;
+      pool.id = PoolId(name);
+      pool.max_unavailable = options_.max_unavailable;
+      pool.wave_limit = options_.wave_limit;
+      pool.spare = name == "spare";
+      delta.pools.push_back(pool);
+      for (int i = 0; i < options_.hosts_per_pool; ++i, ++index) {
+        HostState host;
+        host.id = HostId("h" + std::to_string(100 + index));
+        int zone = index % options_.zones;
+        host.zone = ZoneId("z" + std::to_string(zone));
+        host.rack = RackId("r" + std::to_string(zone) + "-" +
+                           std::to_string(index / options_.zones / 4));
+        host.pool = host.wanted_pool = pool.id;
+        delta.hosts.push_back(host);
+      }
+    }
+    delta.rules_changed = true;
+    delta.rules.max_racks_in_maintenance = options_.max_racks;
+    history_.push_back(std::make_shared<FleetState>());
+    Transaction t{{1}, {}, {}};
+    t.writes.push_back({kConfigHeadKey, EncodeHead({1, 0})});
+    t.writes.push_back({ConfigDeltaKey(1), EncodeDelta(delta)});
+    table.Handle(CommitRows{t});
+    FollowLog();
+    for (int i = 0; i < options_.zones * options_.entries_per_zone; ++i) {
+      Entry entry;
+      entry.row.id = MemberId("e" + std::to_string(i));
+      entry.row.incarnation = {1};
+      entry.row.zone = ZoneId("z" + std::to_string(i % options_.zones));
+      entry.row.host = "eh" + std::to_string(i);
+      entry.row.host_instance = 1;
+      entries.push_back(std::move(entry));
+    }
+    procs.resize(options_.controllers);
+    for (int i = 0; i < options_.controllers; ++i) {
+      procs[i].id = MemberId("c" + std::to_string(i));
+      procs[i].zone = ZoneId("z" + std::to_string(i % options_.zones));
+      StartProc(procs[i]);
+    }
+  }
+
+  void StartProc(Proc& proc) {
+    ++proc.generation;
+    proc.alive = true;
+    proc.member_row = 0;
+    proc.leases.clear();
+    proc.seen.clear();
+    proc.renewed = Time{} - Seconds(100);
+    proc.controller =
+        std::make_unique<Controller>(options_.control, proc.id, random_.Next());
+  }
+
+  bool Reachable(const ZoneId& zone) const {
+    auto it = partition_.find(zone);
+    return store_up && (it == partition_.end() || it->second.until <= now_);
+  }
+
+  void InjectFaults() {
+    auto happens = [&](bool on, int mean_seconds) {
+      return on && random_.Chance(ToSeconds(options_.step) / mean_seconds);
+    };
+    const SimFaults& f = options_.faults;
+    if (happens(f.store_down, 120) && store_up) {
+      store_up = false;
+      At(random_.Exponential(Seconds(25)), [this] { store_up = true; });
+    }
+    Proc& proc = procs[random_.Below(procs.size())];
+    Entry& entry = entries[random_.Below(entries.size())];
+    if (happens(f.pauses, 60))
+      proc.paused_until = now_ + random_.Exponential(Seconds(60));
+    if (happens(f.pauses, 60))
+      entry.paused_until = now_ + random_.Exponential(Seconds(60));
+    if (happens(f.kills, 60) && proc.alive)
+      KillProc(proc, random_.Exponential(Seconds(20)));
+    if (happens(f.kills, 60) && entry.alive)
+      KillEntry(entry, random_.Exponential(Seconds(40)), random_.Chance(0.5));
+    const HostState& host = RandomHost();
+    if (happens(f.partitions, 120))
+      Partition(host.zone, random_.Exponential(Seconds(60)));
+    if (happens(f.racks, 120))
+      FailRack(host.rack, random_.Exponential(Seconds(60)));
+    if (happens(f.operators, 20))
+      RandomEdit();
+  }
+
+  const HostState& RandomHost() {
+    auto it = truth()->hosts.begin();
+    std::advance(it, random_.Below(truth()->hosts.size()));
+    return it->second;
+  }
+
+  void RandomEdit() {
+    HostId id = RandomHost().id;
+    PoolId pool(options_.pools[random_.Below(options_.pools.size())]);
+    switch (random_.Below(5)) {
+      case 0:
+        return EditHost(id, [&](HostState* h) { h->wanted_pool = pool; });
+      case 1:
+        return EditHost(id, [](HostState* h) {
+          h->intent = h->intent == HostIntent::kDrain ? HostIntent::kServe
+                                                      : HostIntent::kDrain;
+        });
+      case 2:
+        return EditPool(pool, [&](PoolState* p) {
+          p->max_unavailable = 1 + static_cast<uint32_t>(random_.Below(3));
+        });
+      case 3:
+        return SetRound("m" + std::to_string(random_.Below(3)));
+      default:
+        return EditHost(id, [](HostState* h) { ++h->cores; });
+    }
+  }
+
+  // Entry processes.
+
+  void StepEntry(Entry& entry) {
+    for (auto& [id, ends] : entry.in_flight)
+      std::erase_if(ends, [&](Time end) { return end <= now_; });
+    if (!entry.alive || now_ < entry.paused_until)
+      return;
+    bool reachable = Reachable(entry.row.zone);
+    std::vector<HostId> busy = Busy(entry);
+    entry.dirty |= busy != entry.row.busy;
+    if (reachable && (entry.dirty || now_ >= entry.next_renewal)) {
+      entry.row.busy = std::move(busy);
+      WriteRow("member/" + entry.row.id.str(), entry.row);
+      entry.dirty = false;
+      entry.next_renewal = now_ + Seconds(3);
+    }
+    // A view counts only when its read was sent after the registration.
+    if (reachable && now_ >= entry.next_poll && !entry.dirty) {
+      entry.next_poll = now_ + Seconds(1);
+      entry.view = truth();
+      entry.view_sent = now_;
+      entry.dirty = entry.row.version_in_force != truth()->version;
+      entry.row.version_in_force = truth()->version;
+    }
+    if (!entry.view || entry.view->hosts.empty())
+      return;
+    for (double n = options_.sends; n > 0; n -= 1) {
+      if (n >= 1 || random_.Chance(n))
+        TrySend(entry);
+    }
+  }
+
+  std::vector<HostId> Busy(const Entry& entry) const {
+    std::vector<HostId> busy;
+    for (const auto& [id, ends] : entry.in_flight) {
+      const HostState* host = entry.view ? entry.view->FindHost(id) : nullptr;
+      if (!ends.empty() && (!host || host->phase != HostPhase::kActive))
+        busy.push_back(id);
+    }
+    return busy;
+  }
+
+  void TrySend(Entry& entry) {
+    auto it = entry.view->hosts.begin();
+    std::advance(it, random_.Below(entry.view->hosts.size()));
+    const HostState& host = it->second;
+    bool permitted =
+        host.zone == entry.row.zone || now_ - entry.view_sent <= Seconds(5);
+    if (host.phase != HostPhase::kActive || !permitted || IsDown(host.id))
+      return;
+    ++sends;
+    const HostState* real = truth()->FindHost(host.id);
+    bool open = real && (real->phase == HostPhase::kActive ||
+                         real->phase == HostPhase::kDraining);
+    Check(open, "send to host that is not in service " + host.id.str());
+    Check(!real || real->epoch == host.epoch,
+          "send under an old epoch " + host.id.str());
+    Duration time = random_.Chance(0.03)
+                        ? random_.Between(Seconds(1), options_.max_request_time)
+                        : random_.Exponential(Milliseconds(300));
+    time = std::min(time, options_.max_request_time);
+    entry.in_flight[host.id].push_back(now_ + time);
+  }
+
+  // Rows hold an index into `row_contents_` in place of an encoding.
+  void WriteRow(const std::string& key, const MemberView& content) {
+    row_contents_.push_back(content);
+    Transaction t{{random_.Next()}, {}, {}};
+    t.writes.push_back({key, std::to_string(row_contents_.size() - 1)});
+    table.Handle(CommitRows{t});
+  }
+
+  // Control processes.
+
+  void StepProc(Proc& proc) {
+    if (!proc.alive || now_ < proc.paused_until)
+      return;
+    ConfigVersion before = proc.controller->state().version;
+    if (now_ >= proc.next_poll)
+      Poll(proc);
+    if (proc.alive)
+      Perform(proc, proc.controller->Tick(now_));
+    Check(!proc.alive || proc.controller->state().version >= before,
+          "controller's version went back");
+  }
+
+  void Poll(Proc& proc) {
+    proc.next_poll = now_ + Seconds(1);
+    uint64_t generation = proc.generation;
+    auto give = [&](auto&& method, auto&&... args) {
+      if (proc.generation == generation)
+        Perform(proc, ((*proc.controller).*method)(now_, args...));
+    };
+    give(&Controller::SetHealth, Observations());
+    give(&Controller::SetLoads, loads);
+    if (!Reachable(proc.zone))
+      return;
+    if (now_ - proc.renewed >= Seconds(3)) {
+      MemberView row;
+      row.id = proc.id;
+      row.role = MemberRole::kControl;
+      WriteRow("member/" + proc.id.str(), row);
+      proc.member_row = RowOf("member/" + proc.id.str()).version;
+      proc.renewed = now_;
+    }
+    MemberList list{now_, {}};
+    for (const Row& row : Scan("member/")) {
+      auto& [version, changed] = proc.seen[row.key];
+      if (version != row.version) {
+        version = row.version;
+        changed = now_;
+      }
+      list.members.push_back(row_contents_[std::stoul(row.value)]);
+      list.members.back().last_change = changed;
+    }
+    TakeLeases(proc);
+    give(&Controller::SetLeases, HeldLeases(proc));
+    give(&Controller::SetConfig, *truth(), HeadRowVersion(), ConfigVersion{0});
+    give(&Controller::SetMembers, list);
+    // The list lags in both directions: sometimes an older prefix is shown.
+    std::vector<HostListEntry> hosts = host_list_;
+    if (!hosts.empty() && random_.Chance(0.5))
+      hosts.pop_back();
+    give(&Controller::SetHostList, hosts);
+  }
+
+  void TakeLeases(Proc& proc) {
+    proc.leases.clear();
+    size_t position = 0;
+    for (const auto& [id, pool] : truth()->pools) {
+      std::string key = "lease/" + id.str();
+      Row row = RowOf(key);
+      std::string holder = "member/" + row.value;
+      bool preferred = &procs[position++ % procs.size()] == &proc;
+      bool silent = row.version == 0
+                        ? preferred || now_ > kTimeZero + Seconds(30)
+                        : now_ - proc.seen[holder].second > Seconds(12);
+      if (row.value != proc.id.str() && silent) {
+        Transaction t{{random_.Next()}, {{key, row.version}}, {}};
+        t.writes.push_back({key, proc.id.str()});
+        table.Handle(CommitRows{t});
+        row = RowOf(key);
+      }
+      if (row.value == proc.id.str())
+        proc.leases[id] = row.version;
+    }
+  }
+
+  std::vector<PoolLease> HeldLeases(const Proc& proc) const {
+    std::vector<PoolLease> leases;
+    for (const auto& [pool, version] : proc.leases) {
+      leases.push_back({pool,
+                        proc.renewed + Seconds(10),
+                        {{"lease/" + pool.str(), version},
+                         {"member/" + proc.id.str(), proc.member_row}}});
+    }
+    return leases;
+  }
+
+  std::vector<HostObservation> Observations() {
+    std::vector<HostObservation> result;
+    for (const auto& [id, host] : truth()->hosts) {
+      auto cut = partition_.find(host.zone);
+      if (cut != partition_.end() && cut->second.until > now_)
+        continue;
+      HostObservation o;
+      o.host = id;
+      o.health = IsDown(id) ? HostHealth::kFailed : HostHealth::kHealthy;
+      o.observed_at = now_;
+      result.push_back(o);
+    }
+    return result;
+  }
+
+  void Perform(Proc& proc, std::vector<FleetAction> list) {
+    for (FleetAction& action : list) {
+      if (auto* event = std::get_if<TimelineEvent>(&action)) {
+        events.push_back(*event);
+        continue;
+      }
+      if (auto* report = std::get_if<WaveReport>(&action)) {
+        reports.push_back(*report);
+        continue;
+      }
+      bool kill = ++actions == kill_at;
+      if (!kill || kill_after)
+        PerformOne(proc, action);
+      if (kill) {
+        KillProc(proc, Seconds(5));
+        return;
+      }
+    }
+  }
+
+  void PerformOne(Proc& proc, const FleetAction& action) {
+    if (const auto* call = std::get_if<StoreCall>(&action)) {
+      if (!intercept || !intercept(proc, *call))
+        CallStore(proc, *call);
+      return;
+    }
+    int copies = 1;
+    if (options_.faults.platform_drops && now_ < kFaultsUntil)
+      copies = static_cast<int>(random_.Below(3));
+    for (int i = 0; i < copies; ++i) {
+      At(random_.Between(Milliseconds(100), Milliseconds(900)),
+         [this, &proc, action] { Platform(proc, action); });
+    }
+  }
+
+ public:
+  void Answer(Proc& proc, uint64_t tag, StoreReply reply, Duration delay) {
+    uint64_t generation = proc.generation;
+    At(delay, [this, &proc, generation, tag, reply] {
+      if (proc.generation != generation)
+        return;
+      if (now_ < proc.paused_until)
+        return Answer(proc, tag, reply, proc.paused_until - now_);
+      Perform(proc, proc.controller->Handle(now_, StoreAnswer{tag, reply}));
+    });
+  }
+  StoreReply Apply(const StoreRequest& request) {
+    StoreReply reply = table.Handle(request);
+    FollowLog();
+    return reply;
+  }
+
+ private:
+  static constexpr Time kFaultsUntil = kTimeZero + Seconds(600);
+
+  void CallStore(Proc& proc, const StoreCall& call) {
+    if (!Reachable(proc.zone))
+      return Answer(proc, call.tag, UnavailableReply{}, Milliseconds(50));
+    bool lose = options_.faults.lost_answers && now_ < kFaultsUntil;
+    double draw = lose ? random_.Unit() : 1;
+    if (draw < 0.1) {  // Took effect; the answer is lost.
+      Apply(call.request);
+      return Answer(proc, call.tag, UnknownReply{}, Seconds(1));
+    }
+    if (draw < 0.2) {  // Takes effect after the answer was given up.
+      At(random_.Between(Seconds(1), Seconds(20)),
+         [this, call] { Apply(call.request); });
+      return Answer(proc, call.tag, UnknownReply{}, Seconds(1));
+    }
+    if (draw < 0.3)  // Never takes effect.
+      return Answer(proc, call.tag, UnknownReply{}, Seconds(1));
+    if (!options_.faults.store_slow || now_ >= kFaultsUntil)
+      return Answer(proc, call.tag, Apply(call.request), Milliseconds(5));
+    uint64_t generation = proc.generation;
+    At(random_.Exponential(Seconds(2)), [this, &proc, generation, call] {
+      StoreReply reply = Apply(call.request);
+      if (proc.generation == generation)
+        Answer(proc, call.tag, reply, random_.Exponential(Seconds(2)));
+    });
+  }
+
+  // The platform.
+
+  void Platform(Proc& proc, const FleetAction& action) {
+    if (const auto* a = std::get_if<CheckpointTasks>(&action))
+      return Result(proc,
+                    {a->host, PlatformResultKind::kTasksCheckpointed, a->key});
+    if (const auto* a = std::get_if<AdmitHost>(&action)) {
+      PlatformHost& host = platform_[a->host];
+      host.epoch = std::max(host.epoch, a->key);
+      return Result(proc, {a->host, PlatformResultKind::kAdmitted, a->key});
+    }
+    Reboot(proc, std::get<RebootHost>(action));
+  }
+
+  void Reboot(Proc& proc, const RebootHost& action) {
+    PlatformHost& host = platform_[action.host];
+    PlatformResult done{action.host, PlatformResultKind::kRebootFinished,
+                        action.key};
+    if (action.key < host.reboot_key)
+      return;
+    if (action.key == host.reboot_key) {
+      if (host.done)
+        Result(proc, done);
+      return;
+    }
+    const HostState* real = truth()->FindHost(action.host);
+    Check(real && real->phase == HostPhase::kRebooting &&
+              real->drain_version == action.key,
+          "reboot without reservation " + action.host.str());
+    Check(InFlight(action.host) == 0,
+          "reboot with live work " + action.host.str());
+    Check(reboots_.insert({action.host, action.key}).second,
+          "two reboots for one reservation");
+    host = {action.key, false, host.epoch};
+    Duration time = options_.reboot_time;
+    bool fails = options_.faults.reboots_fail && random_.Chance(0.2);
+    FailHost(action.host, fails ? time + Seconds(90) : time);
+    At(time, [this, &proc, done] {
+      platform_[done.host].done = true;
+      Result(proc, done);
+    });
+  }
+
+  void Result(Proc& proc, PlatformResult result) {
+    if (!proc.alive)
+      return;
+    uint64_t generation = proc.generation;
+    Duration wait = std::max(proc.paused_until - now_, Milliseconds(10));
+    At(wait, [this, &proc, generation, result] {
+      if (proc.generation == generation && proc.alive)
+        Perform(proc, proc.controller->Handle(now_, result));
+    });
+  }
+
+  // The log and its oracle.
+
+  Row RowOf(const std::string& key) {
+    return std::get<RowsReply>(table.Handle(ReadRows{{key}})).rows[0];
+  }
+  std::vector<Row> Scan(const std::string& prefix) {
+    return std::get<RowsReply>(table.Handle(ScanRows{prefix, "", 1000})).rows;
+  }
+  RowVersion HeadRowVersion() { return RowOf(kConfigHeadKey).version; }
+
+  void FollowLog() {
+    ConfigHead head = DecodeHead(RowOf(kConfigHeadKey).value);
+    while (truth()->version < head.version) {
+      ConfigDelta delta =
+          DecodeDelta(RowOf(ConfigDeltaKey(truth()->version + 1)).value);
+      auto next = std::make_shared<FleetState>(*truth());
+      next->Apply(delta);
+      Check(operations_.insert(delta.operation).second, "operation repeated");
+      if (delta.author != "operator" && delta.version > 1)
+        CheckChange(*truth(), *next, delta);
+      history_.push_back(std::move(next));
+    }
+  }
+
+  void CheckChange(const FleetState& before,
+                   const FleetState& after,
+                   const ConfigDelta& delta) {
+    for (const HostState& host : delta.hosts) {
+      const HostState& old = *before.FindHost(host.id);
+      const std::string& name = host.id.str();
+      if (host.phase == HostPhase::kDraining) {
+        ++drains;
+        Check(old.phase == HostPhase::kActive, "drain of a drained host");
+        CheckBudget(after, host.pool);
+      }
+      if (host.phase == HostPhase::kDrained)
+        Check(InFlight(host.id) == 0, "drained with work in flight " + name);
+      if (host.pool != old.pool) {
+        Check(old.phase == HostPhase::kDrained && host.epoch == old.epoch + 1,
+              "pool changed in service " + name);
+      }
+      if (host.phase == HostPhase::kActive &&
+          old.phase == HostPhase::kDrained) {
+        Check(platform_[host.id].epoch == host.epoch, "not admitted " + name);
+      }
+    }
+  }
+
+  // Counts what every controller must know: phases by the log and hosts that
+  // were lost a minute ago or earlier, which exceeds the age of an observation
+  // plus the longest delay of a write.
+  void CheckBudget(const FleetState& state, const PoolId& pool) {
+    const PoolState& rules = *state.FindPool(pool);
+    uint32_t out = 0;
+    for (const auto& [id, host] : state.hosts) {
+      if (host.pool != pool || host.phase == HostPhase::kRetired ||
+          IsNewcomer(host)) {
+        continue;
+      }
+      bool lost = Old(down_, id) || Old(partition_, host.zone);
+      out += host.phase != HostPhase::kActive || lost ? 1 : 0;
+    }
+    uint32_t limit = rules.closed ? UINT32_MAX : rules.max_unavailable;
+    Check(out <= limit, "budget of " + pool.str() + " exceeded");
+  }
+
+  template <typename Key>
+  bool Old(const std::map<Key, Down>& map, const Key& key) const {
+    auto it = map.find(key);
+    return it != map.end() && it->second.until > now_ &&
+           now_ - it->second.since > Seconds(60);
+  }
+
+  void Check(bool holds, const std::string& what) {
+    if (!holds)
+      violations.push_back(std::to_string(ToSeconds(now_ - kTimeZero)) + " " +
+                           what);
+  }
+
+  SimOptions options_;
+  Random random_;
+  Time now_{};
+  std::multimap<Time, std::function<void()>> queue_;
+  std::vector<std::shared_ptr<const FleetState>> history_;
+  std::vector<MemberView> row_contents_;
+  std::vector<HostListEntry> host_list_;
+  std::map<HostId, Down> down_;
+  std::map<ZoneId, Down> partition_;
+  std::map<HostId, PlatformHost> platform_;
+  std::set<std::pair<HostId, ConfigVersion>> reboots_;
+  std::set<OperationId> operations_;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_FLEET_TESTING_FLEET_SIM_H_
