--- /dev/null
+++ b/radishmoor/net/answer_codec.cc
@@ -0,0 +1,50 @@
+#include "radishmoor/net/answer_codec.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <memory>
+
+#include "radishmoor/net/gen/peer_types.h"
+
+namespace radishmoor {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+std::string EncodeAnswer(const HttpResponse& answer) {
+  wire::StoredAnswer stored;
+  stored.status = static_cast<int32_t>(answer.status);
+  for (const auto& [name, value] : answer.headers) {
+    wire::Header header;
+    header.name = name;
+    header.value = value;
+    stored.headers.push_back(std::move(header));
+  }
+  stored.body = answer.body;
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol protocol(buffer);
+  stored.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+std::optional<HttpResponse> DecodeAnswer(const std::string& bytes) {
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  buffer->write(reinterpret_cast<const uint8_t*>(bytes.data()),
+                static_cast<uint32_t>(bytes.size()));
+  TCompactProtocol protocol(buffer);
+  wire::StoredAnswer stored;
+  try {
+    stored.read(&protocol);
+  } catch (const apache::thrift::TException&) {
+    return std::nullopt;
+  }
+  HttpResponse answer;
+  answer.status = static_cast<unsigned>(stored.status);
+  for (const wire::Header& header : stored.headers)
+    answer.headers.emplace_back(header.name, header.value);
+  answer.body = stored.body;
+  return answer;
+}
+
+}  // namespace radishmoor
