Test the dispatcher against a naive record; fix three faults found

Cause: the mechanisms had no tests. The new ones found: - a pool whose requests all timed out refused everything afterwards: the time-outs were its learned run times and no request could be sent to replace them; - hosts set for a removed pool whose attempts were still in flight came into use when the pool was set again; - the queue timer of a request could fire before the free slot was used.

Ruled out: leaving time-outs out of the run times, since work that always misses its deadline would then never be known as long.

Change: a free slot is used whatever the learned run time says; a removed pool removes its hosts; the learned run time limits admission, not the queue timer. Tests for each mechanism, and a random driver with a naive record.

--- a/radishmoor/dispatch/dispatcher.cc
+++ b/radishmoor/dispatch/dispatcher.cc
@@ -155,14 +155,22 @@
   if (it == pools_.end()) {
     return;
   }
-  it->second.removed = true;
-  RefuseWaiting(it->second, Reason::kShuttingDown);
-  MarkDirty(it->second);
+  Pool& pool = it->second;
+  pool.removed = true;
+  std::erase_if(pool.targets,
+                [](const auto& entry) { return entry.second.in_flight == 0; });
+  for (auto& [host, target] : pool.targets) {
+    target.removed = true;
+    target.usable = false;
+  }
+  pool.RefreshTotals();
+  RefuseWaiting(pool, Reason::kShuttingDown);
+  MarkDirty(pool);
 }
 
 void Dispatcher::On(const TargetSet& message) {
   auto it = pools_.find(message.pool);
-  if (it == pools_.end()) {
+  if (it == pools_.end() || it->second.removed) {
     return;
   }
   Pool& pool = it->second;
@@ -223,12 +231,8 @@
   request.job_key = message.job_key;
   request.arrived = now_;
   request.deadline = message.deadline;
-  const RunTimes& runs = request.operation->runs.samples() < kOperationSamples
-                             ? pool.runs
-                             : request.operation->runs;
   request.start_by =
-      std::min(now_ + Scale(message.deadline - now_, options_.early_refusal),
-               message.deadline - runs.Quantile(0.5));
+      now_ + Scale(message.deadline - now_, options_.early_refusal);
   request.long_class =
       ClassifiesLong(options_.policy, pool.runs, *request.operation);
   if (std::optional<Reason> reason = AdmissionRefusal(pool, request)) {
@@ -283,7 +287,17 @@
   if (request.deadline <= now_) {
     return Reason::kDeadline;
   }
-  if (request.start_by < now_) {
+  // A free slot is used even if the learned run time exceeds the deadline: a
+  // pool that is refused all work would never show that it is fast again.
+  if (pool.free > 0) {
+    return std::nullopt;
+  }
+  const RunTimes& runs = request.operation->runs.samples() < kOperationSamples
+                             ? pool.runs
+                             : request.operation->runs;
+  Time latest_start =
+      std::min(request.start_by, request.deadline - runs.Quantile(0.5));
+  if (latest_start < now_) {
     return Reason::kTooLate;
   }
   // The request itself is in the queue already.
@@ -292,11 +306,11 @@
   }
   size_t ahead = request.long_class ? pool.waiting()
                                     : pool.list(Place::kShortQueue).size();
-  // Half of the time to start_by is left for errors of the prediction.
+  // Half of the time is left for errors of the prediction.
   Duration queue_time =
-      std::min((request.start_by - now_) / 2,
+      std::min((latest_start - now_) / 2,
                std::max(options_.max_queue_time, pool.runs.mean()));
-  if (pool.free == 0 && pool.QueueTime(ahead) > queue_time) {
+  if (pool.QueueTime(ahead) > queue_time) {
     return Reason::kTooLate;
   }
   return std::nullopt;
--- a/radishmoor/dispatch/messages.h
+++ b/radishmoor/dispatch/messages.h
@@ -23,7 +23,8 @@
   bool closed = false;
 };
 
-// Refuses the waiting requests of the pool. Attempts in flight finish.
+// Removes the pool and its hosts and refuses its waiting requests. Attempts in
+// flight finish.
 struct PoolRemoved {
   PoolId pool;
 };
--- a/radishmoor/dispatch/testing/dispatcher_test.cc
+++ b/radishmoor/dispatch/testing/dispatcher_test.cc
@@ -1,33 +1,414 @@
 #include "radishmoor/dispatch/dispatcher.h"
 
+#include <algorithm>
+#include <chrono>
+#include <optional>
+
+#include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
+#include "radishmoor/dispatch/testing/random_driver.h"
+
 namespace radishmoor::dispatch {
 namespace {
 
 const PoolId kPool("tomato-desk");
-constexpr Time kStart = kTimeZero + Seconds(1);
+const HostId kA("a");
+const HostId kB("b");
+
+// One pool whose hosts have the same limit.
+struct Fixture {
+  explicit Fixture(std::vector<HostId> hosts,
+                   int limit = 1,
+                   DispatchOptions options = {})
+      : dispatcher(options) {
+    dispatcher.Handle(now, PoolSet{kPool, 100});
+    for (const HostId& host : hosts) {
+      dispatcher.Handle(now, TargetSet{kPool, host, true, true, limit});
+    }
+  }
+
+  void Do(const Message& message) {
+    actions = dispatcher.Handle(now, message);
+    for (const Action& action : actions) {
+      if (const auto* send = std::get_if<SendAttempt>(&action)) {
+        sent[send->request] = *send;
+      } else if (const auto* finish = std::get_if<Finish>(&action)) {
+        finished[finish->request] = *finish;
+      }
+    }
+  }
+  void Arrive(uint64_t id,
+              Duration time = Seconds(10),
+              bool idempotent = true,
+              uint64_t job_key = 0) {
+    Do(RequestArrived{{id}, kPool, "op", idempotent, now + time, job_key});
+  }
+  void Answer(uint64_t id, AttemptOutcome outcome, bool retried_below = false) {
+    SendAttempt send = sent.at({id});
+    Do(AttemptResult{{id}, send.attempt, send.host, outcome, retried_below});
+  }
+  void Advance(Duration by) {
+    Time end = now + by;
+    while (dispatcher.next_wake() <= end) {
+      now = dispatcher.next_wake();
+      Do(Tick{});
+    }
+    now = end;
+  }
+  // Lets `count` requests of the given run time complete one after another.
+  void Learn(int count, Duration run, uint64_t first_id = 100'000) {
+    for (int i = 0; i < count; ++i) {
+      Arrive(first_id + i);
+      now += run;
+      Answer(first_id + i, AttemptOutcome::kCompleted);
+    }
+  }
+  bool Ended(uint64_t id, Outcome outcome, Reason reason) const {
+    auto it = finished.find({id});
+    return it != finished.end() && it->second.outcome == outcome &&
+           it->second.reason == reason;
+  }
+
+  Time now = kTimeZero + Seconds(1);
+  Dispatcher dispatcher;
+  std::vector<Action> actions;
+  std::map<RequestId, SendAttempt> sent;
+  std::map<RequestId, Finish> finished;
+};
+
+// Guards against lost or doubled outcomes, untrue refusals, a second run of
+// non-idempotent work, sends beyond a limit or a deadline, and missing timers,
+// under random events with each policy.
+TEST_CASE("random events keep to the naive record") {
+  std::vector<HeadOfLinePolicy> policies = {
+      Fifo{},
+      ReservedSlots{},
+      AgeReclassification{},
+      LearnedQuantiles{},
+      RestartLong{.waste = 1},
+      RestartLong{.waste = 1, .on_demand = false}};
+  bool restarted = false;
+  bool retried = false;
+  REQUIRE(rc::check([&] {
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    for (const HeadOfLinePolicy& policy : policies) {
+      RandomDriver driver(seed, policy);
+      driver.Run(600);
+      restarted |= driver.counters().restarts > 0;
+      retried |= driver.counters().retries > 0;
+    }
+  }));
+  REQUIRE(restarted);
+  REQUIRE(retried);
+}
 
 // Guards against requests that leave the queue out of order or are sent beyond
 // a host's limit.
 TEST_CASE("waiting requests start in order of arrival as slots become free") {
-  Dispatcher dispatcher;
-  dispatcher.Handle(kStart, PoolSet{kPool});
-  dispatcher.Handle(kStart,
-                    TargetSet{.pool = kPool, .host = HostId("a"), .limit = 1});
+  Fixture f({kA});
   for (uint64_t id = 1; id <= 3; ++id) {
-    auto actions = dispatcher.Handle(
-        kStart,
-        RequestArrived{
-            .request = {id}, .pool = kPool, .deadline = kStart + Seconds(10)});
-    REQUIRE(actions.size() == (id == 1 ? 1 : 0));
-  }
-  auto actions = dispatcher.Handle(
-      kStart + Milliseconds(5),
-      AttemptResult{.request = {1}, .attempt = 1, .host = HostId("a")});
-  REQUIRE(actions.size() == 2);
-  REQUIRE(std::get<Finish>(actions[0]).outcome == Outcome::kCompleted);
-  REQUIRE(std::get<SendAttempt>(actions[1]).request == RequestId{2});
+    f.Arrive(id);
+    REQUIRE(f.sent.size() == 1);
+  }
+  f.Answer(1, AttemptOutcome::kCompleted);
+  REQUIRE(f.Ended(1, Outcome::kCompleted, Reason::kNone));
+  REQUIRE(f.sent.contains({2}));
+  REQUIRE(!f.sent.contains({3}));
+}
+
+// Guards against refusals that come too late for the caller to go elsewhere.
+TEST_CASE("a request that has not started within a tenth of its time ends") {
+  Fixture f({kA});
+  f.Arrive(1);
+  f.Arrive(2, Seconds(1));
+  f.Advance(Milliseconds(99));
+  REQUIRE(f.finished.empty());
+  f.Advance(Milliseconds(1));
+  REQUIRE(f.Ended(2, Outcome::kRefused, Reason::kTooLate));
+}
+
+// Guards against work queued that cannot start in time.
+TEST_CASE("admission refuses by observed run times") {
+  Fixture f({kA});
+  f.Learn(50, Milliseconds(100));
+  f.Arrive(1);
+  f.Arrive(2, Seconds(2));  // Expected wait 100 ms; must start within 200 ms.
+  REQUIRE(f.finished.count({2}) == 0);
+  f.Arrive(3, Seconds(2));
+  REQUIRE(f.Ended(3, Outcome::kRefused, Reason::kTooLate));
+  REQUIRE(f.finished.at({3}).retry_after > Duration(0));
+  f.Answer(1, AttemptOutcome::kCompleted);
+  f.Arrive(4, Milliseconds(50));  // A run takes 100 ms.
+  REQUIRE(f.Ended(4, Outcome::kRefused, Reason::kTooLate));
+}
+
+// Guards against a pool that refuses everything after an outage, because the
+// time-outs were its last observed run times.
+TEST_CASE("a pool whose requests all timed out still serves") {
+  Fixture f({kA}, 10);
+  for (uint64_t id = 1; id <= 100; ++id) {
+    f.Arrive(id, Seconds(1));
+    f.Advance(Seconds(1));
+    REQUIRE(f.Ended(id, Outcome::kUnknown, Reason::kDeadline));
+  }
+  f.Arrive(101, Milliseconds(500));
+  REQUIRE(f.sent.contains({101}));
+}
+
+TEST_CASE("a full queue refuses") {
+  Fixture f({kA});
+  f.Do(PoolSet{kPool, 2});
+  for (uint64_t id = 1; id <= 4; ++id) {
+    f.Arrive(id);
+  }
+  REQUIRE(f.Ended(4, Outcome::kRefused, Reason::kQueueFull));
+  REQUIRE(f.finished.size() == 1);
+}
+
+// Guards against a send after the process was paused beyond the deadline.
+TEST_CASE("the deadline is checked before a send") {
+  Fixture f({kA});
+  f.Arrive(1, Seconds(100));
+  f.Arrive(2, Seconds(1));
+  f.now += Seconds(2);
+  f.Answer(1, AttemptOutcome::kCompleted);
+  REQUIRE(f.Ended(2, Outcome::kRefused, Reason::kDeadline));
+  REQUIRE(!f.sent.contains({2}));
+}
+
+TEST_CASE("a deadline in flight ends as unknown and aborts the attempt") {
+  Fixture f({kA});
+  f.Arrive(1, Seconds(1));
+  f.Advance(Seconds(1));
+  REQUIRE(f.Ended(1, Outcome::kUnknown, Reason::kDeadline));
+  REQUIRE(std::holds_alternative<AbortAttempt>(f.actions.at(0)));
+  f.Arrive(2);
+  REQUIRE(f.sent.contains({2}));
+}
+
+// Guards against a second run of non-idempotent work (G5) and against giving up
+// where a retry is safe.
+TEST_CASE("only what did not run or is idempotent is sent again") {
+  for (bool idempotent : {false, true}) {
+    for (int kind = 1; kind <= 5; ++kind) {
+      Fixture f({kA, kB});
+      f.Arrive(1, Seconds(10), idempotent);
+      HostId first = f.sent.at({1}).host;
+      f.Answer(1, AttemptOutcome(kind));
+      f.Advance(Milliseconds(100));
+      bool not_run = kind <= 2;
+      if (!idempotent && !not_run) {
+        REQUIRE(f.Ended(1, Outcome::kUnknown, Reason::kBackendFailed));
+        continue;
+      }
+      REQUIRE(f.sent.at({1}).attempt == 2);
+      REQUIRE(f.sent.at({1}).host != first);
+      f.Answer(1, AttemptOutcome::kNotRun);
+      f.Advance(Milliseconds(100));
+      f.Answer(1, AttemptOutcome::kNotRun);
+      REQUIRE(f.sent.at({1}).attempt == 3);
+      REQUIRE(f.finished.at({1}).outcome ==
+              (not_run ? Outcome::kRefused : Outcome::kUnknown));
+    }
+  }
+}
+
+TEST_CASE("what a lower layer retried is not retried again") {
+  Fixture f({kA, kB});
+  f.Arrive(1);
+  f.Answer(1, AttemptOutcome::kLost, true);
+  REQUIRE(f.Ended(1, Outcome::kUnknown, Reason::kBackendFailed));
+}
+
+// Guards against retry storms when every attempt fails.
+TEST_CASE("retries stay within a tenth of first attempts plus the burst") {
+  Fixture f({kA, kB}, 100);
+  for (uint64_t id = 1; id <= 500; ++id) {
+    f.Arrive(id);
+    for (int attempt = 0; attempt < 3 && !f.finished.contains({id});
+         ++attempt) {
+      f.Answer(id, AttemptOutcome::kLost);
+      f.Advance(Milliseconds(50));
+    }
+  }
+  REQUIRE(f.dispatcher.counters().retries >= 50);
+  REQUIRE(f.dispatcher.counters().retries <= 60);
+}
+
+// Guards against retries in step, which arrive as one burst.
+TEST_CASE("retries are spread in time") {
+  Fixture f({kA, kB}, 10);
+  std::vector<Time> times;
+  for (uint64_t id = 1; id <= 5; ++id) {
+    f.Arrive(id);
+  }
+  for (uint64_t id = 1; id <= 5; ++id) {
+    f.Answer(id, AttemptOutcome::kLost);
+  }
+  while (f.dispatcher.counters().retries == 5 && times.size() < 5) {
+    f.now = f.dispatcher.next_wake();
+    f.Do(Tick{});
+    times.push_back(f.now);
+  }
+  REQUIRE(times.back() - times.front() > Milliseconds(1));
+}
+
+// Guards against failures of a job being held against the hosts, and against
+// retrying such a job on every repeat.
+TEST_CASE("work that fails on several hosts is the job's failure") {
+  Fixture f({kA, kB, HostId("c")});
+  f.Arrive(1, Seconds(10), true, 7);
+  for (int i = 0; i < 3; ++i) {
+    f.Answer(1, AttemptOutcome::kErrorAnswer);
+    f.Advance(Milliseconds(100));
+  }
+  REQUIRE(f.Ended(1, Outcome::kUnknown, Reason::kJobFailed));
+  REQUIRE(f.finished.at({1}).failed_hosts.size() == 3);
+  f.Arrive(2, Seconds(10), true, 7);
+  f.Answer(2, AttemptOutcome::kErrorAnswer);
+  REQUIRE(f.Ended(2, Outcome::kUnknown, Reason::kJobFailed));
+}
+
+TEST_CASE("late and duplicate results change nothing") {
+  Fixture f({kA, kB});
+  f.Arrive(1);
+  SendAttempt first = f.sent.at({1});
+  f.Answer(1, AttemptOutcome::kLost);
+  f.Advance(Milliseconds(100));
+  f.Do(AttemptResult{{1}, first.attempt, first.host});
+  f.Do(AttemptResult{{1}, 2, first.host});
+  REQUIRE(f.actions.empty());
+  REQUIRE(f.finished.empty());
+  REQUIRE(f.dispatcher.counters().stale_results == 2);
+  f.Answer(1, AttemptOutcome::kCompleted);
+  f.Do(AttemptResult{{1}, 2, f.sent.at({1}).host});
+  REQUIRE(f.dispatcher.counters().stale_results == 3);
+}
+
+// Guards against a cost of cancellation that grows with the queue: linear
+// removal would make the larger wave 10 times slower for each request.
+TEST_CASE("a wave of cancellations has a constant cost for each request") {
+  auto cost = [](uint64_t count) {
+    auto best = std::chrono::duration<double>::max();
+    for (int round = 0; round < 3; ++round) {
+      Fixture f({kA});
+      f.Do(PoolSet{kPool, count});
+      for (uint64_t id = 1; id <= count; ++id) {
+        f.Arrive(id);
+      }
+      auto start = std::chrono::steady_clock::now();
+      for (uint64_t id = count; id >= 1; --id) {
+        f.dispatcher.Handle(f.now, RequestCancelled{{id}});
+      }
+      best = std::min<std::chrono::duration<double>>(
+          best, std::chrono::steady_clock::now() - start);
+      REQUIRE(f.dispatcher.live() == 0);
+      REQUIRE(f.dispatcher.next_wake() == kTimeMax);
+    }
+    return best.count() / static_cast<double>(count);
+  };
+  REQUIRE(cost(50'000) < 5 * cost(5'000));
+}
+
+TEST_CASE("a drain finishes what it can and refuses the rest at its deadline") {
+  Fixture f({kA});
+  f.Arrive(1);
+  f.Arrive(2);
+  f.dispatcher.Drain(f.now, f.now + Milliseconds(500));
+  f.Arrive(3);
+  REQUIRE(f.Ended(3, Outcome::kRefused, Reason::kShuttingDown));
+  f.Answer(1, AttemptOutcome::kCompleted);
+  f.Arrive(4);
+  f.Do(TargetSet{kPool, kA, true, true, 2});
+  REQUIRE(f.sent.contains({2}));
+  f.Advance(Milliseconds(500));
+  REQUIRE(f.Ended(2, Outcome::kUnknown, Reason::kShuttingDown));
+  REQUIRE(f.dispatcher.live() == 0);
+}
+
+// Guards against a planned removal that interrupts requests in flight (G7).
+TEST_CASE("removal of a pool or a host lets attempts in flight finish") {
+  Fixture f({kA, kB});
+  f.Arrive(1);
+  f.Arrive(2);
+  f.Arrive(3);
+  f.Do(TargetRemoved{kPool, f.sent.at({1}).host});
+  REQUIRE(f.actions.empty());
+  f.Do(PoolRemoved{kPool});
+  REQUIRE(f.Ended(3, Outcome::kRefused, Reason::kShuttingDown));
+  REQUIRE(f.finished.size() == 1);
+  f.Answer(1, AttemptOutcome::kCompleted);
+  f.Answer(2, AttemptOutcome::kCompleted);
+  REQUIRE(f.finished.size() == 3);
+  f.Arrive(4);
+  REQUIRE(f.Ended(4, Outcome::kRefused, Reason::kUnknownService));
+}
+
+TEST_CASE("the local zone and the least loaded host are preferred") {
+  Fixture f({kA, kB, HostId("c")}, 2);
+  f.Do(TargetSet{kPool, kB, true, false, 2});
+  for (uint64_t id = 1; id <= 4; ++id) {
+    f.Arrive(id);
+    REQUIRE(f.sent.at({id}).host != kB);
+  }
+  REQUIRE(f.dispatcher.in_flight(kA) == 2);
+  f.Arrive(5);
+  REQUIRE(f.sent.at({5}).host == kB);
+}
+
+// Guards against long work that holds up the maintenance of a host.
+TEST_CASE("long work avoids hosts that leave soon") {
+  Fixture f({kA, kB}, 100);
+  f.Learn(60, Milliseconds(10));
+  f.Do(TargetSet{kPool, kA, true, true, 100, true});
+  for (uint64_t id = 1; id <= 60; ++id) {
+    f.Do(RequestArrived{{id}, kPool, "archive", true, f.now + Seconds(99)});
+  }
+  f.now += Seconds(2);
+  for (uint64_t id = 1; id <= 60; ++id) {
+    f.Answer(id, AttemptOutcome::kCompleted);
+  }
+  f.Learn(200, Milliseconds(10), 200'000);
+  for (uint64_t id = 301; id <= 320; ++id) {
+    f.Do(RequestArrived{{id}, kPool, "archive", true, f.now + Seconds(99)});
+    REQUIRE(f.sent.at({id}).host == kB);
+  }
+}
+
+// Guards against short work that waits for long work to finish, and against
+// restarts of what must not run twice.
+TEST_CASE("long idempotent work is restarted when short work waits") {
+  for (bool idempotent : {true, false}) {
+    Fixture f({kA}, 2);
+    f.Learn(200, Milliseconds(10));
+    f.Arrive(1, Seconds(100), idempotent);
+    f.Arrive(2, Seconds(100), false);
+    f.Advance(Milliseconds(200));
+    f.Arrive(3);
+    REQUIRE(f.sent.contains({3}) == idempotent);
+    if (!idempotent) {
+      continue;
+    }
+    REQUIRE(f.sent.at({1}).attempt == 1);
+    f.Answer(3, AttemptOutcome::kCompleted);
+    f.Advance(Seconds(26));  // A quarter of its time.
+    REQUIRE(f.sent.at({1}).attempt == 2);
+    f.Arrive(4);
+    REQUIRE(!f.sent.contains({4}));  // Overdue work is not aborted again.
+    f.Answer(1, AttemptOutcome::kCompleted);
+    REQUIRE(f.Ended(1, Outcome::kCompleted, Reason::kNone));
+  }
+}
+
+// Guards against restarts that cost throughput when there is no idle time.
+TEST_CASE("restarts stay within their budget") {
+  Fixture f({kA}, 1, {.policy = RestartLong{.waste = 0, .idle_credit = 0}});
+  f.Learn(200, Milliseconds(10));
+  f.Arrive(1, Seconds(100));
+  f.Advance(Milliseconds(500));
+  f.Arrive(2);
+  REQUIRE(!f.sent.contains({2}));
 }
 
 }  // namespace
