Add the commands of radishmoorctl and the JSON form of timelines

Cause: operators need to plan, apply, show, drain, retire, and to see the state and the events of all processes. Ruled out: binding the commands to HTTP, because the network layer is written apart; a command takes a store function and a fetch function.

--- a/radishmoor/config/plan.cc
+++ b/radishmoor/config/plan.cc
@@ -607,6 +607,10 @@
   return text;
 }
 
+std::string DiffJson(const std::vector<ObjectChange>& changes) {
+  return json::serialize(ChangesJson(changes));
+}
+
 ConfigPlan PlanInventory(const FleetState& state, const Inventory& inventory) {
   ConfigPlan plan = StartPlan(state);
   PlanHosts(state, inventory, plan);
--- a/radishmoor/config/plan.h
+++ b/radishmoor/config/plan.h
@@ -53,6 +53,9 @@
 
 // One line for each change.
 std::string DiffText(const std::vector<ObjectChange>& changes);
+// JSON array of objects with "kind", "object", "id" and "fields", which holds
+// [before, after] for each field.
+std::string DiffJson(const std::vector<ObjectChange>& changes);
 
 struct PlannedMove {
   HostId host;
--- /dev/null
+++ b/radishmoor/ctl/text_table.h
@@ -0,0 +1,31 @@
+// Aligned columns of text for a terminal.
+//
+//   TextTable table({"host", "pool"});
+//   table.Add({host.str(), pool.str()});
+//   out << table.str();
+
+#ifndef RADISHMOOR_CTL_TEXT_TABLE_H_
+#define RADISHMOOR_CTL_TEXT_TABLE_H_
+
+#include <string>
+#include <vector>
+
+namespace radishmoor {
+
+class TextTable {
+ public:
+  explicit TextTable(std::vector<std::string> titles);
+
+  // `cells` has one cell for each title. An empty cell shows as "-"; control
+  // characters show as "?", since cells hold text that others wrote.
+  void Add(std::vector<std::string> cells);
+
+  std::string str() const;
+
+ private:
+  std::vector<std::vector<std::string>> rows_;  // The first holds the titles.
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_CTL_TEXT_TABLE_H_
--- a/radishmoor/ops/program_settings.h
+++ b/radishmoor/ops/program_settings.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,9 +65,20 @@
 SettingsTable ControlSettingsTable();
 ControlSettings ControlSettingsFrom(const SettingValues& values);
 
-// radishmoorctl: --platform-address, --author, --timeout-ms and --json, and
-// commands as arguments.
+struct CtlSettings {
+  SocketAddress platform_address;
+  std::string author;
+  Duration timeout{};                        // Of each read and write.
+  std::optional<uint64_t> expected_version;  // Of the configuration.
+  std::optional<OperationId> operation;      // None: choose a new one.
+  std::optional<RequestId> request;          // Filter of the timeline.
+  std::optional<HostId> host;                // Filter of the timeline.
+  bool json = false;
+  std::vector<std::string> command;  // With its arguments.
+};
+
 SettingsTable CtlSettingsTable();
+CtlSettings CtlSettingsFrom(const SettingValues& values);
 
 // The text of docs/settings.md: the tables of all programs.
 std::string SettingsPage();
