--- a/radishmoor/config/config_log.cc
+++ b/radishmoor/config/config_log.cc
@@ -183,8 +183,11 @@
     HeadRow row = ReadHead(execute);
     if (row.head.snapshot >= state.version)
       return true;
+    // An operation id names one transaction, so this one gets another than the
+    // delta's.
+    OperationId operation{~delta.operation.value};
     StoreReply reply = execute(CommitRows{BuildSnapshotTransaction(
-        delta.operation, row.version, row.head, state.version)});
+        operation, row.version, row.head, state.version)});
     return std::holds_alternative<CommittedReply>(reply);
   } catch (const ConfigUnavailableError&) {
     return false;
--- a/radishmoor/ops/metrics.cc
+++ b/radishmoor/ops/metrics.cc
@@ -219,10 +219,12 @@
                                 std::string_view help,
                                 const Labels& labels,
                                 const HistogramAxis& axis) {
+  // Built first: a faulty axis throws and must not leave a series behind.
+  auto figure = std::make_unique<HistogramCell>(axis);
   std::lock_guard lock(state_->mutex);
   auto& series = state_->Find(Kind::kHistogram, name, help, labels);
   if (!series.figure)
-    series.figure = std::make_unique<HistogramCell>(axis);
+    series.figure = std::move(figure);
   return Histogram(series.figure.get());
 }
 
--- a/radishmoor/ops/metrics.h
+++ b/radishmoor/ops/metrics.h
@@ -104,7 +104,8 @@
 
   // The same name and labels give the same series. All throw
   // std::invalid_argument on a name or label name that scrapers do not accept,
-  // and on a name that is taken by another kind.
+  // on a name that is taken by another kind and on an axis without
+  // 0 < low < high and at least one bucket.
   Counter AddCounter(std::string_view name,
                      std::string_view help,
                      const Labels& labels = {});
--- a/radishmoor/ops/program_settings.cc
+++ b/radishmoor/ops/program_settings.cc
@@ -224,7 +224,7 @@
             .type = SettingType::kInteger,
             .default_value = "-1",
             .min = -1,
-            .description = "apply: version of the configuration that the "
+            .description = "apply, drain, retire: version that the "
                            "change was planned against; -1 for the current "
                            "one."})
       .Add({.name = "operation",
--- a/radishmoor/ops/testing/metrics_test.cc
+++ b/radishmoor/ops/testing/metrics_test.cc
@@ -57,6 +57,9 @@
   metrics.AddCounter("c_total", "C.");
   REQUIRE_THROWS_AS(metrics.AddGauge("c_total", "C."), std::invalid_argument);
   REQUIRE_THROWS_AS(metrics.AddGauge("9c", ""), std::invalid_argument);
+  REQUIRE_THROWS_AS(metrics.AddHistogram("h", "", {}, {.low = -1}),
+                    std::invalid_argument);
+  REQUIRE(!Has(metrics, "# TYPE h histogram"));
   REQUIRE_THROWS_AS(metrics.AddGauge("c", "", {{"a b", ""}}),
                     std::invalid_argument);
 }
