Send row values with any bytes to the platform

Cause: stored answers of claims hold arbitrary bytes; the platform's JSON parser refused the commit, so every keyed request was refused as store-unavailable. Ruled out: base64, for which no library on the build line has a public interface.

--- a/radishmoor/net/store_json.cc
+++ b/radishmoor/net/store_json.cc
@@ -1,6 +1,9 @@
 #include "radishmoor/net/store_json.h"
 
+#include <algorithm>
+#include <boost/algorithm/hex.hpp>
 #include <boost/json.hpp>
+#include <iterator>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -26,11 +29,37 @@
       status, {{"Content-Type", "application/json"}}, json::serialize(body)};
 }
 
+// JSON strings hold text only. A value with other bytes than ASCII is sent as
+// hexadecimal digits in "value_hex".
+void PutValue(json::object& object, const std::string& value) {
+  bool ascii = std::all_of(value.begin(), value.end(), [](char c) {
+    return static_cast<unsigned char>(c) < 0x80;
+  });
+  if (ascii) {
+    object["value"] = value;
+    return;
+  }
+  std::string digits;
+  boost::algorithm::hex_lower(value, std::back_inserter(digits));
+  object["value_hex"] = digits;
+}
+
+std::string TakeValue(const json::object& object) {
+  const json::value* digits = object.if_contains("value_hex");
+  if (digits == nullptr)
+    return std::string(object.at("value").as_string());
+  std::string value;
+  boost::algorithm::unhex(std::string(digits->as_string()),
+                          std::back_inserter(value));
+  return value;
+}
+
 json::array RowsToJson(const std::vector<Row>& rows) {
   json::array array;
   for (const Row& row : rows) {
-    array.push_back(json::object{
-        {"key", row.key}, {"version", row.version}, {"value", row.value}});
+    json::object object{{"key", row.key}, {"version", row.version}};
+    PutValue(object, row.value);
+    array.push_back(std::move(object));
   }
   return array;
 }
@@ -44,8 +73,7 @@
   for (const json::value& item : object.at("rows").as_array()) {
     const json::object& row = item.as_object();
     rows.push_back({Text(row.at("key")),
-                    row.at("version").to_number<RowVersion>(),
-                    Text(row.at("value"))});
+                    row.at("version").to_number<RowVersion>(), TakeValue(row)});
   }
   return rows;
 }
@@ -56,8 +84,9 @@
     expects.push_back(json::object{{"key", e.key}, {"version", e.version}});
   json::array writes;
   for (const RowWrite& w : transaction.writes) {
-    writes.push_back(
-        json::object{{"key", w.key}, {"value", w.value}, {"remove", w.remove}});
+    json::object object{{"key", w.key}, {"remove", w.remove}};
+    PutValue(object, w.value);
+    writes.push_back(std::move(object));
   }
   return {{"operation", transaction.operation.value},
           {"expects", std::move(expects)},
@@ -75,7 +104,7 @@
   for (const json::value& item : object.at("writes").as_array()) {
     const json::object& w = item.as_object();
     transaction.writes.push_back(
-        {Text(w.at("key")), Text(w.at("value")), w.at("remove").as_bool()});
+        {Text(w.at("key")), TakeValue(w), w.at("remove").as_bool()});
   }
   return transaction;
 }
