Add the control process, radishmoorctl, the timeline pages and the demo

Cause: configuration, leases and the fleet controller needed a process, and operators a program. Ruled out: peer messages for control, which may not change anything without the platform anyway. Conclusion: the path and the control loop run as separate processes.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,6 @@
 
 lint: build
 	tools/lint $(BUILD)
+
+demo: build
+	tools/demo
--- a/radishmoor/base/ids.h
+++ b/radishmoor/base/ids.h
@@ -57,6 +57,9 @@
 // An entry host process: stable over restarts on the same entry host.
 using MemberId = NameId<struct MemberIdTag>;
 
+// What a process of an entry host does.
+enum class MemberRole : uint8_t { kEntry, kControl };
+
 // A request accepted by one entry process. Unique within that process.
 using RequestId = NumberId<struct RequestIdTag>;
 // A connection from one entry process to a backend server.
--- a/radishmoor/config/config_view.cc
+++ b/radishmoor/config/config_view.cc
@@ -169,6 +169,8 @@
     head_sent_ = sent;
   head_known_ = true;
   head_ = head;
+  if (row.version > head_row_.version)
+    head_row_ = row;
   snapshot_failed_ = false;
   if (!ready_)
     start_target_ = std::max(start_target_, head.version);
--- a/radishmoor/config/config_view.h
+++ b/radishmoor/config/config_view.h
@@ -163,6 +163,9 @@
 
   const FleetState& state() const { return state_; }
   ConfigVersion version() const { return state_.version; }
+  // The row `config/head` as last read, whose version a change must expect. It
+  // may name a later configuration than the one in force.
+  const Row& head_row() const { return head_row_; }
 
   // A configuration is in force and was not chosen before the start-up rule of
   // 6.1 allowed it. Once true, stays true.
@@ -257,6 +260,7 @@
   Time start_;
 
   FleetState state_;
+  Row head_row_;
   std::deque<std::string> log_;  // Encoded deltas that end at the version.
   size_t log_bytes_ = 0;
   std::string encoded_state_;  // Of encoded_version_, for peers.
--- /dev/null
+++ b/radishmoor/control/control_core.cc
@@ -0,0 +1,325 @@
+#include "radishmoor/control/control_core.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace radishmoor {
+namespace {
+
+constexpr uint64_t kOwners = 8;  // At least the number of CallOwner values.
+constexpr Duration kScanWhileDraining = Milliseconds(500);
+constexpr Duration kScanOtherwise = Seconds(5);
+// Keeps scans within a third of the 9 KB/s that a node may spend on control.
+constexpr int64_t kScanBytesPerSecond = 3000;
+constexpr uint32_t kScanLimit = 500;
+constexpr Duration kHostListPeriod = Seconds(5);
+// Leases change with time as well as with events.
+constexpr Duration kLeasePeriod = Milliseconds(500);
+
+MemberOptions MemberOptionsOf(const ControlOptions& options) {
+  return {.id = options.member,
+          .incarnation = options.incarnation,
+          .role = MemberRole::kControl,
+          .zone = options.zone,
+          .addresses = {options.peer_address, options.admin_address},
+          .seed = options.seed};
+}
+
+MemberView ViewOf(const MemberRecord& record, Time last_change) {
+  return {.id = record.id,
+          .incarnation = record.incarnation,
+          .role = record.role,
+          .zone = record.zone,
+          .host = record.host,
+          .host_instance = record.host_instance,
+          .version_in_force = record.version,
+          .busy = record.busy_hosts,
+          .last_change = last_change};
+}
+
+}  // namespace
+
+ControlCore::ControlCore(ControlOptions options)
+    : options_(std::move(options)),
+      view_({.self = options_.member,
+             .zone = options_.zone,
+             .incarnation = options_.incarnation,
+             .seed = options_.seed}),
+      member_(MemberOptionsOf(options_)),
+      peers_({.self = options_.member,
+              .role = MemberRole::kControl,
+              .zone = options_.zone,
+              .address = options_.peer_address,
+              .seed = options_.seed + 1}),
+      leases_(options_.seed + 2, &member_, &peers_),
+      controller_(options_.controller, options_.member, options_.seed + 3) {}
+
+void ControlCore::Enter(Time now, WallMillis wall) {
+  now_ = std::max(now_, now);
+  wall_ = wall;
+  actions_.clear();
+}
+
+ControlActions ControlCore::Exit() {
+  GiveConfig();
+  return std::exchange(actions_, {});
+}
+
+void ControlCore::Call(CallOwner owner, StoreCall call) {
+  call.tag = call.tag * kOwners + static_cast<uint64_t>(owner);
+  actions_.push_back(std::move(call));
+}
+
+ControlActions ControlCore::Tick(Time now, WallMillis wall) {
+  Enter(now, wall);
+  Run(view_.Tick(now_));
+  Run(member_.Tick(now_));
+  Run(peers_.Tick(now_, clock_.Tick(wall_)));
+  Run(leases_.Tick(now_));
+  ScanMembers();
+  ReadHosts();
+  GiveLeases();
+  Run(controller_.Tick(now_));
+  return Exit();
+}
+
+Time ControlCore::next_wake() const {
+  return std::min({view_.next_wake(), member_.next_wake(), peers_.next_wake(),
+                   leases_.next_wake(), controller_.next_wake(),
+                   scanning_ ? kTimeMax : next_scan_, next_host_list_,
+                   now_ + kLeasePeriod});
+}
+
+ControlActions ControlCore::Handle(Time now,
+                                   WallMillis wall,
+                                   const StoreAnswer& answer) {
+  Enter(now, wall);
+  StoreAnswer inner{answer.tag / kOwners, answer.reply};
+  switch (static_cast<CallOwner>(answer.tag % kOwners)) {
+    case CallOwner::kConfig:
+      Run(view_.Handle(now_, inner));
+      break;
+    case CallOwner::kMember:
+      Run(member_.Handle(now_, inner));
+      break;
+    case CallOwner::kPeers:
+      Run(peers_.Handle(now_, inner));
+      break;
+    case CallOwner::kLeases:
+      Run(leases_.Handle(now_, inner));
+      break;
+    case CallOwner::kController:
+      Run(controller_.Handle(now_, inner));
+      break;
+    case CallOwner::kMemberScan:
+      OnMemberRows(inner.reply);
+      break;
+    case CallOwner::kHostList:
+      if (auto* list = std::get_if<HostListReply>(&inner.reply))
+        Run(controller_.SetHostList(now_, list->hosts));
+      break;
+  }
+  return Exit();
+}
+
+ControlActions ControlCore::Handle(Time now,
+                                   WallMillis wall,
+                                   const PlatformResult& result) {
+  Enter(now, wall);
+  Run(controller_.Handle(now_, result));
+  return Exit();
+}
+
+ControlActions ControlCore::SetHealth(
+    Time now,
+    WallMillis wall,
+    std::span<const HostObservation> observations) {
+  Enter(now, wall);
+  Run(controller_.SetHealth(now_, observations));
+  return Exit();
+}
+
+ControlActions ControlCore::Leave(Time now, WallMillis wall) {
+  Enter(now, wall);
+  leases_.ReleaseAll();
+  member_.Leave();
+  Run(leases_.Tick(now_));
+  Run(member_.Tick(now_));
+  return Exit();
+}
+
+std::vector<const HostState*> ControlCore::ObservedHosts(Time now) const {
+  std::vector<const HostState*> hosts;
+  for (const auto& [id, host] : view_.state().hosts) {
+    bool observed =
+        leases_.Holds(now, host.pool) || leases_.Holds(now, host.wanted_pool);
+    if (observed && host.phase != HostPhase::kRetired)
+      hosts.push_back(&host);
+  }
+  return hosts;
+}
+
+void ControlCore::Run(std::vector<ConfigAction> actions) {
+  for (ConfigAction& action : actions) {
+    if (auto* call = std::get_if<StoreCall>(&action)) {
+      Call(CallOwner::kConfig, std::move(*call));
+    } else if (auto* in_force = std::get_if<ConfigInForce>(&action)) {
+      std::set<PoolId> pools;
+      for (const auto& [id, pool] : view_.state().pools)
+        pools.insert(id);
+      leases_.SetPools(std::move(pools));
+      member_.SetAcknowledgement(in_force->version, {});
+      TimelineEvent event;
+      event.kind = EventKind::kConfigInForce;
+      event.config = in_force->version;
+      Record(std::move(event));
+    }
+  }
+}
+
+void ControlCore::Run(std::vector<MemberAction> actions) {
+  for (MemberAction& action : actions) {
+    if (auto* call = std::get_if<StoreCall>(&action)) {
+      Call(CallOwner::kMember, std::move(*call));
+    } else if (std::holds_alternative<MemberSuperseded>(action)) {
+      actions_.push_back(
+          EndControlProcess{"a newer process has the same member id"});
+    }
+  }
+}
+
+// Heartbeats are not sent: entry processes learn nothing from control.
+void ControlCore::Run(std::vector<PeerAction> actions) {
+  for (PeerAction& action : actions) {
+    if (auto* call = std::get_if<StoreCall>(&action))
+      Call(CallOwner::kPeers, std::move(*call));
+  }
+}
+
+void ControlCore::Run(std::vector<LeaseAction> actions) {
+  for (LeaseAction& action : actions) {
+    if (auto* call = std::get_if<StoreCall>(&action)) {
+      Call(CallOwner::kLeases, std::move(*call));
+      continue;
+    }
+    auto* acquired = std::get_if<LeaseAcquired>(&action);
+    TimelineEvent event;
+    event.kind = acquired ? EventKind::kLeaseAcquired : EventKind::kLeaseLost;
+    event.pool = acquired ? acquired->pool : std::get<LeaseEnded>(action).pool;
+    Record(std::move(event));
+    GiveLeases();
+  }
+}
+
+void ControlCore::Run(std::vector<FleetAction> actions) {
+  for (FleetAction& action : actions) {
+    if (auto* call = std::get_if<StoreCall>(&action)) {
+      Call(CallOwner::kController, std::move(*call));
+    } else if (auto* event = std::get_if<TimelineEvent>(&action)) {
+      Record(std::move(*event));
+    } else if (auto* checkpoint = std::get_if<CheckpointTasks>(&action)) {
+      actions_.push_back(std::move(*checkpoint));
+    } else if (auto* reboot = std::get_if<RebootHost>(&action)) {
+      actions_.push_back(std::move(*reboot));
+    } else if (auto* admit = std::get_if<AdmitHost>(&action)) {
+      actions_.push_back(std::move(*admit));
+    } else {
+      actions_.push_back(std::move(std::get<WaveReport>(action)));
+    }
+  }
+}
+
+// The controller decides only on a state that belongs to the head row whose
+// version its change will expect.
+void ControlCore::GiveConfig() {
+  const Row& row = view_.head_row();
+  if (row.version == given_head_ || row.version == 0)
+    return;
+  ConfigHead head = DecodeHead(row.value);
+  if (head.version != view_.version())
+    return;
+  given_head_ = row.version;
+  Run(controller_.SetConfig(now_, view_.state(), row.version, head.snapshot));
+}
+
+void ControlCore::GiveLeases() {
+  std::vector<PoolLease> held;
+  for (const PoolId& pool : leases_.Held(now_)) {
+    auto fences = leases_.Expectations(now_, pool);
+    if (fences)
+      held.push_back({pool, member_.lease_until(), std::move(*fences)});
+  }
+  Run(controller_.SetLeases(now_, std::move(held)));
+}
+
+bool ControlCore::AnyDraining() const {
+  const auto& hosts = view_.state().hosts;
+  return std::any_of(hosts.begin(), hosts.end(), [](const auto& item) {
+    return item.second.phase == HostPhase::kDraining;
+  });
+}
+
+void ControlCore::ScanMembers() {
+  if (scanning_ && now_ - scan_sent_ > Member::kCallTimeout)
+    scanning_ = false;
+  if (scanning_ || now_ < next_scan_)
+    return;
+  scanning_ = true;
+  scan_sent_ = now_;
+  scan_after_.clear();
+  scan_bytes_ = 0;
+  scanned_ = {.read_started = now_};
+  Call(CallOwner::kMemberScan, {0, ScanRows{kMemberPrefix, "", kScanLimit}});
+}
+
+void ControlCore::OnMemberRows(const StoreReply& reply) {
+  const auto* rows = std::get_if<RowsReply>(&reply);
+  if (!scanning_ || rows == nullptr) {
+    scanning_ = false;
+    next_scan_ = now_ + kScanOtherwise;
+    return;
+  }
+  for (const Row& row : rows->rows) {
+    scan_bytes_ += row.key.size() + row.value.size();
+    scan_after_ = row.key;
+    auto record = DecodeMember(row.value);
+    if (!record)
+      continue;
+    auto& [version, changed] = row_changes_[record->id];
+    if (version != row.version) {
+      version = row.version;
+      changed = now_;
+    }
+    scanned_.members.push_back(ViewOf(*record, changed));
+  }
+  if (rows->rows.size() >= kScanLimit) {
+    Call(CallOwner::kMemberScan,
+         {0, ScanRows{kMemberPrefix, scan_after_, kScanLimit}});
+    return;
+  }
+  scanning_ = false;
+  Duration budget = Microseconds(static_cast<int64_t>(scan_bytes_) * 1'000'000 /
+                                 kScanBytesPerSecond);
+  next_scan_ =
+      now_ +
+      std::max(AnyDraining() ? kScanWhileDraining : kScanOtherwise, budget);
+  Run(controller_.SetMembers(now_, std::move(scanned_)));
+  scanned_ = {};
+}
+
+void ControlCore::ReadHosts() {
+  if (now_ < next_host_list_)
+    return;
+  next_host_list_ = now_ + kHostListPeriod;
+  Call(CallOwner::kHostList, {0, ReadHostList{}});
+}
+
+void ControlCore::Record(TimelineEvent event) {
+  event.stamp = clock_.Tick(wall_);
+  if (event.config == 0)
+    event.config = view_.version();
+  actions_.push_back(RecordControlEvent{std::move(event)});
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/control/control_core.h
@@ -0,0 +1,139 @@
+// The control process without I/O: owns configuration view, member row, leases
+// and fleet controller, and passes results between them.
+//
+//   ControlCore core(options);
+//   for (ControlAction& action : core.Tick(now, wall)) ...
+//   core.Handle(now, wall, store_answer);
+//   core.Handle(now, wall, platform_result);
+//   core.SetHealth(now, wall, observations);
+//
+// A control process learns everything from the platform: without it, it may not
+// change anything, so it needs no messages from peers.
+
+#ifndef RADISHMOOR_CONTROL_CONTROL_CORE_H_
+#define RADISHMOOR_CONTROL_CONTROL_CORE_H_
+
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "radishmoor/base/hybrid_clock.h"
+#include "radishmoor/config/config_view.h"
+#include "radishmoor/fleet/controller.h"
+#include "radishmoor/membership/lease.h"
+#include "radishmoor/membership/member.h"
+#include "radishmoor/membership/peers.h"
+
+namespace radishmoor {
+
+struct ControlOptions {
+  MemberId member;
+  ZoneId zone;
+  Incarnation incarnation;
+  std::string peer_address;
+  std::string admin_address;
+  uint64_t seed = 1;
+  ControllerOptions controller;
+};
+
+struct RecordControlEvent {
+  TimelineEvent event;
+};
+struct EndControlProcess {
+  std::string why;
+};
+
+using ControlAction = std::variant<StoreCall,
+                                   CheckpointTasks,
+                                   RebootHost,
+                                   AdmitHost,
+                                   WaveReport,
+                                   RecordControlEvent,
+                                   EndControlProcess>;
+using ControlActions = std::vector<ControlAction>;
+
+class ControlCore {
+ public:
+  explicit ControlCore(ControlOptions options);
+
+  ControlActions Tick(Time now, WallMillis wall);
+  ControlActions Handle(Time now, WallMillis wall, const StoreAnswer& answer);
+  ControlActions Handle(Time now,
+                        WallMillis wall,
+                        const PlatformResult& result);
+  ControlActions SetHealth(Time now,
+                           WallMillis wall,
+                           std::span<const HostObservation> observations);
+  Time next_wake() const;
+
+  // Gives up all leases and the member row, for a planned stop.
+  ControlActions Leave(Time now, WallMillis wall);
+
+  // Hosts whose health this process observes: those of the pools whose leases
+  // it holds, by current or wanted pool.
+  std::vector<const HostState*> ObservedHosts(Time now) const;
+
+  bool ready() const { return view_.ready() && member_.registered(); }
+  const ConfigView& view() const { return view_; }
+  const Member& member() const { return member_; }
+  const Leases& leases() const { return leases_; }
+  const Controller& controller() const { return controller_; }
+
+ private:
+  enum class CallOwner : uint64_t {
+    kConfig,
+    kMember,
+    kPeers,
+    kLeases,
+    kController,
+    kMemberScan,
+    kHostList,
+  };
+
+  void Enter(Time now, WallMillis wall);
+  ControlActions Exit();
+  void Call(CallOwner owner, StoreCall call);
+
+  void Run(std::vector<ConfigAction> actions);
+  void Run(std::vector<MemberAction> actions);
+  void Run(std::vector<PeerAction> actions);
+  void Run(std::vector<LeaseAction> actions);
+  void Run(std::vector<FleetAction> actions);
+
+  void GiveConfig();
+  void GiveLeases();
+  void ScanMembers();
+  void OnMemberRows(const StoreReply& reply);
+  void ReadHosts();
+  bool AnyDraining() const;
+  void Record(TimelineEvent event);
+
+  ControlOptions options_;
+  HybridClock clock_;
+  ConfigView view_;
+  Member member_;
+  Peers peers_;
+  Leases leases_;
+  Controller controller_;
+
+  Time now_ = kTimeZero;
+  WallMillis wall_ = 0;
+  ControlActions actions_;
+  RowVersion given_head_ = 0;
+
+  // Scan of the member rows for the drain gate.
+  Time next_scan_ = kTimeZero;
+  Time scan_sent_ = kTimeZero;
+  bool scanning_ = false;
+  std::string scan_after_;
+  MemberList scanned_;
+  size_t scan_bytes_ = 0;
+  // Version of each row and when it was first seen.
+  std::map<MemberId, std::pair<RowVersion, Time>> row_changes_;
+  Time next_host_list_ = kTimeZero;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_CONTROL_CONTROL_CORE_H_
--- a/radishmoor/ctl/members.cc
+++ b/radishmoor/ctl/members.cc
@@ -1,51 +1,38 @@
 #include "radishmoor/ctl/members.h"
 
 #include <boost/json.hpp>
-#include <exception>
 #include <utility>
 
 #include "radishmoor/ctl/text_table.h"
+#include "radishmoor/membership/member.h"
 
 namespace radishmoor {
 namespace {
 
 namespace json = boost::json;
 
-constexpr char kMemberPrefix[] = "member/";
 constexpr uint32_t kScanLimit = 1000;
-
-std::string Text(const json::object& o, const char* key) {
-  const json::value* value = o.if_contains(key);
-  return value == nullptr ? "" : std::string(value->as_string());
-}
-
-uint64_t Number(const json::object& o, const char* key) {
-  const json::value* value = o.if_contains(key);
-  return value == nullptr ? 0 : value->to_number<uint64_t>();
-}
+// Addresses of a member row: the first is for peers, the second for operators.
+constexpr size_t kAdminAddress = 1;
 
 MemberStatus Decode(const Row& row) {
   MemberStatus member;
   member.id = MemberId(row.key.substr(sizeof(kMemberPrefix) - 1));
-  try {
-    const json::value document = json::parse(row.value);
-    const json::object& o = document.as_object();
-    MemberStatus read = member;
-    read.incarnation = {Number(o, "incarnation")};
-    read.role = Text(o, "role");
-    read.zone = ZoneId(Text(o, "zone"));
-    read.admin_address = Text(o, "admin_address");
-    read.in_force = Number(o, "in_force");
-    if (const json::value* busy = o.if_contains("busy")) {
-      for (const json::value& host : busy->as_array())
-        read.busy.emplace_back(host.as_string());
-    }
-    return read;
-  } catch (const std::exception&) {
+  auto record = DecodeMember(row.value);
+  if (!record) {
     // One row of another format must not hide the others.
     member.readable = false;
     return member;
   }
+  member.incarnation = record->incarnation;
+  member.role = record->role == MemberRole::kEntry ? "entry" : "control";
+  member.zone = record->zone;
+  if (record->addresses.size() > kAdminAddress)
+    member.admin_address = record->addresses[kAdminAddress];
+  member.in_force = record->version;
+  for (const HostId& host : record->busy_hosts)
+    member.busy.push_back(host.str());
+  return member;
 }
 
 std::string LagText(const MemberStatus& member, ConfigVersion head) {
--- a/radishmoor/ctl/testing/ctl_test.cc
+++ b/radishmoor/ctl/testing/ctl_test.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "radishmoor/config/inventory.h"
+#include "radishmoor/membership/member.h"
 #include "radishmoor/ops/timeline_json.h"
 #include "radishmoor/store/memory_table.h"
 
@@ -164,13 +165,25 @@
   REQUIRE(f.Run({"status"}) == kCtlUnreachable);
 }
 
+std::string MemberRow(const char* id,
+                      uint64_t incarnation,
+                      const char* admin_address,
+                      std::vector<HostId> busy = {}) {
+  MemberRecord record;
+  record.id = MemberId(id);
+  record.incarnation = {incarnation};
+  record.zone = ZoneId("accra-hall");
+  record.addresses = {"127.0.0.1:9", admin_address};
+  record.busy_hosts = std::move(busy);
+  return EncodeMember(record);
+}
+
 // Guards against one foreign row that hides all processes.
 TEST_CASE("status shows the version in force of each process") {
   Fixture f;
   f.Run({"apply", Site("akwaaba.json")});
   f.Put("member/e1",
-        R"({"incarnation":7,"role":"entry","zone":"accra-hall",)"
-        R"("admin_address":"127.0.0.1:1","in_force":0,"busy":["w-1","w-2"]})");
+        MemberRow("e1", 7, "127.0.0.1:1", {HostId("w-1"), HostId("w-2")}));
   f.Put("member/e2", "{\"in_force\":\"\x1b[2J\"}");
   REQUIRE(f.Run({"status"}) == 0);
   REQUIRE(Has(f.out,
@@ -194,8 +207,8 @@
 // after a process has ended.
 TEST_CASE("timeline merges rings and batches") {
   Fixture f;
-  f.Put("member/a", R"({"admin_address":"127.0.0.1:1"})");
-  f.Put("member/b", R"({"admin_address":"127.0.0.1:2"})");
+  f.Put("member/a", MemberRow("a", 2, "127.0.0.1:1"));
+  f.Put("member/b", MemberRow("b", 1, "127.0.0.1:2"));
   MemberId a("a");
   MemberId c("c");
   f.admin["127.0.0.1:1/timeline"] =
--- a/radishmoor/fleet/types.h
+++ b/radishmoor/fleet/types.h
@@ -25,8 +25,6 @@
 
 // Inputs.
 
-enum class MemberRole : uint8_t { kEntry, kControl };
-
 // Content of one `member/<id>` row.
 struct MemberView {
   MemberId id;
--- a/radishmoor/membership/member.h
+++ b/radishmoor/membership/member.h
@@ -30,8 +30,6 @@
 
 namespace radishmoor {
 
-enum class MemberRole : uint8_t { kEntry, kControl };
-
 // The value of the row `member/<id>`.
 struct MemberRecord {
   MemberId id;
--- a/radishmoor/net/answer_codec.cc
+++ b/radishmoor/net/answer_codec.cc
@@ -1,12 +1,11 @@
 #include "radishmoor/net/answer_codec.h"
 
+#include <peer_types.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
 #include <memory>
 
-#include "radishmoor/net/gen/peer_types.h"
-
 namespace radishmoor {
 
 using apache::thrift::protocol::TCompactProtocol;
--- a/radishmoor/net/event_loop.cc
+++ b/radishmoor/net/event_loop.cc
@@ -117,6 +117,8 @@
 }
 
 void EventLoop::Run() {
+  // Makes a loop that was stopped usable again.
+  impl_->io.restart();
   auto guard = asio::make_work_guard(impl_->io);
   impl_->io.run();
 }
--- a/radishmoor/net/event_loop.h
+++ b/radishmoor/net/event_loop.h
@@ -48,6 +48,7 @@
   // Calls `task` at each arrival of `signal`, on the loop's thread.
   void OnSignal(int signal, std::function<void()> task);
 
+  // Runs until Stop(); may be called again afterwards.
   void Run();
   void Stop();
 
--- a/radishmoor/net/peer_codec.cc
+++ b/radishmoor/net/peer_codec.cc
@@ -1,5 +1,6 @@
 #include "radishmoor/net/peer_codec.h"
 
+#include <peer_types.h>
 #include <thrift/TConfiguration.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -7,8 +8,6 @@
 #include <memory>
 #include <utility>
 
-#include "radishmoor/net/gen/peer_types.h"
-
 namespace radishmoor {
 namespace {
 
--- a/radishmoor/ops/program_settings.cc
+++ b/radishmoor/ops/program_settings.cc
@@ -289,11 +289,11 @@
   return level == "error" ? LogLevel::kError : LogLevel::kInfo;
 }
 
-LendingPolicy LendingPolicyOf(const SettingValues& values) {
+LendingMode LendingModeOf(const SettingValues& values) {
   const std::string& policy = values.Text("lending-policy");
   if (policy == "static")
-    return LendingPolicy::kStatic;
-  return policy == "ahead" ? LendingPolicy::kAhead : LendingPolicy::kHysteresis;
+    return LendingMode::kStatic;
+  return policy == "ahead" ? LendingMode::kAhead : LendingMode::kHysteresis;
 }
 
 size_t Size(const SettingValues& values, const char* name) {
@@ -353,7 +353,7 @@
   s.log_level = LogLevelOf(v);
   s.max_writes_per_second =
       static_cast<uint32_t>(v.Integer("max-writes-per-second"));
-  s.lending_policy = LendingPolicyOf(v);
+  s.lending_policy = LendingModeOf(v);
   s.grace_period = Milliseconds(v.Integer("grace-period-ms"));
   return s;
 }
--- a/radishmoor/ops/program_settings.h
+++ b/radishmoor/ops/program_settings.h
@@ -40,7 +40,7 @@
   Duration timeline_flush_period{};
 };
 
-enum class LendingPolicy : uint8_t {
+enum class LendingMode : uint8_t {
   kStatic,      // Spare hosts stay where the inventory puts them.
   kHysteresis,  // Lends when load crosses a threshold for some time.
   kAhead,       // Lends before an expected peak.
@@ -55,7 +55,7 @@
   LogFormat log_format = LogFormat::kKeyValue;
   LogLevel log_level = LogLevel::kInfo;
   uint32_t max_writes_per_second = 0;
-  LendingPolicy lending_policy = LendingPolicy::kHysteresis;
+  LendingMode lending_policy = LendingMode::kHysteresis;
   Duration grace_period{};
 };
 
--- /dev/null
+++ b/radishmoor/service/control_service.cc
@@ -0,0 +1,390 @@
+#include "radishmoor/service/control_service.h"
+
+#include <boost/json.hpp>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "radishmoor/base/hash.h"
+#include "radishmoor/control/control_core.h"
+#include "radishmoor/net/event_loop.h"
+#include "radishmoor/net/http_client.h"
+#include "radishmoor/net/http_server.h"
+#include "radishmoor/net/store_client.h"
+#include "radishmoor/ops/log.h"
+#include "radishmoor/ops/metrics.h"
+#include "radishmoor/ops/program_settings.h"
+#include "radishmoor/service/timeline_keeper.h"
+
+namespace radishmoor {
+namespace {
+
+namespace json = boost::json;
+
+constexpr Duration kStoreTimeout = Seconds(2);
+constexpr Duration kPlatformTimeout = Seconds(5);
+constexpr Duration kProbePeriod = Seconds(2);
+constexpr Duration kProbeTimeout = Seconds(1);
+// How often a rebooting host is asked whether it is back.
+constexpr Duration kRebootPollPeriod = Milliseconds(250);
+constexpr Duration kRebootLimit = Seconds(600);
+constexpr Duration kLeaveTime = Milliseconds(500);
+constexpr Duration kMinWakeDelay = Microseconds(200);
+
+Endpoint EndpointOf(const SocketAddress& address) {
+  return {address.ip, address.port};
+}
+
+radishmoor::LendingPolicy PolicyOf(LendingMode mode) {
+  switch (mode) {
+    case LendingMode::kStatic:
+      return StaticSpare{};
+    case LendingMode::kHysteresis:
+      return Hysteresis{};
+    case LendingMode::kAhead:
+      return AheadOfPeak{};
+  }
+  return StaticSpare{};
+}
+
+bool Succeeded(const HttpFetcher::Result& result) {
+  auto* response = std::get_if<HttpResponse>(&result);
+  return response != nullptr && response->status == 200;
+}
+
+}  // namespace
+
+class ControlService::Impl {
+ public:
+  Impl(EventLoop& loop, const ControlSettings& settings);
+
+  void Start();
+  void Shutdown();
+
+  Endpoint admin_endpoint;
+
+ private:
+  void Run(ControlActions actions);
+  void On(const StoreCall& call);
+  void On(const CheckpointTasks& checkpoint);
+  void On(const RebootHost& reboot);
+  void On(const AdmitHost& admit);
+  void On(const WaveReport& report);
+  void On(const RecordControlEvent& record);
+  void On(const EndControlProcess& end);
+
+  // Asks the platform for an operation on a host.
+  void Operate(const char* operation,
+               const HostId& host,
+               json::object body,
+               HttpFetcher::Callback callback);
+  void Report(const HostId& host, PlatformResultKind kind, uint64_t key);
+  void PollReboot(const RebootHost& reboot, Time give_up);
+
+  void Probe();
+  void ProbeHost(const HostState& host);
+  void OnAdmin(ExchangeId exchange, const HttpRequest& request);
+  std::string MetricsPage();
+  std::string StatusPage() const;
+  void ArmWake();
+  void Tick();
+
+  EventLoop& loop_;
+  ControlSettings settings_;
+  HttpServer admin_;
+  HttpFetcher fetcher_;
+  StoreClient store_;
+  Metrics metrics_;
+  std::unique_ptr<TimelineKeeper> timeline_;
+  std::unique_ptr<ControlCore> core_;
+  TimerId wake_timer_ = 0;
+  Time wake_at_ = kTimeMax;
+  bool stopping_ = false;
+};
+
+ControlService::Impl::Impl(EventLoop& loop, const ControlSettings& settings)
+    : loop_(loop),
+      settings_(settings),
+      admin_(loop,
+             {},
+             {.on_request =
+                  [this](ExchangeId id, const HttpRequest& request) {
+                    OnAdmin(id, request);
+                  },
+              .on_abandoned = [](ExchangeId) {}}),
+      fetcher_(loop),
+      store_(loop, EndpointOf(settings.platform_address), kStoreTimeout) {}
+
+void ControlService::Impl::Start() {
+  admin_endpoint = admin_.Listen(EndpointOf(settings_.admin_address));
+  Incarnation incarnation{static_cast<uint64_t>(loop_.wall_now())};
+  timeline_ = std::make_unique<TimelineKeeper>(loop_, store_, settings_.member,
+                                               incarnation, 4096, Seconds(1));
+  ControlOptions options;
+  options.member = settings_.member;
+  options.zone = settings_.zone;
+  options.incarnation = incarnation;
+  options.peer_address = settings_.peer_address.str();
+  options.admin_address = FormatEndpoint(admin_endpoint);
+  options.seed = StableHash(settings_.member.str(), incarnation.value);
+  options.controller.lending = PolicyOf(settings_.lending_policy);
+  options.controller.writer.site_writes_per_second =
+      settings_.max_writes_per_second;
+  core_ = std::make_unique<ControlCore>(std::move(options));
+  LogInfo("process-started", {{"member", settings_.member.str()},
+                              {"zone", settings_.zone.str()},
+                              {"admin", FormatEndpoint(admin_endpoint)}});
+  Tick();
+  Probe();
+}
+
+void ControlService::Impl::Run(ControlActions actions) {
+  for (const ControlAction& action : actions)
+    std::visit([this](const auto& a) { On(a); }, action);
+  ArmWake();
+}
+
+void ControlService::Impl::ArmWake() {
+  Time wake = core_->next_wake();
+  if (wake >= wake_at_)
+    return;
+  loop_.Cancel(wake_timer_);
+  wake_at_ = std::max(wake, loop_.now() + kMinWakeDelay);
+  wake_timer_ = loop_.RunAt(wake_at_, [this] { Tick(); });
+}
+
+void ControlService::Impl::Tick() {
+  wake_at_ = kTimeMax;
+  Run(core_->Tick(loop_.now(), loop_.wall_now()));
+}
+
+void ControlService::Impl::On(const StoreCall& call) {
+  store_.Execute(call.request, [this, tag = call.tag](StoreReply reply) {
+    Run(core_->Handle(loop_.now(), loop_.wall_now(),
+                      StoreAnswer{tag, std::move(reply)}));
+  });
+}
+
+// Platform operations.
+
+void ControlService::Impl::Operate(const char* operation,
+                                   const HostId& host,
+                                   json::object body,
+                                   HttpFetcher::Callback callback) {
+  const HostState* state = core_->view().state().FindHost(host);
+  if (state == nullptr)
+    return;
+  body["host"] = host.str();
+  body["address"] = state->address;
+  fetcher_.Fetch(EndpointOf(settings_.platform_address),
+                 {"POST",
+                  std::string("/operations/") + operation,
+                  {{"Content-Type", "application/json"}},
+                  json::serialize(body)},
+                 kPlatformTimeout, std::move(callback));
+}
+
+void ControlService::Impl::Report(const HostId& host,
+                                  PlatformResultKind kind,
+                                  uint64_t key) {
+  Run(core_->Handle(loop_.now(), loop_.wall_now(),
+                    PlatformResult{.host = host, .kind = kind, .key = key}));
+}
+
+void ControlService::Impl::On(const CheckpointTasks& checkpoint) {
+  Operate("checkpoint", checkpoint.host, {{"key", checkpoint.key}},
+          [this, checkpoint](const HttpFetcher::Result& result) {
+            if (Succeeded(result)) {
+              Report(checkpoint.host, PlatformResultKind::kTasksCheckpointed,
+                     checkpoint.key);
+            }
+          });
+}
+
+void ControlService::Impl::On(const RebootHost& reboot) {
+  Operate("reboot", reboot.host, {{"key", reboot.key}},
+          [this, reboot](const HttpFetcher::Result& result) {
+            // A refusal (requests still run) is repeated by the controller.
+            if (!Succeeded(result))
+              return;
+            Report(reboot.host, PlatformResultKind::kRebootStarted, reboot.key);
+            PollReboot(reboot, loop_.now() + kRebootLimit);
+          });
+}
+
+void ControlService::Impl::PollReboot(const RebootHost& reboot, Time give_up) {
+  loop_.RunAfter(kRebootPollPeriod, [this, reboot, give_up] {
+    Operate("status", reboot.host, {{"key", reboot.key}},
+            [this, reboot, give_up](const HttpFetcher::Result& result) {
+              if (Succeeded(result)) {
+                Report(reboot.host, PlatformResultKind::kRebootFinished,
+                       reboot.key);
+              } else if (loop_.now() >= give_up) {
+                Report(reboot.host, PlatformResultKind::kRebootFailed,
+                       reboot.key);
+              } else {
+                PollReboot(reboot, give_up);
+              }
+            });
+  });
+}
+
+void ControlService::Impl::On(const AdmitHost& admit) {
+  Operate("assign", admit.host,
+          {{"key", admit.key}, {"pool", admit.pool.str()}},
+          [this, admit](const HttpFetcher::Result& result) {
+            if (Succeeded(result))
+              Report(admit.host, PlatformResultKind::kAdmitted, admit.key);
+          });
+}
+
+void ControlService::Impl::On(const WaveReport& report) {
+  LogInfo("wave-report", {{"round", report.round},
+                          {"roll_out_s", ToSeconds(report.roll_out)},
+                          {"hosts_maintained", report.hosts_maintained},
+                          {"hosts_moved", report.hosts_moved},
+                          {"requests_cut", report.requests_cut},
+                          {"partial", report.partial}});
+}
+
+void ControlService::Impl::On(const RecordControlEvent& record) {
+  const TimelineEvent& event = record.event;
+  LogInfo(EventName(event.kind), {{"host", event.host.str()},
+                                  {"pool", event.pool.str()},
+                                  {"config", event.config},
+                                  {"detail", event.detail}});
+  timeline_->Add(event);
+}
+
+void ControlService::Impl::On(const EndControlProcess& end) {
+  LogError("process-superseded", {{"detail", end.why}});
+  Shutdown();
+}
+
+// Health of backend servers: one request without work to each observed host.
+
+void ControlService::Impl::Probe() {
+  for (const HostState* host : core_->ObservedHosts(loop_.now()))
+    ProbeHost(*host);
+  loop_.RunAfter(kProbePeriod, [this] { Probe(); });
+}
+
+void ControlService::Impl::ProbeHost(const HostState& host) {
+  auto endpoint = ParseEndpoint(host.address);
+  if (!endpoint)
+    return;
+  fetcher_.Fetch(
+      *endpoint, {"OPTIONS", "*", {{"Host", "-"}}, ""}, kProbeTimeout,
+      [this, id = host.id](const HttpFetcher::Result& result) {
+        HostObservation observation{.host = id,
+                                    .health = HostHealth::kUnreachable,
+                                    .observed_at = loop_.now()};
+        if (std::holds_alternative<HttpResponse>(result))
+          observation.health = HostHealth::kHealthy;
+        Run(core_->SetHealth(loop_.now(), loop_.wall_now(), {&observation, 1}));
+      });
+}
+
+// Shutdown and admin server.
+
+void ControlService::Impl::Shutdown() {
+  if (stopping_)
+    return;
+  stopping_ = true;
+  LogInfo("process-stopping", {});
+  Run(core_->Leave(loop_.now(), loop_.wall_now()));
+  timeline_->Flush();
+  loop_.RunAfter(kLeaveTime, [this] { loop_.Stop(); });
+}
+
+void ControlService::Impl::OnAdmin(ExchangeId exchange,
+                                   const HttpRequest& request) {
+  std::string_view path = request.target;
+  path = path.substr(0, path.find('?'));
+  if (path == "/healthz") {
+    admin_.Respond(exchange, {200, {}, "ok\n"});
+  } else if (path == "/readyz") {
+    bool ready = core_->ready() && !stopping_;
+    admin_.Respond(
+        exchange, {ready ? 200u : 503u, {}, ready ? "ready\n" : "not ready\n"});
+  } else if (path == "/metrics") {
+    admin_.Respond(exchange,
+                   {200,
+                    {{"Content-Type", std::string(Metrics::kContentType)}},
+                    MetricsPage()});
+  } else if (path == "/timeline") {
+    admin_.Respond(
+        exchange,
+        {200, {{"Content-Type", "application/json"}}, timeline_->Page()});
+  } else if (path == "/status") {
+    admin_.Respond(exchange,
+                   {200, {{"Content-Type", "application/json"}}, StatusPage()});
+  } else {
+    admin_.Respond(exchange, {404, {}, "no such page\n"});
+  }
+}
+
+std::string ControlService::Impl::MetricsPage() {
+  auto set = [this](const char* name, const char* help, uint64_t value) {
+    metrics_.AddGauge(name, help).Set(static_cast<double>(value));
+  };
+  FleetFigures figures = core_->controller().figures();
+  set("radishmoor_control_commits", "Changes committed.", figures.commits);
+  set("radishmoor_control_conflicts", "Changes that lost a race.",
+      figures.conflicts);
+  set("radishmoor_control_unknown", "Changes whose answer was lost.",
+      figures.unknown);
+  set("radishmoor_control_drains", "Drains started.", figures.drains_started);
+  set("radishmoor_control_give_backs", "Reservations given back.",
+      figures.give_backs);
+  set("radishmoor_control_moves", "Hosts moved.", figures.moves);
+  set("radishmoor_control_reboots", "Hosts rebooted.", figures.reboots);
+  set("radishmoor_control_budget_refusals",
+      "Starts refused by an availability budget.", figures.budget_refusals);
+  set("radishmoor_control_wave_paused", "1 while a wave is paused.",
+      core_->controller().wave_paused() ? 1 : 0);
+  set("radishmoor_config_version", "Configuration version in force.",
+      core_->view().version());
+  set("radishmoor_leases_held", "Pool leases held.",
+      core_->leases().Held(loop_.now()).size());
+  set("radishmoor_store_requests", "Requests to the platform.",
+      store_.counters().requests);
+  set("radishmoor_store_bytes_sent", "Bytes sent to the platform.",
+      store_.counters().bytes_sent);
+  set("radishmoor_store_bytes_received", "Bytes received from the platform.",
+      store_.counters().bytes_received);
+  return metrics_.Exposition();
+}
+
+std::string ControlService::Impl::StatusPage() const {
+  json::array leases;
+  for (const PoolId& pool : core_->leases().Held(loop_.now()))
+    leases.push_back(json::string(pool.str()));
+  json::object status{{"member", settings_.member.str()},
+                      {"zone", settings_.zone.str()},
+                      {"ready", core_->ready()},
+                      {"in_force", core_->view().version()},
+                      {"leases", std::move(leases)},
+                      {"wave_paused", core_->controller().wave_paused()}};
+  return json::serialize(status) + "\n";
+}
+
+ControlService::ControlService(EventLoop& loop, const ControlSettings& settings)
+    : impl_(std::make_unique<Impl>(loop, settings)) {}
+
+ControlService::~ControlService() = default;
+
+void ControlService::Start() {
+  impl_->Start();
+}
+
+void ControlService::Shutdown() {
+  impl_->Shutdown();
+}
+
+Endpoint ControlService::admin_endpoint() const {
+  return impl_->admin_endpoint;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/service/control_service.h
@@ -0,0 +1,39 @@
+// The control process: binds ControlCore to the network and the platform.
+//
+//   EventLoop loop;
+//   ControlService service(loop, settings);
+//   service.Start();
+//   loop.Run();   // Until SIGTERM.
+
+#ifndef RADISHMOOR_SERVICE_CONTROL_SERVICE_H_
+#define RADISHMOOR_SERVICE_CONTROL_SERVICE_H_
+
+#include <memory>
+
+#include "radishmoor/net/http_message.h"
+
+namespace radishmoor {
+
+class EventLoop;
+struct ControlSettings;
+
+class ControlService {
+ public:
+  ControlService(EventLoop& loop, const ControlSettings& settings);
+  ~ControlService();
+
+  // Throws std::system_error when an address cannot be bound.
+  void Start();
+  // Gives up leases and the member row, then stops the loop.
+  void Shutdown();
+
+  Endpoint admin_endpoint() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_SERVICE_CONTROL_SERVICE_H_
--- a/radishmoor/service/entry_service.cc
+++ b/radishmoor/service/entry_service.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "radishmoor/base/hash.h"
-#include "radishmoor/base/timeline.h"
 #include "radishmoor/entry/entry_core.h"
 #include "radishmoor/net/answer_codec.h"
 #include "radishmoor/net/event_loop.h"
@@ -18,6 +17,7 @@
 #include "radishmoor/ops/metrics.h"
 #include "radishmoor/ops/program_settings.h"
 #include "radishmoor/service/http_rules.h"
+#include "radishmoor/service/timeline_keeper.h"
 
 namespace radishmoor {
 namespace {
@@ -119,9 +119,9 @@
   HttpClient backends_;
   StoreClient store_;
   PeerTransport peers_;
-  TimelineRing timeline_;
   Metrics metrics_;
   Histogram latency_;
+  std::unique_ptr<TimelineKeeper> timeline_;
   std::unique_ptr<EntryCore> core_;
 
   uint64_t next_request_ = 0;
@@ -182,7 +182,6 @@
                }}),
       store_(loop, EndpointOf(settings.platform_address), kStoreTimeout),
       peers_(loop, [this](const PeerEnvelope& e) { OnPeer(e); }),
-      timeline_(settings.timeline_ring_size),
       latency_(metrics_.AddHistogram("radishmoor_request_seconds",
                                      "Time from arrival to response.")) {}
 
@@ -198,6 +197,9 @@
   options.seed = StableHash(settings_.member.str(), options.incarnation.value);
   options.dispatch.seed = options.seed;
   options.dispatch.policy = dispatch::RestartLong{};
+  timeline_ = std::make_unique<TimelineKeeper>(
+      loop_, store_, options.member, options.incarnation,
+      settings_.timeline_ring_size, settings_.timeline_flush_period);
   core_ = std::make_unique<EntryCore>(std::move(options));
   // Request ids are unique over members and restarts with high probability.
   next_request_ = StableHash(settings_.member.str(),
@@ -366,7 +368,7 @@
                                     {"config", event.config},
                                     {"detail", event.detail}});
   }
-  timeline_.Add(event);
+  timeline_->Add(event);
 }
 
 void EntryService::Impl::On(const EndProcess& end) {
@@ -415,6 +417,7 @@
     return;
   }
   leaving_ = true;
+  timeline_->Flush();
   Run(core_->Leave(loop_.now(), loop_.wall_now()));
   loop_.RunAfter(kLeaveTimeout, [this] {
     LogInfo("process-stopped", {});
@@ -439,6 +442,10 @@
                    {200,
                     {{"Content-Type", std::string(Metrics::kContentType)}},
                     MetricsPage()});
+  } else if (path == "/timeline") {
+    admin_.Respond(
+        exchange,
+        {200, {{"Content-Type", "application/json"}}, timeline_->Page()});
   } else if (path == "/status") {
     admin_.Respond(exchange,
                    {200, {{"Content-Type", "application/json"}}, StatusPage()});
@@ -485,7 +492,7 @@
       static_cast<double>(peers_.counters().bytes_received),
       {{"direction", "received"}});
   set("radishmoor_timeline_dropped", "Events overwritten before a flush.",
-      static_cast<double>(timeline_.dropped()));
+      static_cast<double>(timeline_->dropped()));
   return metrics_.Exposition();
 }
 
--- a/radishmoor/service/http_rules.cc
+++ b/radishmoor/service/http_rules.cc
@@ -17,8 +17,9 @@
 constexpr std::string_view kIdempotentHeader = "Radishmoor-Idempotent";
 constexpr std::string_view kKeyHeader = "Idempotency-Key";
 
-// One day: longer than any work, and far from overflow.
-constexpr int64_t kMaxDeadlineMs = 24 * 3600 * 1000;
+// Longer deadlines are cut to this. The drain gate of control relies on it:
+// after this time no request of an unreachable process can still be answered.
+constexpr int64_t kMaxDeadlineMs = 600'000;
 
 // RFC 9110 7.6.1: these concern one connection only. Content-Length and Host
 // are set anew.
--- a/radishmoor/standins/backend_server.cc
+++ b/radishmoor/standins/backend_server.cc
@@ -215,7 +215,7 @@
 void BackendServer::Impl::OnControl(ExchangeId id, const HttpRequest& request) {
   std::string_view operation =
       std::string_view(request.target).substr(kControlPath.size());
-  if (operation == "stats") {
+  if (operation == "stats" || operation == "status") {
     server->Respond(id, Stats());
     return;
   }
--- a/radishmoor/standins/platform_server.h
+++ b/radishmoor/standins/platform_server.h
@@ -18,6 +18,7 @@
 //   POST /operations/reboot     {"host", "address"}
 //   POST /operations/assign     {"host", "address", "pool"}
 //   POST /operations/checkpoint {"host", "address"}
+//   POST /operations/status     {"host", "address"}  200 while it serves
 //     Forwarded to the backend server stand-in; the answer is its answer.
 //   GET  /stats   requests, commits, conflicts, rows.
 
