Refuse a retirement that leaves a pool within its own budget

Cause: radishmoorctl retire changes one host at a time and passed by the check that the file goes through, so a pool could shrink until its budget allowed it to have no host at all. Ruled out: the same refusal for drains, because a drained host stays in its pool and control holds drains back. Change: PlanIntent() refuses; one more test case. Conclusion: both ways of retirement keep the same rule.

--- a/radishmoor/config/plan.cc
+++ b/radishmoor/config/plan.cc
@@ -413,6 +413,27 @@
     WavePlanner(after).Run(plan);
 }
 
+// ParseInventory() refuses a budget as large as its pool. The retirement of
+// single hosts must not lead there either.
+void CheckRemaining(const FleetState& after,
+                    const PoolId& pool_id,
+                    ConfigPlan& plan) {
+  const PoolState* pool = after.FindPool(pool_id);
+  if (pool == nullptr || pool->closed)
+    return;
+  auto remaining = std::count_if(
+      after.hosts.begin(), after.hosts.end(), [&](const auto& item) {
+        return item.second.wanted_pool == pool_id &&
+               item.second.intent != HostIntent::kRetire;
+      });
+  if (remaining > static_cast<int64_t>(pool->max_unavailable))
+    return;
+  plan.refusals.push_back("pool " + pool_id.str() + " would keep " +
+                          std::to_string(remaining) + " hosts and may lose " +
+                          std::to_string(pool->max_unavailable) +
+                          "; lower max_unavailable or close the pool first");
+}
+
 ConfigPlan StartPlan(const FleetState& state) {
   ConfigPlan plan;
   plan.base = state.version;
@@ -641,6 +662,11 @@
     plan.delta.hosts.back().intent = intent;
   }
   Predict(state, plan);
+  if (intent == HostIntent::kRetire && !plan.empty()) {
+    FleetState after = state;
+    after.Apply(plan.delta);
+    CheckRemaining(after, host->wanted_pool, plan);
+  }
   return plan;
 }
 
--- a/radishmoor/config/plan.h
+++ b/radishmoor/config/plan.h
@@ -83,7 +83,8 @@
 ConfigPlan PlanInventory(const FleetState& state, const Inventory& inventory);
 
 // A plan that only changes the intent of one host. Refused if there is no such
-// host or it has retired.
+// host, if it has retired, and if its retirement would leave its pool with no
+// more hosts than the pool may lose.
 ConfigPlan PlanIntent(const FleetState& state,
                       const HostId& host,
                       HostIntent intent);
--- a/radishmoor/config/testing/plan_test.cc
+++ b/radishmoor/config/testing/plan_test.cc
@@ -184,6 +184,22 @@
   REQUIRE(!PlanIntent(state, HostId("x"), HostIntent::kDrain).refusals.empty());
 }
 
+// Guards against a pool that is retired host by host until its budget allows
+// it to have none.
+TEST_CASE("a retirement must leave more hosts than the pool may lose") {
+  FleetState state = Accepted(TwoPools());
+  ConfigPlan plan = PlanIntent(state, HostId("a0"), HostIntent::kRetire);
+  REQUIRE(plan.refusals.empty());
+  state = After(state, plan);
+  REQUIRE(PlanIntent(state, HostId("a0"), HostIntent::kRetire).empty());
+  REQUIRE(Warns(PlanIntent(state, HostId("a1"), HostIntent::kRetire),
+                "pool a would keep 1 hosts and may lose 1; lower"));
+  REQUIRE(PlanIntent(state, HostId("a1"), HostIntent::kDrain).refusals.empty());
+  state.pools[PoolId("a")].closed = true;
+  REQUIRE(
+      PlanIntent(state, HostId("a1"), HostIntent::kRetire).refusals.empty());
+}
+
 // A store with scripted faults for the commits of deltas.
 struct FaultyStore {
   enum class Fault { kNone, kLostBefore, kLostAfter, kDown };
