--- a/radishmoor/backend/backend_pool.cc
+++ b/radishmoor/backend/backend_pool.cc
@@ -89,6 +89,8 @@
 int BackendPool::Limit(const Host& host) const {
   if (host.health == HealthState::kProbation)
     return 1;
+  if (!options_.learn_limit)
+    return options_.max_connections;
   return std::clamp(static_cast<int>(host.learned_limit), 1,
                     options_.max_connections);
 }
@@ -142,10 +144,12 @@
   if (added || host.pool != config.pool || host.epoch < config.epoch ||
       returned) {
     ResetHost(now, config.host, host);
-    if (auto old = pools_.find(host.pool); old != pools_.end())
-      old->second.hosts.erase(config.host);
-    host.pool = config.pool;
+    PoolId old_pool = std::exchange(host.pool, config.pool);
     host.epoch = config.epoch;
+    if (old_pool != host.pool && pools_.contains(old_pool)) {
+      pools_[old_pool].hosts.erase(config.host);
+      EnforceEjectionCap(now, old_pool);
+    }
     pools_[host.pool].hosts.insert(config.host);
   }
   host.removed = false;
@@ -196,10 +200,7 @@
   if (leaving) {
     SetLeaving(now, id, LeavingSource::kHostList);
   } else {
-    host->leaving &=
-        static_cast<uint8_t>(~static_cast<uint8_t>(LeavingSource::kHostList));
-    touched_.insert(id);
-    EnforceEjectionCap(now, host->pool);
+    ClearLeaving(now, id, LeavingSource::kHostList);
   }
   return Take();
 }
@@ -219,6 +220,27 @@
   EnforceEjectionCap(now, host.pool);
 }
 
+void BackendPool::ClearLeaving(Time now,
+                               const HostId& id,
+                               LeavingSource source) {
+  Host& host = hosts_.at(id);
+  auto bit = static_cast<uint8_t>(source);
+  if ((host.leaving & bit) == 0)
+    return;
+  host.leaving &= static_cast<uint8_t>(~bit);
+  touched_.insert(id);
+  if (host.leaving != 0)
+    return;
+  // The timers of the health states may have run out meanwhile.
+  host.held = false;
+  if (host.health == HealthState::kEjected ||
+      host.health == HealthState::kChecking) {
+    host.health = HealthState::kEjected;
+    SetWake(id, host, now);
+  }
+  EnforceEjectionCap(now, host.pool);
+}
+
 void BackendPool::ForgetIfUnused(const HostId& id) {
   auto it = hosts_.find(id);
   if (it == hosts_.end() || !it->second.removed ||
@@ -451,7 +473,6 @@
   HostId host = connection.host;
   bool check = connection.check;
   Time started = connection.started;
-  JobHash job = 0;
   if (connection.attempt) {
     FailAttempt(*connection.attempt, error);
     EndAttempt(connection);
@@ -463,7 +484,7 @@
   if (check)
     CheckFailed(now, host);
   else
-    RecordFailure(now, host, job, true, started);
+    RecordFailure(now, host, 0, true, started);
 }
 
 BackendActions BackendPool::ExchangeFinished(Time now,
@@ -501,10 +522,9 @@
       RecordNotRun(now, id, started);
       break;
     case ExchangeResult::kWrongPool:
-      if (host.health == HealthState::kHealthy)
-        Eject(now, id, EjectReason::kWrongPool);
-      else if (host.health == HealthState::kProbation)
-        Eject(now, id, EjectReason::kProbationFailed);
+      Eject(now, id, EjectReason::kWrongPool);
+      // Ejection may be withheld; such answers come fast all the same.
+      Hold(now, id, TypicalRunTime(host.pool) * kMaxFailureHold);
       break;
   }
   return Take();
@@ -519,11 +539,11 @@
   HostId host_id = connection->host;
   bool check = connection->check;
   connection->last_alive = now;
-  if (leaving)
-    SetLeaving(now, host_id, LeavingSource::kServer);
   if (check && !leaving)
     CheckPassed(now, host_id);
   MakeIdle(now, id, *connection);
+  if (leaving && Find(host_id) != nullptr)
+    SetLeaving(now, host_id, LeavingSource::kServer);
   return Take();
 }
 
@@ -647,7 +667,8 @@
   Duration early = EarlyProbeAfter(host.pool);
   for (ConnectionId other : ids) {
     Connection& connection = connections_.at(other);
-    if (other == cause || connection.state == ConnectionState::kOpening)
+    if (other == cause || connection.suspect ||
+        connection.state == ConnectionState::kOpening)
       continue;
     connection.suspect = true;
     if (connection.state == ConnectionState::kIdle) {
@@ -688,11 +709,8 @@
       break;
   }
   if (now >= connection.suspect_at) {
-    // A connection that was suspected through another one adds nothing new.
-    bool known = connection.suspect;
     ReportSuspect(id, connection);
-    if (!known)
-      SuspectOthers(now, connection.host, id);
+    SuspectOthers(now, connection.host, id);
     return;
   }
   connection.early_probe = true;
@@ -713,14 +731,13 @@
   Connection& connection = connections_.at(id);
   HostId host = connection.host;
   bool check = connection.check;
-  bool known = connection.suspect;
   ++counters_.probe_timeouts;
   Remove(id, true);
   if (Find(host) == nullptr)
     return;
   if (check)
     CheckFailed(now, host);
-  else if (!known)
+  else
     SuspectOthers(now, host, id);
 }
 
@@ -910,12 +927,14 @@
     hosts += hosts_.at(id).leaving == 0 ? 1 : 0;
   if (hosts < 2)
     return 0;
-  return std::max(1, static_cast<int>(hosts * options_.max_ejected_share));
+  return std::clamp(static_cast<int>(hosts * options_.max_ejected_share), 1,
+                    hosts - 1);
 }
 
 void BackendPool::Eject(Time now, const HostId& id, EjectReason reason) {
   Host& host = hosts_.at(id);
-  if (!options_.eject || host.leaving != 0)
+  if (!options_.eject || host.leaving != 0 ||
+      host.health == HealthState::kEjected)
     return;
   if (host.health == HealthState::kHealthy &&
       ejected(host.pool) >= EjectionCap(host.pool)) {
@@ -933,6 +952,8 @@
   host.consecutive_failures = 0;
   touched_.insert(id);
   SetWake(id, host, now + back_off);
+  RADISHMOOR_INVARIANT("backend.ejection_cap",
+                       ejected(host.pool) <= EjectionCap(host.pool));
   ++counters_.ejections;
   actions_.emplace_back(Ejected{id, reason, back_off});
 }
@@ -971,6 +992,8 @@
     }
     Restore(now, HostId(*best));
   }
+  RADISHMOOR_INVARIANT("backend.ejection_cap",
+                       ejected(pool) <= EjectionCap(pool));
 }
 
 void BackendPool::Hold(Time now, const HostId& id, Duration time) {
@@ -998,7 +1021,9 @@
   Host& host = hosts_.at(id);
   if (static_cast<int>(host.connections.size()) >= options_.max_connections) {
     // All connections are in use by work from before; look again later.
-    SetWake(id, host, now + options_.eject_base);
+    SetWake(id, host,
+            now + (host.leaving != 0 ? options_.leaving_recheck
+                                     : options_.eject_base));
     return;
   }
   Open(now, id, std::nullopt, true);
@@ -1015,19 +1040,13 @@
 }
 
 void BackendPool::CheckPassed(Time now, const HostId& id) {
+  ClearLeaving(now, id, LeavingSource::kServer);
   Host& host = hosts_.at(id);
-  bool was_leaving = host.leaving != 0;
-  host.leaving &=
-      static_cast<uint8_t>(~static_cast<uint8_t>(LeavingSource::kServer));
   touched_.insert(id);
-  if (was_leaving) {
-    EnforceEjectionCap(now, host.pool);
-    if (host.health != HealthState::kEjected)
-      return;
-  }
-  if (host.health != HealthState::kChecking &&
-      host.health != HealthState::kEjected)
+  if (host.health == HealthState::kHealthy ||
+      host.health == HealthState::kProbation)
     return;
+  SetWake(id, host, kTimeMax);
   host.health = HealthState::kProbation;
   host.probation_since = now;
   host.probation_successes = 0;
@@ -1038,8 +1057,12 @@
   SetWake(id, host, kTimeMax);
   touched_.insert(id);
   if (host.leaving != 0) {
+    // While another source says that it leaves, the server's word is not
+    // needed.
     if (host.leaving == static_cast<uint8_t>(LeavingSource::kServer))
       StartCheck(now, id);
+    else if ((host.leaving & static_cast<uint8_t>(LeavingSource::kServer)) != 0)
+      SetWake(id, host, now + options_.leaving_recheck);
     return;
   }
   if (host.health == HealthState::kEjected) {
@@ -1091,8 +1114,6 @@
     return;
   bool usable = Usable(*host);
   int limit = Limit(*host);
-  RADISHMOOR_INVARIANT("backend.ejection_cap",
-                       ejected(host->pool) <= EjectionCap(host->pool));
   if (usable == host->told_usable && limit == host->told_limit)
     return;
   host->told_usable = usable;
--- a/radishmoor/backend/backend_pool.h
+++ b/radishmoor/backend/backend_pool.h
@@ -62,6 +62,9 @@
   Duration max_attempt_timeout = Seconds(5);
   double attempt_timeout_factor = 3.0;  // Times the 95th percentile.
 
+  // With `learn_limit` false `max_connections` is the only limit.
+  bool learn_limit = true;
+
   // Health. With `eject` false no host is ever held back.
   bool eject = true;
   int eject_after_consecutive = 5;
@@ -411,6 +414,7 @@
 
   // Leaving.
   void SetLeaving(Time now, const HostId& id, LeavingSource source);
+  void ClearLeaving(Time now, const HostId& id, LeavingSource source);
   void ForgetIfUnused(const HostId& id);
 
   void TellTarget(const HostId& id);
