--- a/radishmoor/backend/backend_pool.cc
+++ b/radishmoor/backend/backend_pool.cc
@@ -956,6 +956,7 @@
                        ejected(host.pool) <= EjectionCap(host.pool));
   ++counters_.ejections;
   actions_.emplace_back(Ejected{id, reason, back_off});
+  ReleaseExcessHolds(host.pool);
 }
 
 void BackendPool::Restore(Time now, const HostId& id) {
@@ -992,6 +993,7 @@
     }
     Restore(now, HostId(*best));
   }
+  ReleaseExcessHolds(pool);
   RADISHMOOR_INVARIANT("backend.ejection_cap",
                        ejected(pool) <= EjectionCap(pool));
 }
@@ -1001,22 +1003,46 @@
   if (!options_.eject || time <= Duration(0) || host.leaving != 0 ||
       host.health != HealthState::kHealthy)
     return;
-  int hosts = 0;
-  int held = 0;
-  for (const HostId& other_id : pools_[host.pool].hosts) {
-    const Host& other = hosts_.at(other_id);
-    if (other.leaving != 0)
-      continue;
-    ++hosts;
-    held += (other.held || other.health != HealthState::kHealthy) ? 1 : 0;
-  }
-  if (!host.held && held + 1 > static_cast<int>(hosts * kMaxHeldShare))
+  if (!host.held && HeldBack(host.pool) >= HoldCap(host.pool))
     return;
   host.held = true;
   SetWake(id, host, now + time);
   touched_.insert(id);
 }
 
+// Hosts that health or pacing keeps from taking work freely.
+int BackendPool::HeldBack(const PoolId& pool) const {
+  int count = 0;
+  for (const HostId& id : pools_.at(pool).hosts) {
+    const Host& host = hosts_.at(id);
+    if (host.leaving == 0)
+      count += host.held || host.health != HealthState::kHealthy ? 1 : 0;
+  }
+  return count;
+}
+
+int BackendPool::HoldCap(const PoolId& pool) const {
+  int hosts = 0;
+  for (const HostId& id : pools_.at(pool).hosts)
+    hosts += hosts_.at(id).leaving == 0 ? 1 : 0;
+  return static_cast<int>(hosts * kMaxHeldShare);
+}
+
+void BackendPool::ReleaseExcessHolds(const PoolId& pool) {
+  int excess = HeldBack(pool) - HoldCap(pool);
+  for (const HostId& id : pools_.at(pool).hosts) {
+    Host& host = hosts_.at(id);
+    if (excess <= 0)
+      return;
+    if (!host.held || host.leaving != 0)
+      continue;
+    host.held = false;
+    SetWake(id, host, kTimeMax);
+    touched_.insert(id);
+    --excess;
+  }
+}
+
 void BackendPool::StartCheck(Time now, const HostId& id) {
   Host& host = hosts_.at(id);
   if (static_cast<int>(host.connections.size()) >= options_.max_connections) {
--- a/radishmoor/backend/backend_pool.h
+++ b/radishmoor/backend/backend_pool.h
@@ -403,6 +403,9 @@
   void Eject(Time now, const HostId& id, EjectReason reason);
   void Restore(Time now, const HostId& id);
   void Hold(Time now, const HostId& id, Duration time);
+  int HeldBack(const PoolId& pool) const;
+  int HoldCap(const PoolId& pool) const;
+  void ReleaseExcessHolds(const PoolId& pool);
   int EjectionCap(const PoolId& pool) const;
   void EnforceEjectionCap(Time now, const PoolId& pool);
   void StartCheck(Time now, const HostId& id);
