--- a/radishmoor/backend/backend_pool.h
+++ b/radishmoor/backend/backend_pool.h
@@ -62,6 +62,9 @@
   Duration max_attempt_timeout = Seconds(5);
   double attempt_timeout_factor = 3.0;  // Times the 95th percentile.
 
+  // With `learn_limit` false `max_connections` is the only limit.
+  bool learn_limit = true;
+
   // Health. With `eject` false no host is ever held back.
   bool eject = true;
   int eject_after_consecutive = 5;
@@ -400,6 +403,9 @@
   void Eject(Time now, const HostId& id, EjectReason reason);
   void Restore(Time now, const HostId& id);
   void Hold(Time now, const HostId& id, Duration time);
+  int HeldBack(const PoolId& pool) const;
+  int HoldCap(const PoolId& pool) const;
+  void ReleaseExcessHolds(const PoolId& pool);
   int EjectionCap(const PoolId& pool) const;
   void EnforceEjectionCap(Time now, const PoolId& pool);
   void StartCheck(Time now, const HostId& id);
@@ -411,6 +417,7 @@
 
   // Leaving.
   void SetLeaving(Time now, const HostId& id, LeavingSource source);
+  void ClearLeaving(Time now, const HostId& id, LeavingSource source);
   void ForgetIfUnused(const HostId& id);
 
   void TellTarget(const HostId& id);
