--- a/radishmoor/entry/entry_core.h
+++ b/radishmoor/entry/entry_core.h
@@ -211,7 +211,6 @@
   WallMillis wall_ = 0;
   EntryActions actions_;
   std::deque<dispatch::Message> pending_;
-  bool dispatching_ = false;
   bool draining_ = false;
 
   std::unordered_map<RequestId, LiveRequest> live_;
--- a/radishmoor/net/peer_codec.cc
+++ b/radishmoor/net/peer_codec.cc
@@ -36,6 +36,7 @@
 
 std::vector<wire::HostSlots> ToWire(const std::vector<HostSlots>& slots) {
   std::vector<wire::HostSlots> result;
+  result.reserve(slots.size());
   for (const HostSlots& s : slots) {
     wire::HostSlots w;
     w.host = s.host.str();
@@ -47,6 +48,7 @@
 
 std::vector<HostSlots> FromWire(const std::vector<wire::HostSlots>& slots) {
   std::vector<HostSlots> result;
+  result.reserve(slots.size());
   for (const wire::HostSlots& w : slots)
     result.push_back({HostId(w.host), static_cast<uint32_t>(w.slots)});
   return result;
