--- a/radishmoor/dispatch/testing/dispatcher_test.cc
+++ b/radishmoor/dispatch/testing/dispatcher_test.cc
@@ -429,19 +429,73 @@
 // Guards against aborts that only add load, because the hosts go on with the
 // aborted runs.
 TEST_CASE("restarts pause when the freed slot turns out to be busy") {
-  Fixture f({kA}, 2);
+  Fixture f({kA}, 10);
   f.Learn(200, Milliseconds(10));
-  f.Arrive(1, Seconds(100));
-  f.Arrive(2, Seconds(100));
+  for (uint64_t id = 1; id <= 10; ++id) {
+    f.Arrive(id, Seconds(100));
+  }
   f.Advance(Milliseconds(200));
-  f.Arrive(3);
+  f.Arrive(11);
   REQUIRE(f.dispatcher.counters().restarts == 1);
-  f.Answer(3, AttemptOutcome::kNotRun);
-  f.Arrive(4);
-  f.Arrive(5);
+  f.Answer(11, AttemptOutcome::kNotRun);
+  f.Arrive(12);
+  f.Arrive(13);
   REQUIRE(f.dispatcher.counters().restarts == 1);
 }
 
+// Guards against aborts that free no slot for the short work.
+TEST_CASE("nothing is restarted on a host above its limit") {
+  Fixture f({kA}, 10);
+  f.Learn(200, Milliseconds(10));
+  for (uint64_t id = 1; id <= 10; ++id) {
+    f.Arrive(id, Seconds(100));
+  }
+  f.Advance(Milliseconds(200));
+  f.Do(TargetSet{kPool, kA, true, true, 5});
+  f.Arrive(11);
+  REQUIRE(f.dispatcher.counters().restarts == 0);
+}
+
+// Guards against known long work that takes the last slots from short work.
+TEST_CASE("operations that were long leave the reserved slots free") {
+  for (const HeadOfLinePolicy& policy : std::vector<HeadOfLinePolicy>{
+           ReservedSlots{}, LearnedQuantiles{}, RestartLong{}, Fifo{}}) {
+    Fixture f({kA}, 4, {.policy = policy});
+    f.Learn(200, Milliseconds(10));
+    auto archive = [&](uint64_t id) {
+      f.Do(RequestArrived{{id}, kPool, "archive", false, f.now + Seconds(99)});
+    };
+    for (uint64_t id = 1; id <= 40; ++id) {
+      archive(id);
+      f.now += Seconds(2);
+      f.Answer(id, AttemptOutcome::kCompleted);
+    }
+    for (uint64_t id = 41; id <= 44; ++id) {
+      archive(id);
+    }
+    f.Arrive(50);
+    REQUIRE(f.sent.contains({50}) == !std::holds_alternative<Fifo>(policy));
+    REQUIRE(f.sent.contains({44}) == std::holds_alternative<Fifo>(policy));
+  }
+}
+
+// Guards against new work of an operation whose runs in flight are long.
+TEST_CASE("an operation is long while its attempts in flight are") {
+  Fixture f({kA}, 4, {.policy = AgeReclassification{}});
+  f.Learn(200, Milliseconds(10));
+  auto archive = [&](uint64_t id) {
+    f.Do(RequestArrived{{id}, kPool, "archive", true, f.now + Seconds(99)});
+  };
+  for (uint64_t id = 1; id <= 3; ++id) {
+    archive(id);
+  }
+  f.Advance(Milliseconds(200));
+  archive(4);
+  REQUIRE(!f.sent.contains({4}));
+  f.Arrive(5);
+  REQUIRE(f.sent.contains({5}));
+}
+
 // Guards against a peak that leaves seconds of postponed long work behind.
 TEST_CASE("restarts stop while much long work waits") {
   Fixture f({kA}, 10, {.policy = RestartLong{.idle_credit = 1000}});
