--- a/radishmoor/backend/backend_pool.cc
+++ b/radishmoor/backend/backend_pool.cc
@@ -720,7 +720,7 @@
   for (ConnectionId other : hosts_.at(connection.host).connections) {
     Connection& sibling = connections_.at(other);
     if (sibling.state != ConnectionState::kIdle ||
-        sibling.last_alive > connection.started)
+        sibling.opened > connection.started)
       continue;
     Probe(now, other, sibling);
     return;
--- a/radishmoor/slots/slot_shares.cc
+++ b/radishmoor/slots/slot_shares.cc
@@ -1,6 +1,7 @@
 #include "radishmoor/slots/slot_shares.h"
 
 #include <algorithm>
+#include <cmath>
 #include <queue>
 #include <tuple>
 
@@ -180,9 +181,11 @@
   if (it == pools_.end())
     return Take();
   PoolState& pool = it->second;
+  pool.wanted_time +=
+      static_cast<double>(pool.wanted) * ToSeconds(now - pool.wanted_since);
+  pool.wanted_since = now;
   pool.wanted = wanted;
-  pool.peak_wanted = std::max(pool.peak_wanted, wanted);
-  if (pool.peak_wanted != pool.sent_wanted)
+  if (wanted != pool.sent_wanted)
     pool.resend = true;
   SendIfDue(now, id, pool);
   return Take();
@@ -217,22 +220,34 @@
   demand.incarnation = incarnation_;
   demand.sequence = next_sequence_++;
   demand.applied_grant = pool.granted ? pool.applied : 0;
-  // A peak between two demands would be missed if only the current value were
-  // sent.
-  demand.wanted = std::max(pool.wanted, pool.peak_wanted);
   for (const auto& [host, state] : pool.hosts) {
     demand.in_use += state.in_use;
     if (state.in_use > state.share)
       demand.above_grant.push_back({host, state.in_use});
   }
+  demand.wanted = AverageWanted(now, pool);
+  // With requests waiting, the present number counts, so that a rise is
+  // answered at once.
+  if (pool.wanted > demand.in_use)
+    demand.wanted = std::max(demand.wanted, pool.wanted);
   pool.sent.push_back({demand.sequence, now});
   pool.last_sent = now;
   pool.sent_wanted = demand.wanted;
-  pool.peak_wanted = pool.wanted;
+  pool.wanted_time = 0;
+  pool.wanted_since = now;
   pool.resend = pool.wanted != demand.wanted;
   actions_.emplace_back(SendDemand{pool.allocator, std::move(demand)});
 }
 
+// Mean since the last demand, rounded up. Peaks of single moments would add up
+// over the members to more than the pool and leave nothing to lend.
+uint32_t SlotHolder::AverageWanted(Time now, const PoolState& pool) {
+  double area = pool.wanted_time + static_cast<double>(pool.wanted) *
+                                       ToSeconds(now - pool.wanted_since);
+  double time = ToSeconds(now - pool.last_sent);
+  return time > 0 ? static_cast<uint32_t>(std::ceil(area / time)) : pool.wanted;
+}
+
 SlotActions SlotHolder::HandleGrant(Time now,
                                     const MemberId& from,
                                     const SlotGrant& grant) {
@@ -488,6 +503,7 @@
         member.heard + options_.term + options_.margin <= now) {
       member.active = false;
       member.answer_due = false;
+      member.push_due = false;
       member.above_grant.clear();
       // It uses its fixed share if it still runs. Holding that back for a
       // process that most likely ended would idle one share of the pool until
--- a/radishmoor/slots/slot_shares.h
+++ b/radishmoor/slots/slot_shares.h
@@ -171,7 +171,8 @@
     std::map<HostId, HostState> hosts;
     MemberId allocator;
     uint32_t wanted = 0;
-    uint32_t peak_wanted = 0;  // Since the last demand.
+    double wanted_time = 0;  // Slots times seconds since the last demand.
+    Time wanted_since = kTimeZero;
     uint32_t sent_wanted = 0;
     bool resend = true;  // A change has not been sent.
     Time last_sent = kTimeZero - Seconds(3600);
@@ -186,6 +187,7 @@
   };
 
   void Send(Time now, const PoolId& id, PoolState& pool);
+  static uint32_t AverageWanted(Time now, const PoolState& pool);
   void SendIfDue(Time now, const PoolId& id, PoolState& pool);
   void UpdateAllocator(const PoolId& id, PoolState& pool);
   void RefreshFixed(PoolState& pool);
