Give targets a ceiling beside the learned limit

Cause: with the limit of a target being the larger of slot share and learned limit, a share of 8 would lift the one request of a host on probation, and the low limit after its return. Change: TargetChanged and BackendPool carry a ceiling: 1 on probation, the learned limit while a restored host ramps up, otherwise the number of connections. A not-run answer ends the ramp.

--- a/radishmoor/backend/backend_pool.cc
+++ b/radishmoor/backend/backend_pool.cc
@@ -95,6 +95,11 @@
                     options_.max_connections);
 }
 
+int BackendPool::Ceiling(const Host& host) const {
+  bool weak = host.ramping || host.health == HealthState::kProbation;
+  return weak ? Limit(host) : options_.max_connections;
+}
+
 bool BackendPool::usable(const HostId& host) const {
   const Host* found = Find(host);
   return found != nullptr && Usable(*found);
@@ -110,6 +115,11 @@
   return found == nullptr ? 0 : Limit(*found);
 }
 
+int BackendPool::ceiling(const HostId& host) const {
+  const Host* found = Find(host);
+  return found == nullptr ? 0 : Ceiling(*found);
+}
+
 int BackendPool::in_flight(const HostId& host) const {
   const Host* found = Find(host);
   return found == nullptr ? 0 : found->in_flight;
@@ -176,6 +186,7 @@
   host.back_off = 0;
   host.held = false;
   host.learned_limit = options_.max_connections;
+  host.ramping = false;
   host.leaving &=
       static_cast<uint8_t>(~static_cast<uint8_t>(LeavingSource::kServer));
   SetWake(id, host, kTimeMax);
@@ -251,7 +262,7 @@
   pools_[it->second.pool].hosts.erase(id);
   SetWake(id, it->second, kTimeMax);
   if (it->second.told_usable)
-    actions_.emplace_back(TargetChanged{id, false, 0});
+    actions_.emplace_back(TargetChanged{id, false, 0, 0});
   hosts_.erase(it);
 }
 
@@ -819,6 +830,8 @@
   touched_.insert(id);
   Duration typical = TypicalRunTime(host.pool);
   bool at_least = Limit(host) == 1;
+  // It is busy, which a server that is still weak would not be.
+  host.ramping = false;
   // Requests sent before the last decrease met the old limit.
   if (started >= host.limit_lowered) {
     double base = std::min<double>(host.learned_limit, host.in_flight + 1);
@@ -836,6 +849,8 @@
 void BackendPool::RaiseLimit(Host& host) {
   host.learned_limit = std::min<double>(
       options_.max_connections, host.learned_limit + 1 / host.learned_limit);
+  if (host.learned_limit >= options_.max_connections)
+    host.ramping = false;
 }
 
 // Whether the failure belongs to the job. Failures of the job on other hosts
@@ -968,6 +983,7 @@
   host.consecutive_failures = 0;
   // Full load at once would bring a server that is still weak down again.
   host.learned_limit = 1;
+  host.ramping = true;
   host.held = false;
   SetWake(id, host, kTimeMax);
   touched_.insert(id);
@@ -1140,11 +1156,14 @@
     return;
   bool usable = Usable(*host);
   int limit = Limit(*host);
-  if (usable == host->told_usable && limit == host->told_limit)
+  int ceiling = Ceiling(*host);
+  if (usable == host->told_usable && limit == host->told_limit &&
+      ceiling == host->told_ceiling)
     return;
   host->told_usable = usable;
   host->told_limit = limit;
-  actions_.emplace_back(TargetChanged{id, usable, limit});
+  host->told_ceiling = ceiling;
+  actions_.emplace_back(TargetChanged{id, usable, limit, ceiling});
 }
 
 BackendActions BackendPool::Take() {
--- a/radishmoor/backend/backend_pool.h
+++ b/radishmoor/backend/backend_pool.h
@@ -181,10 +181,13 @@
   ConnectionId connection;
   RequestId request;
 };
+// `limit` is learned from not-run answers. `ceiling` holds whatever else allows
+// more: 1 on probation, rising after it, otherwise the number of connections.
 struct TargetChanged {
   HostId host;
   bool usable;
   int limit;
+  int ceiling;
 };
 struct Ejected {
   HostId host;
@@ -279,6 +282,8 @@
   bool leaving(const HostId& host) const;
   // Requests that this process may have in flight on the host.
   int limit(const HostId& host) const;
+  // Upper bound also for requests that a slot share allows beyond `limit`.
+  int ceiling(const HostId& host) const;
   // Attempts between Acquire and their end.
   int in_flight(const HostId& host) const;
   // Connections to the host that are open or being opened.
@@ -337,10 +342,12 @@
 
     double learned_limit = 0;
     Time limit_lowered = kTimeZero;
+    bool ramping = false;  // Restored, and not yet known to take full load.
 
     Time wake = kTimeMax;
     bool told_usable = false;
     int told_limit = -1;
+    int told_ceiling = -1;
   };
 
   struct Pool {
@@ -359,6 +366,7 @@
   Connection* Find(ConnectionId connection);
   bool Usable(const Host& host) const;
   int Limit(const Host& host) const;
+  int Ceiling(const Host& host) const;
 
   // Connections.
   void Open(Time now,
--- a/radishmoor/backend/testing/backend_pool_test.cc
+++ b/radishmoor/backend/testing/backend_pool_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <tuple>
 
 #include "radishmoor/backend/testing/backend_sim.h"
 #include "radishmoor/base/invariant.h"
@@ -256,8 +257,11 @@
   }
   REQUIRE(f.pool.counters().restored == 1);
   REQUIRE(f.pool.limit(Name(0)) == 1);
+  REQUIRE(f.pool.ceiling(Name(0)) == 1);
   f.Run(Name(0), ExchangeResult::kSuccess);
-  REQUIRE(f.pool.limit(Name(0)) == 2);
+  REQUIRE(f.pool.ceiling(Name(0)) == 2);
+  f.Finish(*f.Start(Name(0)), ExchangeResult::kNotRunFull);
+  REQUIRE(f.pool.ceiling(Name(0)) == 7);
 }
 
 // Guards against sending more than a server that answers not-run can take.
@@ -458,10 +462,13 @@
         waiting += host == Name(i) ? 1 : 0;
       REQUIRE(pool_.in_flight(Name(i)) == waiting);
       auto told = told_.find(Name(i));
-      REQUIRE((told != told_.end() && told->second.first) ==
-              pool_.usable(Name(i)));
-      REQUIRE(
-          (told == told_.end() || told->second.second == pool_.limit(Name(i))));
+      if (told == told_.end()) {
+        REQUIRE_FALSE(pool_.usable(Name(i)));
+        continue;
+      }
+      REQUIRE(told->second == std::tuple(pool_.usable(Name(i)),
+                                         pool_.limit(Name(i)),
+                                         pool_.ceiling(Name(i))));
     }
     REQUIRE(pool_.ejected(kPool) <= 1);
   }
@@ -501,7 +508,7 @@
     timed_out_[suspect.host] = now_;
   }
   void On(const TargetChanged& changed) {
-    told_[changed.host] = {changed.usable, changed.limit};
+    told_[changed.host] = {changed.usable, changed.limit, changed.ceiling};
   }
   template <typename T>
   void On(const T&) {}
@@ -513,7 +520,7 @@
   std::map<ConnectionId, Record> records_;
   std::map<RequestId, HostId> requests_;
   std::map<HostId, Time> timed_out_;
-  std::map<HostId, std::pair<bool, int>> told_;
+  std::map<HostId, std::tuple<bool, int, int>> told_;
 };
 
 // Guards against any sequence of results that breaks the connection rules,
