Let entry processes borrow slots beyond their grant

Cause: a slot grant alone reacts too slowly to shifting demand; the limit was the smaller of grant and learned limit. Ruled out: learned limits alone, whose wait is in the same range but which start from nothing after a restart. Change: the limit is the larger of grant and learned limit, capped by the host's ceiling; demand is refreshed every 100 ms. Conclusion: the larger of both is kept.

--- a/radishmoor/entry/entry_core.cc
+++ b/radishmoor/entry/entry_core.cc
@@ -12,7 +12,8 @@
 
 // The permission to send to other zones ends with time, not with an event, so
 // targets are compared with it this often. The check before each send is exact.
-constexpr Duration kRefreshPeriod = Milliseconds(200);
+// Slot demand is refreshed with it.
+constexpr Duration kRefreshPeriod = Milliseconds(100);
 
 // Requests that this process may have in flight on a host of another zone. Such
 // hosts only take what the own zone cannot.
@@ -591,9 +592,14 @@
     return;
   Target next = it->second;
   next.usable = view_.MaySend(now_, id) && backend_.usable(id);
-  int share = next.local ? static_cast<int>(holder_.share(next.pool, id))
-                         : kOtherZoneLimit;
-  next.limit = std::min(share, backend_.limit(id));
+  // The learned limit lets a process borrow slots that others leave idle; a
+  // grant alone reacts too slowly to shifting demand (design 5.4).
+  next.limit =
+      next.local
+          ? std::min(backend_.ceiling(id),
+                     std::max(static_cast<int>(holder_.share(next.pool, id)),
+                              backend_.limit(id)))
+          : std::min(kOtherZoneLimit, backend_.limit(id));
   if (next == it->second)
     return;
   it->second = next;
