Check sends to hosts that are down in the fleet model

Cause: the model dropped a send to an unreachable host before checking it, so a send to a rebooting host went unseen. Change: the oracle checks each permitted send first; docs/design.md 6.3 states the rule for newly registered members.

--- a/radishmoor/fleet/testing/fleet_sim.h
+++ b/radishmoor/fleet/testing/fleet_sim.h
@@ -428,7 +428,7 @@
     const HostState& host = it->second;
     bool permitted =
         host.zone == entry.row.zone || now_ - entry.view_sent <= Seconds(5);
-    if (host.phase != HostPhase::kActive || !permitted || IsDown(host.id))
+    if (host.phase != HostPhase::kActive || !permitted)
       return;
     ++sends;
     const HostState* real = truth()->FindHost(host.id);
@@ -437,6 +437,8 @@
     Check(open, "send to host that is not in service " + host.id.str());
     Check(!real || real->epoch == host.epoch,
           "send under an old epoch " + host.id.str());
+    if (IsDown(host.id))
+      return;
     Duration time = random_.Chance(0.03)
                         ? random_.Between(Seconds(1), options_.max_request_time)
                         : random_.Exponential(Milliseconds(300));
