Send only under a view that is newer than the own registration

Cause: control opens a drain gate when all members in its list acknowledged. A process that read the configuration before the drain and registered after the list was read still sent under the old view. Ruled out: making control wait for a second member scan, since a registration can follow any scan. Change: after its registration a process sends only once a read sent later confirmed the version; it reads at once. Conclusion: 6.3 holds for processes that start during a drain.

--- a/radishmoor/config/config_view.cc
+++ b/radishmoor/config/config_view.cc
@@ -25,7 +25,19 @@
                 [this](const ConfigPeer& p) { return p.id == options_.self; });
 }
 
+// Control may have opened a drain gate before this process was in the member
+// list. A read that is sent after the registration returns that drain, so the
+// permission waits for one (6.3).
+void ConfigView::SetRegistered(bool registered) {
+  if (registered && !registered_) {
+    registered_at_ = last_input_;
+    next_poll_ = std::min(next_poll_, last_input_);
+  }
+  registered_ = registered;
+}
+
 std::vector<ConfigAction> ConfigView::Tick(Time now) {
+  last_input_ = std::max(last_input_, now);
   Actions out;
   if (!started_) {
     started_ = true;
@@ -120,6 +132,7 @@
 
 std::vector<ConfigAction> ConfigView::Handle(Time now,
                                              const StoreAnswer& answer) {
+  last_input_ = std::max(last_input_, now);
   Actions out;
   auto it = calls_.find(answer.tag);
   if (it == calls_.end())
@@ -220,6 +233,7 @@
 std::vector<ConfigAction> ConfigView::Handle(Time now,
                                              const MemberId& from,
                                              const ConfigPeerMessage& message) {
+  last_input_ = std::max(last_input_, now);
   Actions out;
   ConfigVersion before = version();
   std::visit([&](const auto& m) { On(now, from, m, out); }, message);
@@ -464,7 +478,8 @@
     return false;
   // Control waits only for processes that have a member row or a sponsor, also
   // of other zones when all of those acknowledged at once.
-  if (!registered_ && !(sponsored_ever_ && now < sponsored_until_))
+  bool own_right = registered_ && confirmed_ && *confirmed_ > registered_at_;
+  if (!own_right && !(sponsored_ever_ && now < sponsored_until_))
     return false;
   return host->zone == options_.zone ||
          (confirmed_ && now - *confirmed_ <= kFreshness);
--- a/radishmoor/config/config_view.h
+++ b/radishmoor/config/config_view.h
@@ -148,7 +148,7 @@
 
   // True once the member row of this incarnation is written. Permission to
   // send depends on it or on a sponsor, see 6.3 (c) and (d).
-  void SetRegistered(bool registered) { registered_ = registered; }
+  void SetRegistered(bool registered);
   bool registered() const { return registered_; }
 
   // Draining hosts on which this process has requests in flight.
@@ -255,6 +255,9 @@
   std::vector<ConfigPeer> peers_;
   std::vector<HostId> busy_;
   bool registered_ = false;
+  // Time of the last input before the registration was reported.
+  Time registered_at_;
+  Time last_input_;
   bool started_ = false;
   bool ready_ = false;
   Time start_;
--- a/radishmoor/config/testing/config_view_test.cc
+++ b/radishmoor/config/testing/config_view_test.cc
@@ -462,9 +462,10 @@
   REQUIRE(down <= 30);
 }
 
-// Guards against sends of a process that control does not know, against a
-// sponsor's restart that forgets whom it sponsored, and against a permission
-// that outlives the sponsor's answers.
+// Guards against sends of a process that control does not know, or under a view
+// that is older than its registration, against a sponsor's restart that forgets
+// whom it sponsored, and against a permission that outlives the sponsor's
+// answers.
 TEST_CASE("sending needs a member row or an answering sponsor") {
   Calm w;
   ConfigView view(ConfigViewOptions{MemberId("n"), World::Zone(0), {1}, 3});
@@ -493,10 +494,15 @@
   REQUIRE_FALSE(view.MaySend(start, World::Host(1)));
   if (!sponsored) {
     view.SetRegistered(true);
-    REQUIRE(view.MaySend(start + Seconds(100), World::Host(0)));
-    REQUIRE(view.MaySend(start + Seconds(5), World::Host(1)));
+    // A drain may have been acknowledged by all others before the row existed.
+    REQUIRE_FALSE(view.MaySend(start, World::Host(0)));
+    Time read = start + Milliseconds(1);
+    for (const StoreCall& call : All<StoreCall>(view.Tick(read)))
+      view.Handle(read, {call.tag, w.store.table.Handle(call.request)});
+    REQUIRE(view.MaySend(read + Seconds(100), World::Host(0)));
+    REQUIRE(view.MaySend(read + Seconds(5), World::Host(1)));
     REQUIRE_FALSE(
-        view.MaySend(start + Seconds(5) + Microseconds(1), World::Host(1)));
+        view.MaySend(read + Seconds(5) + Microseconds(1), World::Host(1)));
     return;
   }
   Time later = start + Seconds(1);
