Test the planned stop of a control process

Cause: Leave and ReleaseAll had no test. Ruled out: nothing; the code is unchanged. Change: one test that releases two leases and removes the own row with a lost answer. Conclusion: a planned stop leaves no row of the process in the table.

--- a/radishmoor/membership/testing/membership_test.cc
+++ b/radishmoor/membership/testing/membership_test.cc
@@ -537,5 +537,42 @@
     REQUIRE(leases.Expectations(s.now, PoolId("p"))->size() == 2);
 }
 
+// Guards against a planned stop that leaves a row or a lease behind, also when
+// the answer of the removal is lost.
+TEST_CASE("a planned stop releases leases and removes the own row") {
+  MemoryTable table;
+  MemberOptions options = Options(1, 1);
+  options.role = MemberRole::kControl;
+  Single s(&table, options);
+  Peers peers({MemberId("m"), MemberRole::kControl, ZoneId("a"), "", 2});
+  Leases leases(3, &s.member, &peers);
+  leases.SetPools({PoolId("p"), PoolId("q")});
+  auto run = [&](Duration duration) {
+    for (Time end = s.now + duration; s.now < end;) {
+      s.Run(Milliseconds(10));
+      for (const StoreCall& call : All<StoreCall>(peers.Tick(s.now, {})))
+        peers.Handle(s.now, StoreAnswer{call.tag, table.Handle(call.request)});
+      for (const StoreCall& call : All<StoreCall>(leases.Tick(s.now)))
+        leases.Handle(s.now, {call.tag, table.Handle(call.request)});
+    }
+  };
+  run(Seconds(5));
+  REQUIRE(leases.Held(s.now).size() == 2);
+  REQUIRE(table.row_count() == 3);
+  leases.ReleaseAll();
+  run(Seconds(1));
+  REQUIRE(leases.Held(s.now).empty());
+  REQUIRE(table.row_count() == 1);
+  s.member.Leave();
+  s.now += Milliseconds(200);
+  StoreCall removal = OnlyCall(s.member.Tick(s.now));
+  table.Handle(removal.request);
+  s.member.Handle(s.now, {removal.tag, UnknownReply{}});
+  s.Run(Seconds(2));
+  REQUIRE(table.row_count() == 0);
+  REQUIRE_FALSE(s.member.registered());
+  REQUIRE(s.member.next_wake() == kTimeMax);
+}
+
 }  // namespace
 }  // namespace radishmoor
