Share the run over seeds and the wake-ups of the random tests

Cause: the three random tests repeated the same loop, printing and timer code. Change: RunSeeds and Simulation::Wake in store/testing/faulty_table.h. Conclusion: no check changed.

--- a/radishmoor/claims/testing/claims_test.cc
+++ b/radishmoor/claims/testing/claims_test.cc
@@ -1,9 +1,7 @@
 #include "radishmoor/claims/claims.h"
 
 #include <catch2/catch.hpp>
-#include <chrono>
 #include <cstdio>
-#include <cstdlib>
 #include <deque>
 #include <map>
 #include <memory>
@@ -32,7 +30,6 @@
     SimProcess process;
     std::unique_ptr<Claims> claims;
     WallMillis skew = 0;
-    Time wake_at = kTimeMax;
   };
   struct Request {
     std::string key;
@@ -63,7 +60,6 @@
   void Start(size_t n) {
     nodes[n]->claims =
         std::make_unique<Claims>(ClaimsOptions{.seed = sim.random.Next()});
-    nodes[n]->wake_at = kTimeMax;
     Do(n, nodes[n]->claims->Tick(sim.now));
   }
 
@@ -125,16 +121,8 @@
         REQUIRE_FALSE(request.ran);
       }
     }
-    Time wake = node.claims->next_wake();
-    if (wake >= node.wake_at && node.wake_at > sim.now)
-      return;
-    node.wake_at = wake;
-    sim.Post(&node.process, std::max(wake - sim.now, Duration(0)), [=, this] {
-      if (nodes[n]->wake_at > sim.now)
-        return;
-      nodes[n]->wake_at = kTimeMax;
-      Do(n, nodes[n]->claims->Tick(sim.now));
-    });
+    sim.Wake(&node.process, node.claims->next_wake(),
+             [=, this] { Do(n, nodes[n]->claims->Tick(sim.now)); });
   }
 
   Request& Outcome(RequestId id) {
@@ -216,15 +204,7 @@
   }
 }
 
-struct Totals {
-  uint64_t events = 0;
-  uint64_t requests = 0;
-  uint64_t runs = 0;
-  uint64_t replays = 0;
-  uint64_t removed = 0;
-};
-
-Totals RunRandom(uint64_t seed, int steps) {
+Figures RunRandom(uint64_t seed, int steps) {
   World world(seed, 3);
   Random& random = world.sim.random;
   std::vector<std::string> keys;
@@ -249,16 +229,18 @@
   }
   world.store.faults = {};
   world.sim.RunUntil(world.sim.now + Seconds(400));
-  Totals totals{world.sim.events, world.requests.size(), world.runs, 0, 0};
+  Figures totals{{"events", world.sim.events},
+                 {"requests", world.requests.size()},
+                 {"runs", world.runs}};
   for (const auto& [id, request] : world.requests) {
     INFO("seed " << seed << " request " << id);
     REQUIRE((request.outcomes == 1 || request.withdrawn || request.lost));
-    totals.replays += request.replayed ? 1 : 0;
+    totals["replays"] += request.replayed ? 1 : 0;
   }
   for (const auto& node : world.nodes) {
     INFO("seed " << seed);
     REQUIRE(node->claims->size() == 0);
-    totals.removed += node->claims->counters().removed;
+    totals["removed"] += node->claims->counters().removed;
   }
   return totals;
 }
@@ -267,28 +249,10 @@
 // request without an outcome and claims that stay in memory, under any order of
 // the faults of 1.5.
 TEST_CASE("a key runs at most once under random faults") {
-  Totals sum;
-  auto begin = std::chrono::steady_clock::now();
-  const char* count = std::getenv("CLAIMS_SEEDS");
-  uint64_t seeds = count ? std::strtoull(count, nullptr, 10) : 60;
-  for (uint64_t seed = 1; seed <= seeds; ++seed) {
-    Totals t = RunRandom(seed, 1500);
-    sum = {sum.events + t.events, sum.requests + t.requests, sum.runs + t.runs,
-           sum.replays + t.replays, sum.removed + t.removed};
-  }
-  double seconds =
-      std::chrono::duration<double>(std::chrono::steady_clock::now() - begin)
-          .count();
-  std::printf(
-      "claims: %.0f events/s; requests %llu runs %llu replays %llu "
-      "removed %llu\n",
-      static_cast<double>(sum.events) / seconds,
-      static_cast<unsigned long long>(sum.requests),
-      static_cast<unsigned long long>(sum.runs),
-      static_cast<unsigned long long>(sum.replays),
-      static_cast<unsigned long long>(sum.removed));
-  REQUIRE(sum.replays > 0);
-  REQUIRE(sum.removed > 0);
+  Figures sum = RunSeeds("claims", 60,
+                         [](uint64_t seed) { return RunRandom(seed, 1500); });
+  REQUIRE(sum["replays"] > 0);
+  REQUIRE(sum["removed"] > 0);
 }
 
 // One process whose store calls the test answers by hand, oldest first.
--- a/radishmoor/config/testing/config_view_test.cc
+++ b/radishmoor/config/testing/config_view_test.cc
@@ -2,9 +2,7 @@
 
 #include <array>
 #include <catch2/catch.hpp>
-#include <chrono>
 #include <cstdio>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <set>
@@ -29,7 +27,6 @@
     ConfigVersion row_version = 0;  // Acknowledged in the member row.
     ConfigVersion last = 0;
     uint64_t incarnation = 0;
-    Time wake_at;
     uint64_t messages = 0;  // Sent to peers.
   };
 
@@ -98,8 +95,7 @@
       peers.push_back({peer->id, peer->zone});
     node.view->SetPeers(std::move(peers));
     node.last = 0;
-    node.wake_at = kTimeMax;
-    Wake(n, node.process.start);
+    Do(n, node.view->Tick(sim.now));
     WriteRow(n);
   }
 
@@ -122,12 +118,6 @@
              });
   }
 
-  void Wake(size_t n, uint64_t start) {
-    if (nodes[n]->process.start != start)
-      return;
-    Do(n, nodes[n]->view->Tick(sim.now));
-  }
-
   void Do(size_t n, const std::vector<ConfigAction>& actions) {
     Node& node = *nodes[n];
     for (const ConfigAction& action : actions) {
@@ -143,17 +133,8 @@
           REQUIRE(node.view->state() == truth);
       }
     }
-    Time wake = node.view->next_wake();
-    if (node.wake_at > sim.now && node.wake_at <= wake)
-      return;
-    node.wake_at = wake;
-    sim.Post(&node.process, std::max(wake - sim.now, Duration(0)), [this, n] {
-      Node& node = *nodes[n];
-      if (node.wake_at > sim.now)
-        return;
-      node.wake_at = kTimeMax;
-      Wake(n, node.process.start);
-    });
+    sim.Wake(&node.process, node.view->next_wake(),
+             [this, n] { Do(n, nodes[n]->view->Tick(sim.now)); });
   }
 
   void CallStore(size_t n, const StoreCall& call) {
@@ -258,14 +239,7 @@
   }
 }
 
-struct Totals {
-  uint64_t events = 0;
-  uint64_t allowed = 0;
-  uint64_t states = 0;
-  uint64_t relayed = 0;
-};
-
-Totals RunRandom(uint64_t seed, int steps) {
+Figures RunRandom(uint64_t seed, int steps) {
   World world(seed, 6);
   Random& random = world.sim.random;
   for (int step = 0; step < steps; ++step) {
@@ -293,13 +267,13 @@
     node->peers_cut.clear();
   }
   world.sim.RunUntil(world.sim.now + Seconds(200));
-  Totals totals{world.sim.events, world.allowed};
+  Figures totals{{"events", world.sim.events}, {"allowed", world.allowed}};
   for (auto& node : world.nodes) {
     INFO("seed " << seed << " node " << node->id.str());
     REQUIRE(node->view->ready());
     REQUIRE(node->view->state() == world.truth);
-    totals.states += node->view->counters().states_adopted;
-    totals.relayed += node->view->counters().peer_confirmations;
+    totals["states"] += node->view->counters().states_adopted;
+    totals["relayed"] += node->view->counters().peer_confirmations;
   }
   return totals;
 }
@@ -308,28 +282,11 @@
 // change by 6.3 (c), and a view that does not reach the head, under any order
 // of faults.
 TEST_CASE("views follow the log under random faults") {
-  const char* count = std::getenv("CONFIG_SEEDS");
-  uint64_t seeds = count ? std::strtoull(count, nullptr, 10) : 60;
-  Totals sum;
-  auto begin = std::chrono::steady_clock::now();
-  for (uint64_t seed = 1; seed <= seeds; ++seed) {
-    Totals t = RunRandom(seed, 1000);
-    sum = {sum.events + t.events, sum.allowed + t.allowed,
-           sum.states + t.states, sum.relayed + t.relayed};
-  }
-  double seconds =
-      std::chrono::duration<double>(std::chrono::steady_clock::now() - begin)
-          .count();
-  std::printf(
-      "config: %.0f events/s; sends allowed %llu states adopted %llu "
-      "relayed confirmations %llu\n",
-      static_cast<double>(sum.events) / seconds,
-      static_cast<unsigned long long>(sum.allowed),
-      static_cast<unsigned long long>(sum.states),
-      static_cast<unsigned long long>(sum.relayed));
-  REQUIRE(sum.allowed > 0);
-  REQUIRE(sum.states > 0);
-  REQUIRE(sum.relayed > 0);
+  Figures sum = RunSeeds("config", 60,
+                         [](uint64_t seed) { return RunRandom(seed, 1000); });
+  REQUIRE(sum["allowed"] > 0);
+  REQUIRE(sum["states"] > 0);
+  REQUIRE(sum["relayed"] > 0);
 }
 
 // A world without faults, in which all registered.
--- a/radishmoor/membership/testing/membership_test.cc
+++ b/radishmoor/membership/testing/membership_test.cc
@@ -1,9 +1,7 @@
 // Random tests of member, peers and leases together.
 
 #include <catch2/catch.hpp>
-#include <chrono>
 #include <cstdio>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,7 +25,6 @@
     std::unique_ptr<Peers> peers;
     std::unique_ptr<Leases> leases;
     WallMillis skew = 0;
-    Time wake_at = kTimeMax;
     bool cut = false;  // From peers.
     ConfigVersion version = 0;
     bool superseded = false;
@@ -68,7 +65,6 @@
     node.leases = std::make_unique<Leases>(sim.random.Next(), node.member.get(),
                                            node.peers.get());
     node.leases->SetPools(pools);
-    node.wake_at = kTimeMax;
     Tick(n);
   }
 
@@ -85,15 +81,7 @@
     Node& node = *nodes[n];
     Time wake = std::min({node.member->next_wake(), node.peers->next_wake(),
                           node.leases->next_wake()});
-    if (node.wake_at > sim.now && node.wake_at <= wake)
-      return;
-    node.wake_at = wake;
-    sim.Post(&node.process, std::max(wake - sim.now, Duration(0)), [this, n] {
-      if (nodes[n]->wake_at > sim.now)
-        return;
-      nodes[n]->wake_at = kTimeMax;
-      Tick(n);
-    });
+    sim.Wake(&node.process, wake, [this, n] { Tick(n); });
   }
 
   template <typename Action, typename Part>
@@ -222,15 +210,7 @@
   }
 }
 
-struct Totals {
-  uint64_t events = 0;
-  uint64_t written = 0;
-  uint64_t fenced = 0;
-  uint64_t taken_over = 0;
-  uint64_t handed_back = 0;
-};
-
-Totals RunRandom(uint64_t seed, int steps) {
+Figures RunRandom(uint64_t seed, int steps) {
   World world(seed, 5, 6);
   Random& random = world.sim.random;
   for (int step = 0; step < steps; ++step) {
@@ -254,15 +234,17 @@
   for (auto& node : world.nodes)
     node->cut = false;
   world.sim.RunUntil(world.sim.now + Seconds(300));
-  Totals totals{world.sim.events, world.written, world.fenced};
+  Figures totals{{"events", world.sim.events},
+                 {"written", world.written},
+                 {"fenced", world.fenced}};
   INFO("seed " << seed);
   std::set<PoolId> held;
   for (auto& node : world.nodes) {
     REQUIRE((node->superseded || node->member->HoldsLease(world.sim.now)));
     for (const PoolId& pool : node->leases->Held(world.sim.now))
       REQUIRE(held.insert(pool).second);
-    totals.taken_over += node->leases->counters().taken_over;
-    totals.handed_back += node->leases->counters().handed_back;
+    totals["taken_over"] += node->leases->counters().taken_over;
+    totals["handed_back"] += node->leases->counters().handed_back;
     if (!node->superseded)
       REQUIRE(node->peers->Live().size() >= 2);
   }
@@ -274,30 +256,11 @@
 // nobody holds after the faults end, and against a process that does not
 // register again.
 TEST_CASE("leases have one effective holder under random faults") {
-  const char* count = std::getenv("MEMBER_SEEDS");
-  uint64_t seeds = count ? std::strtoull(count, nullptr, 10) : 30;
-  Totals sum;
-  auto begin = std::chrono::steady_clock::now();
-  for (uint64_t seed = 1; seed <= seeds; ++seed) {
-    Totals t = RunRandom(seed, 2000);
-    sum = {sum.events + t.events, sum.written + t.written,
-           sum.fenced + t.fenced, sum.taken_over + t.taken_over,
-           sum.handed_back + t.handed_back};
-  }
-  double seconds =
-      std::chrono::duration<double>(std::chrono::steady_clock::now() - begin)
-          .count();
-  std::printf(
-      "membership: %.0f events/s; writes %llu fenced %llu taken over "
-      "%llu handed back %llu\n",
-      static_cast<double>(sum.events) / seconds,
-      static_cast<unsigned long long>(sum.written),
-      static_cast<unsigned long long>(sum.fenced),
-      static_cast<unsigned long long>(sum.taken_over),
-      static_cast<unsigned long long>(sum.handed_back));
-  REQUIRE(sum.fenced > 0);
-  REQUIRE(sum.taken_over > 0);
-  REQUIRE(sum.handed_back > 0);
+  Figures sum = RunSeeds("membership", 30,
+                         [](uint64_t seed) { return RunRandom(seed, 2000); });
+  REQUIRE(sum["fenced"] > 0);
+  REQUIRE(sum["taken_over"] > 0);
+  REQUIRE(sum["handed_back"] > 0);
 }
 
 MemberOptions Options(uint64_t incarnation, uint64_t seed) {
--- a/radishmoor/store/testing/faulty_table.h
+++ b/radishmoor/store/testing/faulty_table.h
@@ -12,9 +12,13 @@
 #define RADISHMOOR_STORE_TESTING_FAULTY_TABLE_H_
 
 #include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <map>
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -29,6 +33,7 @@
 struct SimProcess {
   uint64_t start = 1;  // Changes when the process is killed and restarted.
   Time paused_until;
+  Time wake_at = kTimeMax;
   std::deque<std::function<void()>> backlog;  // What arrived while paused.
 
   void Pause(Time until) { paused_until = std::max(paused_until, until); }
@@ -66,10 +71,25 @@
     });
   }
 
+  // Calls `tick` at `time`, unless an earlier call is due anyway.
+  void Wake(SimProcess* process, Time time, std::function<void()> tick) {
+    if (process->wake_at > now && process->wake_at <= time)
+      return;
+    process->wake_at = time;
+    Post(process, std::max(time - now, Duration(0)),
+         [this, process, tick = std::move(tick)] {
+           if (process->wake_at > now)
+             return;
+           process->wake_at = kTimeMax;
+           tick();
+         });
+  }
+
   // Ends the process; nothing posted to it runs any more.
   static void Kill(SimProcess* process) {
     ++process->start;
     process->paused_until = {};
+    process->wake_at = kTimeMax;
     process->backlog.clear();
   }
 
@@ -173,6 +193,32 @@
   Simulation* sim_;
 };
 
+// Figures of random runs by name.
+using Figures = std::map<std::string, uint64_t>;
+
+// Calls `run` with the seeds 1, 2, ... and prints the sum of the figures and
+// the rate of the figure "events". The environment variable SEEDS replaces
+// `seeds`.
+template <typename Run>
+Figures RunSeeds(const char* name, uint64_t seeds, Run run) {
+  if (const char* wanted = std::getenv("SEEDS"))
+    seeds = std::strtoull(wanted, nullptr, 10);
+  Figures sum;
+  auto begin = std::chrono::steady_clock::now();
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
+    for (const auto& [figure, value] : run(seed))
+      sum[figure] += value;
+  }
+  std::chrono::duration<double> time = std::chrono::steady_clock::now() - begin;
+  std::printf("%s: %.0f events/s;", name,
+              static_cast<double>(sum["events"]) / time.count());
+  for (const auto& [figure, value] : sum)
+    std::printf(" %s %llu", figure.c_str(),
+                static_cast<unsigned long long>(value));
+  std::printf("\n");
+  return sum;
+}
+
 // The actions of kind T.
 template <typename T, typename Action>
 std::vector<T> All(const std::vector<Action>& actions) {
