Let operators remove the row of a process that ended for good

Cause: a killed entry process that is never replaced keeps its member row, and drains in its zone wait for it forever. Ruled out: removal after a time-out, since a partitioned process may run and send for as long as the partition lasts. Change: radishmoorctl forget MEMBER, which expects the row as read; settings host-name and host-instance, with which the platform's host list proves the end; member scans of control fit into one page. Measured: the new test removes the row and finds it absent; before, no command existed.

--- a/radishmoor/control/control_core.cc
+++ b/radishmoor/control/control_core.cc
@@ -12,7 +12,10 @@
 constexpr Duration kScanOtherwise = Seconds(5);
 // Keeps scans within a third of the 9 KB/s that a node may spend on control.
 constexpr int64_t kScanBytesPerSecond = 3000;
-constexpr uint32_t kScanLimit = 500;
+// All members of the design size fit: a drain gate needs rows of one read,
+// since a process may move from a sponsor to a row of its own between two
+// pages.
+constexpr uint32_t kScanLimit = 1000;
 constexpr Duration kHostListPeriod = Seconds(5);
 // Leases change with time as well as with events.
 constexpr Duration kLeasePeriod = Milliseconds(500);
@@ -23,6 +26,8 @@
           .role = MemberRole::kControl,
           .zone = options.zone,
           .addresses = {options.peer_address, options.admin_address},
+          .host = options.host,
+          .host_instance = options.host_instance,
           .seed = options.seed};
 }
 
--- a/radishmoor/control/control_core.h
+++ b/radishmoor/control/control_core.h
@@ -33,6 +33,8 @@
   Incarnation incarnation;
   std::string peer_address;
   std::string admin_address;
+  std::string host;  // Name in the platform's host list; may be empty.
+  uint64_t host_instance = 0;
   uint64_t seed = 1;
   ControllerOptions controller;
 };
--- a/radishmoor/ctl/ctl.cc
+++ b/radishmoor/ctl/ctl.cc
@@ -16,6 +16,7 @@
 #include "radishmoor/config/plan.h"
 #include "radishmoor/ctl/members.h"
 #include "radishmoor/ctl/text_table.h"
+#include "radishmoor/membership/member.h"
 
 namespace radishmoor {
 namespace {
@@ -35,6 +36,7 @@
     {"show", 1, "show pools|hosts|config"},
     {"drain", 1, "drain HOST"},
     {"retire", 1, "retire HOST"},
+    {"forget", 1, "forget MEMBER"},
     {"status", 0, "status"},
     {"timeline", 0, "timeline"},
 };
@@ -176,6 +178,8 @@
       return Intend(HostIntent::kDrain);
     if (command == "retire")
       return Intend(HostIntent::kRetire);
+    if (command == "forget")
+      return Forget(MemberId(settings_.command[1]));
     if (command == "show")
       return Show(settings_.command[1]);
     return command == "status" ? Status() : Timeline();
@@ -194,6 +198,38 @@
     });
   }
 
+  // Removes the row of a process that ended without removing it itself. Its
+  // zone's drains wait for that row otherwise.
+  int Forget(const MemberId& member) {
+    const std::string key = MemberKey(member);
+    StoreReply read = io_.store(ReadRows{{key}});
+    auto* rows = std::get_if<RowsReply>(&read);
+    if (rows == nullptr || rows->rows.size() != 1)
+      throw ConfigUnavailableError("the row of the member cannot be read");
+    RowVersion version = rows->rows[0].version;
+    if (version == 0) {
+      out_ << "No row of " << member.str() << "; nothing to do\n";
+      return kCtlDone;
+    }
+    Transaction transaction{.operation = {io_.random_id()},
+                            .expects = {{key, version}},
+                            .writes = {{key, "", true}}};
+    StoreReply reply = io_.store(CommitRows{std::move(transaction)});
+    if (std::holds_alternative<CommittedReply>(reply)) {
+      out_ << "Removed the row of " << member.str() << "\n";
+      return kCtlDone;
+    }
+    if (std::holds_alternative<ConflictReply>(reply)) {
+      err_
+          << member.str()
+          << ": its row changed just now, so the process runs; stop it first\n";
+      return kCtlRefused;
+    }
+    err_ << member.str() << ": no answer; check with status and repeat\n";
+    return std::holds_alternative<UnavailableReply>(reply) ? kCtlUnreachable
+                                                           : kCtlUnknown;
+  }
+
   int Apply(const Planner& planner) {
     // An id fits into the setting "operation" and is not its 0.
     constexpr uint64_t kMaxId = std::numeric_limits<int64_t>::max();
--- a/radishmoor/ctl/testing/ctl_test.cc
+++ b/radishmoor/ctl/testing/ctl_test.cc
@@ -195,6 +195,18 @@
   REQUIRE(members.at(0).at("busy").as_array().size() == 2);
 }
 
+// Guards against a row of an ended process that blocks drains for good, and
+// against the removal of one that a running process has just renewed.
+TEST_CASE("forget removes a member row only as it was read") {
+  Fixture f;
+  f.Put("member/e1", MemberRow("e1", 7, "127.0.0.1:1"));
+  REQUIRE(f.Run({"forget", "e1"}) == 0);
+  REQUIRE(f.Run({"--json", "status"}) == 0);
+  REQUIRE_FALSE(Has(f.out, "e1"));
+  REQUIRE(f.Run({"forget", "e1"}) == 0);
+  REQUIRE(Has(f.out, "nothing to do"));
+}
+
 TimelineEvent Event(uint64_t sequence, int64_t wall, const char* host) {
   return {.sequence = sequence,
           .stamp = {wall, 0},
--- a/radishmoor/ops/program_settings.cc
+++ b/radishmoor/ops/program_settings.cc
@@ -15,7 +15,18 @@
                            "process may have it."})
       .Add({.name = "zone",
             .type = SettingType::kName,
-            .description = "Availability zone of this entry host."});
+            .description = "Availability zone of this entry host."})
+      .Add({.name = "host-name",
+            .type = SettingType::kText,
+            .default_value = "",
+            .description = "Name of this entry host in the platform's host "
+                           "list. Without it the list cannot prove that this "
+                           "process ended with its host."})
+      .Add({.name = "host-instance",
+            .type = SettingType::kInteger,
+            .default_value = "0",
+            .description = "Instance of this entry host in the platform's "
+                           "host list."});
 }
 
 void AddAddresses(SettingsTable& table) {
@@ -255,6 +266,8 @@
       "  show pools|hosts|config   show the accepted configuration\n"
       "  drain HOST                keep new work away from HOST\n"
       "  retire HOST               take HOST out of the fleet for good\n"
+      "  forget MEMBER             remove the row of a process that ended for "
+      "good\n"
       "  status                    show all processes and their version\n"
       "  timeline                  merge the events of all processes\n\n"
       "Exit codes: 0 done, 1 refused or conflict, 2 usage, 3 unreachable, "
@@ -325,6 +338,8 @@
   EntrySettings s;
   s.member = MemberId(v.Text("member-id"));
   s.zone = ZoneId(v.Text("zone"));
+  s.host_name = v.Text("host-name");
+  s.host_instance = static_cast<uint64_t>(v.Integer("host-instance"));
   s.listen_address = v.Address("listen-address");
   s.admin_address = v.Address("admin-address");
   s.peer_address = v.Address("peer-address");
@@ -346,6 +361,8 @@
   ControlSettings s;
   s.member = MemberId(v.Text("member-id"));
   s.zone = ZoneId(v.Text("zone"));
+  s.host_name = v.Text("host-name");
+  s.host_instance = static_cast<uint64_t>(v.Integer("host-instance"));
   s.admin_address = v.Address("admin-address");
   s.peer_address = v.Address("peer-address");
   s.platform_address = v.Address("platform-address");
--- a/radishmoor/ops/program_settings.h
+++ b/radishmoor/ops/program_settings.h
@@ -24,6 +24,8 @@
 struct EntrySettings {
   MemberId member;
   ZoneId zone;
+  std::string host_name;  // In the platform's host list; may be empty.
+  uint64_t host_instance = 0;
   SocketAddress listen_address;    // For callers.
   SocketAddress admin_address;     // /metrics, /healthz, /readyz, /timeline.
   SocketAddress peer_address;      // For other processes of radishmoor.
@@ -49,6 +51,8 @@
 struct ControlSettings {
   MemberId member;
   ZoneId zone;
+  std::string host_name;  // In the platform's host list; may be empty.
+  uint64_t host_instance = 0;
   SocketAddress admin_address;
   SocketAddress peer_address;
   SocketAddress platform_address;
--- a/radishmoor/service/control_service.cc
+++ b/radishmoor/service/control_service.cc
@@ -124,6 +124,8 @@
   ControlOptions options;
   options.member = settings_.member;
   options.zone = settings_.zone;
+  options.host = settings_.host_name;
+  options.host_instance = settings_.host_instance;
   options.incarnation = incarnation;
   options.peer_address = settings_.peer_address.str();
   options.admin_address = FormatEndpoint(admin_endpoint);
--- a/radishmoor/service/entry_service.cc
+++ b/radishmoor/service/entry_service.cc
@@ -191,6 +191,8 @@
   EntryOptions options;
   options.member = settings_.member;
   options.zone = settings_.zone;
+  options.host = settings_.host_name;
+  options.host_instance = settings_.host_instance;
   options.incarnation = {static_cast<uint64_t>(loop_.wall_now())};
   options.peer_address = FormatEndpoint(peer_endpoint);
   options.admin_address = FormatEndpoint(admin_endpoint);
@@ -200,11 +202,11 @@
   timeline_ = std::make_unique<TimelineKeeper>(
       loop_, store_, options.member, options.incarnation,
       settings_.timeline_ring_size, settings_.timeline_flush_period);
+  uint64_t seed = options.seed;
   core_ = std::make_unique<EntryCore>(std::move(options));
-  // Request ids are unique over members and restarts with high probability.
-  next_request_ = StableHash(settings_.member.str(),
-                             static_cast<uint64_t>(loop_.wall_now()))
-                  << 24;
+  // Request ids are unique over members and restarts with high probability, and
+  // fit into a signed number for radishmoorctl.
+  next_request_ = (seed & 0x7fff'ffff) << 32;
   caller_endpoint = callers_.Listen(EndpointOf(settings_.listen_address));
   LogInfo("process-started", {{"member", settings_.member.str()},
                               {"zone", settings_.zone.str()},
