Let hosts serve once the permission to send begins

Cause: ApplyHosts() passed the permission of that moment to the backend pool, which marks a host as leaving by configuration while it is not permitted. The permission begins with the registration of the process, mostly after its configuration came into force, and ends and returns with time for other zones. The mark was taken back only at the next configuration change, so a process that started in a quiet time used none of its hosts.

Ruled out: ejection (limited to 0.3 of a pool), slot shares.

Change: the backend pool learns the phase of the host in the configuration. RefreshTarget() and MayWrite() go on checking the permission itself.

--- a/radishmoor/entry/entry_core.cc
+++ b/radishmoor/entry/entry_core.cc
@@ -559,10 +559,13 @@
         Dispatch(dispatch::TargetRemoved{target.pool, id});
       target = Target{.pool = host.pool, .local = host.zone == options_.zone};
     }
-    Run(backend_.SetHost(now_, {.host = id,
-                                .pool = host.pool,
-                                .epoch = host.epoch,
-                                .permitted = view_.MaySend(now_, id)}));
+    // Only what the configuration says: the permission to send also changes
+    // with time and registration, which RefreshTarget() follows.
+    Run(backend_.SetHost(now_,
+                         {.host = id,
+                          .pool = host.pool,
+                          .epoch = host.epoch,
+                          .permitted = host.phase == HostPhase::kActive}));
   }
   std::erase_if(targets_, [&](const auto& item) {
     if (state.hosts.contains(item.first))
