Keep the claim of a written request that is cancelled

Cause: an abort takes the connection off the request before the dispatcher reports the outcome. FinishClaim() read "no connection" as "never written", so the cancellation of a keyed request in flight released its claim, and a repeat of the key ran the work a second time.

Change: an abort of a written attempt marks the request as one that may have run.

Figures: the new test sees 2 writes of one key before, 1 after, and the repeat is refused as duplicate-unknown.

--- a/radishmoor/entry/entry_core.cc
+++ b/radishmoor/entry/entry_core.cc
@@ -238,6 +238,9 @@
   if (request == nullptr)
     return;
   ConnectionId connection = std::exchange(request->connection, {});
+  // The claim of a request that was written must not be released.
+  if (connection.value != 0)
+    request->may_have_run = true;
   bool timed_out = connection.value != 0 && now_ >= request->deadline;
   exchanges_.erase(connection);
   // A missed deadline is a sign of a silent connection; a cancellation or a
--- a/radishmoor/entry/testing/entry_core_test.cc
+++ b/radishmoor/entry/testing/entry_core_test.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr WallMillis kWall = 1'780'000'000'000;
+constexpr char kKey[] = "019e7044-8800-7000-8000-000000000001";
 
 // One entry process over a table that answers at once, and one backend host
 // that accepts every connection and never answers.
@@ -89,6 +90,25 @@
                   .admin_address = "e:3"}};
 };
 
+// Guards against a released claim: a repeat of the key would run the work a
+// second time.
+TEST_CASE("the claim of a written request that is cancelled is kept") {
+  Bed bed;
+  bed.RunFor(Seconds(8));
+  bed.Ask(1, kKey);
+  bed.RunFor(Milliseconds(100));
+  REQUIRE(bed.written.size() == 1);
+  bed.Run(bed.core.Cancel(bed.now, bed.Wall(), {1}));
+  REQUIRE(bed.dropped.size() == 1);
+  bed.RunFor(Milliseconds(500));
+  bed.Ask(2, kKey);
+  bed.RunFor(Milliseconds(500));
+  CHECK(bed.written.size() == 1);
+  REQUIRE(bed.refused.size() == 1);
+  CHECK(bed.refused[0].reason == "duplicate-unknown");
+  CHECK(bed.refused[0].may_have_run);
+}
+
 // Guards against hosts that stay unused until the next configuration change,
 // because the permission to send began only after the configuration was read.
 TEST_CASE("a process that registers after it read the configuration serves") {
