Add random runs of the whole system with a global checker

Cause: each slice has random tests, but no test ran entry and control processes together under several faults at once.

Ruled out: deriving the expectations from product classes, since the checker must not repeat their mistakes.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 
 demo: build
 	tools/demo
+
+# Random runs of the whole system from SEED on, for DURATION seconds.
+soak: build
+	$(BUILD)/system_soak_bench --seed $(SEED) --duration $(DURATION)
