Let an entry process use its hosts when it registers late

The permission that the backend pool was given came from ConfigView::MaySend() at the moment the configuration came into force. When the member row was not yet written, every host was marked as leaving and stayed so until the next configuration change.

Ruled out: slot shares (other entry processes of the zone served the same pool) and the age of the view (the hosts are of the own zone).

Change: the backend pool is told only whether the configuration admits the host. Registration and age are checked in RefreshTarget() and before each write, as before.

Conclusion: the state of a host in the backend pool must not depend on a condition that changes without a new configuration.

--- a/radishmoor/entry/entry_core.cc
+++ b/radishmoor/entry/entry_core.cc
@@ -238,6 +238,9 @@
   if (request == nullptr)
     return;
   ConnectionId connection = std::exchange(request->connection, {});
+  // The claim of a request that was written must not be released.
+  if (connection.value != 0)
+    request->may_have_run = true;
   bool timed_out = connection.value != 0 && now_ >= request->deadline;
   exchanges_.erase(connection);
   // A missed deadline is a sign of a silent connection; a cancellation or a
@@ -559,10 +562,13 @@
         Dispatch(dispatch::TargetRemoved{target.pool, id});
       target = Target{.pool = host.pool, .local = host.zone == options_.zone};
     }
-    Run(backend_.SetHost(now_, {.host = id,
-                                .pool = host.pool,
-                                .epoch = host.epoch,
-                                .permitted = view_.MaySend(now_, id)}));
+    // Only what the configuration says: the permission to send also changes
+    // with time and registration, which RefreshTarget() follows.
+    Run(backend_.SetHost(now_,
+                         {.host = id,
+                          .pool = host.pool,
+                          .epoch = host.epoch,
+                          .permitted = host.phase == HostPhase::kActive}));
   }
   std::erase_if(targets_, [&](const auto& item) {
     if (state.hosts.contains(item.first))
