Keep long work off hosts that a wave drains soon

Cause: a straggler on a draining host delays its reboot; the dispatcher could avoid such hosts but was never told. Ruled out: asking platform checkpoints only, which requests of callers do not support. Change: entry processes mark the hosts that the fleet slice names as soon due as leaving soon. Measured: builds and passes entry_core_test; the effect on roll-out time was not measured. Conclusion: the mechanism is connected; its gain is open.

--- a/radishmoor/entry/entry_core.cc
+++ b/radishmoor/entry/entry_core.cc
@@ -6,6 +6,7 @@
 
 #include "radishmoor/base/hash.h"
 #include "radishmoor/base/invariant.h"
+#include "radishmoor/fleet/wave.h"
 
 namespace radishmoor {
 namespace {
@@ -556,6 +557,8 @@
 
 void EntryCore::ApplyHosts() {
   const FleetState& state = view_.state();
+  std::vector<HostId> due = SoonDueHosts(state);
+  soon_due_ = {due.begin(), due.end()};
   for (const auto& [id, host] : state.hosts) {
     Target& target = targets_[id];
     if (target.pool != host.pool) {
@@ -598,6 +601,7 @@
     return;
   Target next = it->second;
   next.usable = view_.MaySend(now_, id) && backend_.usable(id);
+  next.leaving_soon = soon_due_.contains(id);
   // The learned limit lets a process borrow slots that others leave idle; a
   // grant alone reacts too slowly to shifting demand (design 5.4).
   next.limit =
@@ -613,7 +617,8 @@
                                .host = id,
                                .usable = next.usable,
                                .local_zone = next.local,
-                               .limit = next.limit});
+                               .limit = next.limit,
+                               .leaving_soon = next.leaving_soon});
 }
 
 void EntryCore::RefreshTargets() {
--- a/radishmoor/entry/entry_core.h
+++ b/radishmoor/entry/entry_core.h
@@ -126,6 +126,7 @@
     PoolId pool;
     bool usable = false;
     bool local = false;
+    bool leaving_soon = false;
     int limit = -1;
 
     friend bool operator==(const Target&, const Target&) = default;
@@ -219,6 +220,7 @@
   std::set<ConnectionId> probes_;
   std::map<HostId, Target> targets_;
   std::set<PoolId> pools_;
+  std::set<HostId> soon_due_;  // Hosts that a wave or a change drains soon.
   std::vector<MemberId> zone_members_;
   Time next_refresh_ = kTimeZero;
   // Suspect exchanges, by the time at which they are given up.
