Share one class of observed run times

Cause: dispatch and backend each had a histogram of run times with the same buckets; the first also bore the same name in another namespace. Ruled out: sharing the samples too, since the two slices fade them at different rates for different percentiles. Change: base/run_times.h with the fading as a parameter; both slices use it. Measured: two implementations before, one after; the tests of dispatch, backend and entry pass unchanged, the random run of the whole system included. Conclusion: behaviour is as before.

--- a/radishmoor/backend/backend_pool.cc
+++ b/radishmoor/backend/backend_pool.cc
@@ -32,33 +32,6 @@
 
 }  // namespace
 
-void RunTimes::Add(Duration run_time) {
-  double us = static_cast<double>(std::max<int64_t>(run_time.count(), 1));
-  int bucket = std::min(kBuckets - 1, static_cast<int>(4 * std::log2(us)));
-  counts_[bucket] += 1;
-  total_ += 1;
-  if (total_ < kMaxSamples)
-    return;
-  total_ = 0;
-  for (float& count : counts_) {
-    count /= 2;
-    total_ += count;
-  }
-}
-
-std::optional<Duration> RunTimes::Quantile(double q) const {
-  if (total_ <= 0)
-    return std::nullopt;
-  double rest = q * total_;
-  int bucket = 0;
-  for (; bucket < kBuckets - 1; ++bucket) {
-    rest -= counts_[bucket];
-    if (rest <= 0)
-      break;
-  }
-  return Duration(static_cast<int64_t>(std::exp2((bucket + 1) / 4.0)));
-}
-
 BackendPool::BackendPool(BackendOptions options, uint64_t seed)
     : options_(options), random_(seed) {}
 
@@ -640,7 +613,7 @@
   Duration share = std::min(left / 3, options_.max_attempt_timeout);
   if (run_times.samples() < kMinSamples)
     return share;
-  Duration p95 = *run_times.Quantile(0.95);
+  Duration p95 = run_times.Quantile(0.95);
   Duration timeout =
       std::clamp(Scale(p95, options_.attempt_timeout_factor),
                  options_.min_attempt_timeout, options_.max_attempt_timeout);
@@ -654,7 +627,7 @@
   const RunTimes& run_times = pools_.at(pool).run_times;
   if (run_times.samples() < kMinSamples)
     return options_.max_attempt_timeout;
-  return std::max(Scale(*run_times.Quantile(0.95), kEarlyProbeFactor),
+  return std::max(Scale(run_times.Quantile(0.95), kEarlyProbeFactor),
                   options_.min_attempt_timeout / 2);
 }
 
@@ -662,7 +635,7 @@
   const RunTimes& run_times = pools_.at(pool).run_times;
   if (run_times.samples() < kMinSamples)
     return kAssumedRunTime;
-  return *run_times.Quantile(0.5);
+  return run_times.Quantile(0.5);
 }
 
 // All connections of the host that were opened before now may have been
--- a/radishmoor/backend/backend_pool.h
+++ b/radishmoor/backend/backend_pool.h
@@ -33,6 +33,7 @@
 
 #include "radishmoor/base/ids.h"
 #include "radishmoor/base/random.h"
+#include "radishmoor/base/run_times.h"
 #include "radishmoor/base/time.h"
 
 namespace radishmoor {
@@ -231,23 +232,6 @@
   uint64_t jobs_charged = 0;
 };
 
-// Run times of successful exchanges, with exponentially ageing counts. A
-// quantile is exact to a factor of 2^(1/4).
-class RunTimes {
- public:
-  void Add(Duration run_time);
-  // Zero samples give nullopt.
-  std::optional<Duration> Quantile(double q) const;
-  double samples() const { return total_; }
-
- private:
-  static constexpr int kBuckets = 112;  // 1 us to about 4.5 minutes.
-  static constexpr double kMaxSamples = 4096;
-
-  std::array<float, kBuckets> counts_{};
-  double total_ = 0;
-};
-
 class BackendPool {
  public:
   BackendPool(BackendOptions options, uint64_t seed);
@@ -350,9 +334,13 @@
     int told_ceiling = -1;
   };
 
+  // Attempt time-outs use the 95th percentile, which needs more samples than a
+  // median to be steady.
+  static constexpr uint32_t kRunTimesFadeAt = 4096;
+
   struct Pool {
     std::set<HostId> hosts;
-    RunTimes run_times;
+    RunTimes run_times{kRunTimesFadeAt};  // Of successful exchanges.
   };
 
   struct Job {
--- a/radishmoor/dispatch/run_times.cc
+++ b/radishmoor/base/run_times.cc
@@ -1,14 +1,9 @@
-#include "radishmoor/dispatch/run_times.h"
+#include "radishmoor/base/run_times.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace radishmoor::dispatch {
-namespace {
-
-constexpr uint32_t kFadeAt = 1024;
-
-}  // namespace
+namespace radishmoor {
 
 void RunTimes::Add(Duration run) {
   double micros = std::max<double>(1, static_cast<double>(run.count()));
@@ -18,7 +13,7 @@
   ++samples_;
   mean_ +=
       (micros - mean_) / static_cast<double>(std::min<uint64_t>(samples_, 512));
-  if (total_ < kFadeAt) {
+  if (total_ < fade_at_) {
     return;
   }
   total_ = 0;
@@ -41,4 +36,4 @@
   return Duration(0);
 }
 
-}  // namespace radishmoor::dispatch
+}  // namespace radishmoor
--- a/radishmoor/dispatch/dispatcher.h
+++ b/radishmoor/dispatch/dispatcher.h
@@ -31,10 +31,10 @@
 
 #include "radishmoor/base/ids.h"
 #include "radishmoor/base/random.h"
+#include "radishmoor/base/run_times.h"
 #include "radishmoor/base/time.h"
 #include "radishmoor/dispatch/head_of_line.h"
 #include "radishmoor/dispatch/messages.h"
-#include "radishmoor/dispatch/run_times.h"
 
 namespace radishmoor::dispatch {
 
--- a/radishmoor/dispatch/head_of_line.h
+++ b/radishmoor/dispatch/head_of_line.h
@@ -13,8 +13,8 @@
 #include <optional>
 #include <variant>
 
+#include "radishmoor/base/run_times.h"
 #include "radishmoor/base/time.h"
-#include "radishmoor/dispatch/run_times.h"
 
 namespace radishmoor::dispatch {
 
