Add make bench: tables, JSON and pictures of the benches

Cause: each bench was run by hand and had its own form of JSON.

Ruled out: a picture in each bench program; gnuplot draws all from the JSON.

Conclusion: one command under five minutes.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 
 demo: build
 	tools/demo
+
+# Under five minutes; JSON and pictures in $(BUILD)/bench.
+bench: build
+	tools/bench $(BUILD)
