--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 # Random runs of the whole system from SEED on, for DURATION seconds.
 soak: build
 	$(BUILD)/system_soak_bench --seed $(SEED) --duration $(DURATION)
+
+# Under five minutes; JSON and pictures in $(BUILD)/bench.
+bench: build
+	tools/bench $(BUILD)
