Carry out keyed platform operations once in the stand-in

Cause: a control process that wakes after a pause repeats its last platform action; the stand-in rebooted the host again, which the platform that 6.3 assumes would not. Ruled out: checks in control alone, since a paused process cannot know what its successor did. Conclusion: the stand-in follows the rule that the controller relies on.

--- a/radishmoor/standins/platform_server.cc
+++ b/radishmoor/standins/platform_server.cc
@@ -1,6 +1,7 @@
 #include "radishmoor/standins/platform_server.h"
 
 #include <boost/json.hpp>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -76,6 +77,9 @@
   MemoryTable table;
   Faults faults;
   uint64_t requests = 0;
+  // Largest key carried out for an operation on a host.
+  using OperationKey = std::pair<std::string, std::string>;
+  std::map<OperationKey, uint64_t> done_keys;
   HttpServer server;
 };
 
@@ -169,16 +173,18 @@
   }
   HttpRequest forwarded{
       "POST", "/_standin/" + std::string(operation), {}, json::serialize(body)};
-  fetcher.Fetch(*endpoint, std::move(forwarded), Seconds(2),
-                [this, id](HttpFetcher::Result result) {
-                  if (auto* response = std::get_if<HttpResponse>(&result)) {
-                    server.Respond(id, std::move(*response));
-                    return;
-                  }
-                  server.Respond(
-                      id,
-                      Text(502, std::get<HttpFetcher::Failure>(result).error));
-                });
+  fetcher.Fetch(
+      *endpoint, std::move(forwarded), Seconds(2),
+      [this, id, once, key, operation_key](HttpFetcher::Result result) {
+        if (auto* response = std::get_if<HttpResponse>(&result)) {
+          if (once && response->status == 200)
+            done_keys[operation_key] = key;
+          server.Respond(id, std::move(*response));
+          return;
+        }
+        server.Respond(id,
+                       Text(502, std::get<HttpFetcher::Failure>(result).error));
+      });
 }
 
 HttpResponse PlatformServer::Impl::Stats() const {
--- a/radishmoor/standins/platform_server.h
+++ b/radishmoor/standins/platform_server.h
@@ -19,7 +19,9 @@
 //   POST /operations/assign     {"host", "address", "pool"}
 //   POST /operations/checkpoint {"host", "address"}
 //   POST /operations/status     {"host", "address"}  200 while it serves
-//     Forwarded to the backend server stand-in; the answer is its answer.
+//     Forwarded to the backend server stand-in; the answer is its answer. An
+//     operation with "key" is carried out once: a repeated or older key for the
+//     same operation and host is answered with 200 and has no effect.
 //   GET  /stats   requests, commits, conflicts, rows.
 
 #ifndef RADISHMOOR_STANDINS_PLATFORM_SERVER_H_
