--- a/radishmoor/standins/platform_server.cc
+++ b/radishmoor/standins/platform_server.cc
@@ -171,6 +171,16 @@
     server.Respond(id, Text(400, "address is not ip:port"));
     return;
   }
+  OperationKey operation_key{std::string(operation),
+                             std::string(body.at("host").as_string())};
+  uint64_t key = 0;
+  if (const json::value* given = body.if_contains("key"))
+    key = given->to_number<uint64_t>();
+  bool once = key != 0 && operation != "status";
+  if (once && key <= done_keys[operation_key]) {
+    server.Respond(id, Text(200, "done before\n"));
+    return;
+  }
   HttpRequest forwarded{
       "POST", "/_standin/" + std::string(operation), {}, json::serialize(body)};
   fetcher.Fetch(
