Use only the answer to the current scan of the member rows

Cause: every scan for the drain gate had the tag 0. A control process that is paused during a scan starts another one when it resumes, and took the answer to the earlier one for it. The rows were then older than the `read_started` that the gate trusts, so a process that registered in between was missing and the gate could open while that process may still send.

Ruled out: the store client, which answers each call once but may do so after the core gave the call up; the scans of member, peers and leases, whose calls carry their own tags.

Change: each call of a scan has its own tag, and other answers are ignored.

Figures: in the new test the gate opens on the old rows before; after, it stays closed and names the process that has not acknowledged.

--- a/radishmoor/control/control_core.cc
+++ b/radishmoor/control/control_core.cc
@@ -113,7 +113,10 @@
       Run(controller_.Handle(now_, inner));
       break;
     case CallOwner::kMemberScan:
-      OnMemberRows(inner.reply);
+      // After a pause, an answer to an earlier scan may come during this one;
+      // its rows are older than `read_started`.
+      if (inner.tag == scan_tag_)
+        OnMemberRows(inner.reply);
       break;
     case CallOwner::kHostList:
       if (auto* list = std::get_if<HostListReply>(&inner.reply))
@@ -270,7 +273,8 @@
   scan_after_.clear();
   scan_bytes_ = 0;
   scanned_ = {.read_started = now_};
-  Call(CallOwner::kMemberScan, {0, ScanRows{kMemberPrefix, "", kScanLimit}});
+  Call(CallOwner::kMemberScan,
+       {++scan_tag_, ScanRows{kMemberPrefix, "", kScanLimit}});
 }
 
 void ControlCore::OnMemberRows(const StoreReply& reply) {
@@ -295,7 +299,7 @@
   }
   if (rows->rows.size() >= kScanLimit) {
     Call(CallOwner::kMemberScan,
-         {0, ScanRows{kMemberPrefix, scan_after_, kScanLimit}});
+         {++scan_tag_, ScanRows{kMemberPrefix, scan_after_, kScanLimit}});
     return;
   }
   scanning_ = false;
--- a/radishmoor/control/control_core.h
+++ b/radishmoor/control/control_core.h
@@ -126,6 +126,7 @@
   Time next_scan_ = kTimeZero;
   Time scan_sent_ = kTimeZero;
   bool scanning_ = false;
+  uint64_t scan_tag_ = 0;  // Of the call whose answer the scan waits for.
   std::string scan_after_;
   MemberList scanned_;
   size_t scan_bytes_ = 0;
--- /dev/null
+++ b/radishmoor/control/testing/control_core_test.cc
@@ -0,0 +1,101 @@
+#include "radishmoor/control/control_core.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <vector>
+
+#include "radishmoor/config/config_log.h"
+#include "radishmoor/store/memory_table.h"
+
+namespace radishmoor {
+namespace {
+
+constexpr WallMillis kWall = 1'780'000'000'000;
+
+// One control process over a table that answers at once, except for scans of
+// the member rows by the drain gate, which wait while `hold_scans` is set.
+class Bed {
+ public:
+  Bed() {
+    ConfigDelta delta;
+    delta.version = 1;
+    delta.operation = {1};
+    PoolState pool;
+    pool.id = PoolId("p");
+    delta.pools.push_back(pool);
+    HostState host;
+    host.id = HostId("w");
+    host.zone = ZoneId("z");
+    host.pool = host.wanted_pool = pool.id;
+    host.intent = HostIntent::kDrain;
+    host.phase = HostPhase::kDraining;
+    host.drain_version = 1;
+    delta.hosts.push_back(host);
+    table.Handle(CommitRows{BuildConfigTransaction(delta, 0, {})});
+  }
+
+  void Tick() { Run(core.Tick(now, kWall)); }
+  void Run(ControlActions actions) {
+    std::deque<ControlAction> queue(actions.begin(), actions.end());
+    while (!queue.empty()) {
+      ControlAction action = std::move(queue.front());
+      queue.pop_front();
+      auto* call = std::get_if<StoreCall>(&action);
+      if (call == nullptr)
+        continue;
+      bool scan = std::holds_alternative<ScanRows>(call->request);
+      if (hold_scans && scan && call->tag % 8 == kGateScanOwner) {
+        held.push_back(*call);
+        continue;
+      }
+      ControlActions more = core.Handle(
+          now, kWall, StoreAnswer{call->tag, table.Handle(call->request)});
+      queue.insert(queue.end(), more.begin(), more.end());
+    }
+  }
+
+  // The low bits of a tag name the part of the core that made the call.
+  static constexpr uint64_t kGateScanOwner = 5;
+  Time now = kTimeZero + Seconds(100);
+  MemoryTable table;
+  bool hold_scans = true;
+  std::vector<StoreCall> held;
+  ControlCore core{{.member = MemberId("c"),
+                    .zone = ZoneId("z"),
+                    .incarnation = {1},
+                    .peer_address = "c:2",
+                    .admin_address = "c:3"}};
+};
+
+// Guards against a drain gate that opens on rows read before the drain: a
+// process that registered in between may still send to the host.
+TEST_CASE("the answer to an earlier scan of the members is not used") {
+  Bed bed;
+  bed.Tick();
+  REQUIRE(bed.held.size() == 1);
+  StoreReply old_rows = bed.table.Handle(bed.held[0].request);
+
+  MemberRecord entry;
+  entry.id = MemberId("e");
+  entry.incarnation = {1};
+  entry.zone = ZoneId("z");
+  Transaction registration{.operation = {9}};
+  registration.writes.push_back({"member/e", EncodeMember(entry)});
+  bed.table.Handle(CommitRows{registration});
+
+  // A pause longer than the time-out of the scan.
+  bed.now += Seconds(5);
+  bed.Tick();
+  REQUIRE(bed.held.size() == 2);
+  bed.Run(bed.core.Handle(bed.now, kWall, {bed.held[0].tag, old_rows}));
+  CHECK(!bed.core.controller().Gate(bed.now, HostId("w")).open);
+
+  StoreReply rows = bed.table.Handle(bed.held[1].request);
+  bed.Run(bed.core.Handle(bed.now, kWall, {bed.held[1].tag, rows}));
+  GateVerdict verdict = bed.core.controller().Gate(bed.now, HostId("w"));
+  CHECK(verdict.block == GateBlock::kLocalNotAcknowledged);
+  CHECK(verdict.member == MemberId("e"));
+}
+
+}  // namespace
+}  // namespace radishmoor
