--- a/radishmoor/config/config_view.cc
+++ b/radishmoor/config/config_view.cc
@@ -470,17 +470,19 @@
   return now - *confirmed_;
 }
 
+bool ConfigView::MaySend(Time now) const {
+  // Control waits only for processes that have a member row or a sponsor, also
+  // of other zones when all of those acknowledged at once.
+  bool own_right = registered_ && confirmed_ && *confirmed_ > registered_at_;
+  return ready_ && (own_right || (sponsored_ever_ && now < sponsored_until_));
+}
+
 bool ConfigView::MaySend(Time now, const HostId& id) const {
-  if (!ready_)
+  if (!MaySend(now))
     return false;
   const HostState* host = state_.FindHost(id);
   if (host == nullptr || host->phase != HostPhase::kActive)
     return false;
-  // Control waits only for processes that have a member row or a sponsor, also
-  // of other zones when all of those acknowledged at once.
-  bool own_right = registered_ && confirmed_ && *confirmed_ > registered_at_;
-  if (!own_right && !(sponsored_ever_ && now < sponsored_until_))
-    return false;
   return host->zone == options_.zone ||
          (confirmed_ && now - *confirmed_ <= kFreshness);
 }
