Ask the view, not the process, whether a configuration is in force

Cause: a process is ready only once it may send; the test asked for readiness before the registration. Ruled out: a change of the tested rule; the test still sees a configuration in force without a registration. Change: the test reads the view's readiness at that point.

--- a/radishmoor/entry/testing/entry_core_test.cc
+++ b/radishmoor/entry/testing/entry_core_test.cc
@@ -115,7 +115,7 @@
   Bed bed;
   bed.refuse_scans = true;
   bed.RunFor(Seconds(8));
-  REQUIRE(bed.core.ready());
+  REQUIRE(bed.core.view().ready());
   REQUIRE(!bed.core.member().registered());
   bed.Ask(1, "");
   bed.RunFor(Seconds(6));
