Keep hosts in use when the configuration comes before the registration

Cause: EntryCore::ApplyHosts passed ConfigView::MaySend() to the backend slice as the configuration's permission. MaySend() is false until the member row is written, so a process whose configuration arrived first marked every host as leaving and kept it so until the next configuration. /readyz was 200 all the while. Found by the process tests.

Ruled out: the slot shares (other processes of the zone had theirs) and the load generator (single requests to the process were refused as well).

Change: the backend slice gets the phase of the host only; RefreshTarget() and the check before each write ask MaySend() as before. A process is ready only once it may send, and refreshes its targets as soon as it may.

Conclusion: at a cold start, a site could lose an entry process until the next change of the configuration.

--- a/radishmoor/config/config_view.cc
+++ b/radishmoor/config/config_view.cc
@@ -456,16 +456,18 @@
   return now - *confirmed_;
 }
 
+bool ConfigView::MaySend(Time now) const {
+  // Control waits only for processes that have a member row or a sponsor, also
+  // of other zones when all of those acknowledged at once.
+  return ready_ && (registered_ || (sponsored_ever_ && now < sponsored_until_));
+}
+
 bool ConfigView::MaySend(Time now, const HostId& id) const {
-  if (!ready_)
+  if (!MaySend(now))
     return false;
   const HostState* host = state_.FindHost(id);
   if (host == nullptr || host->phase != HostPhase::kActive)
     return false;
-  // Control waits only for processes that have a member row or a sponsor, also
-  // of other zones when all of those acknowledged at once.
-  if (!registered_ && !(sponsored_ever_ && now < sponsored_until_))
-    return false;
   return host->zone == options_.zone ||
          (confirmed_ && now - *confirmed_ <= kFreshness);
 }
--- a/radishmoor/config/config_view.h
+++ b/radishmoor/config/config_view.h
@@ -177,6 +177,8 @@
 
   // Whether a request may be sent to `host` now; check just before the send.
   bool MaySend(Time now, const HostId& host) const;
+  // True while this process may send to active hosts of its own zone.
+  bool MaySend(Time now) const;
 
   // What the member row must show: the version that this process and all that
   // it sponsors have in force (never decreases), and their busy hosts.
--- a/radishmoor/entry/entry_core.cc
+++ b/radishmoor/entry/entry_core.cc
@@ -559,10 +559,14 @@
         Dispatch(dispatch::TargetRemoved{target.pool, id});
       target = Target{.pool = host.pool, .local = host.zone == options_.zone};
     }
-    Run(backend_.SetHost(now_, {.host = id,
-                                .pool = host.pool,
-                                .epoch = host.epoch,
-                                .permitted = view_.MaySend(now_, id)}));
+    // Only the phase: a host without permission is leaving until the next
+    // configuration. MaySend() also depends on the registration and on time,
+    // and is asked anew in RefreshTarget() and before each write.
+    Run(backend_.SetHost(now_,
+                         {.host = id,
+                          .pool = host.pool,
+                          .epoch = host.epoch,
+                          .permitted = host.phase == HostPhase::kActive}));
   }
   std::erase_if(targets_, [&](const auto& item) {
     if (state.hosts.contains(item.first))
@@ -633,7 +637,11 @@
 
 void EntryCore::RefreshMembership() {
   view_.SetBusyHosts(BusyHosts());
+  bool permitted = view_.MaySend(now_);
   view_.SetRegistered(member_.registered());
+  // Otherwise a process that is ready would refuse until the next refresh.
+  if (!permitted && view_.MaySend(now_))
+    RefreshTargets();
   member_.SetAcknowledgement(view_.AcknowledgedVersion(now_),
                              view_.AcknowledgedBusyHosts(now_));
   peers_.SetSelf(member_.record().incarnation, view_.version());
--- a/radishmoor/entry/entry_core.h
+++ b/radishmoor/entry/entry_core.h
@@ -92,7 +92,9 @@
   EntryActions Leave(Time now, WallMillis wall);
 
   // Requests are accepted: a configuration is in force and no drain started.
-  bool ready() const { return view_.ready() && !draining_; }
+  bool ready() const {
+    return view_.ready() && view_.MaySend(now_) && !draining_;
+  }
   // The exchange on the connection belongs to a request with a key.
   bool keyed(ConnectionId connection) const;
 
