Let every control process see the canary of a maintenance round

Cause: a round goes on once a control process has seen the canary healthy for 30 s, but a control process observed only hosts of the pools whose leases it holds. With the leases spread over processes, only the holder of the canary's pool continued; the others waited for ever. The tests with virtual time give health to one controller for all hosts and cannot show it.

Ruled out: budgets (at most 1 of 2 hosts unavailable in any pool) and a paused round (no such event in the control logs that were read, the first 30 s).

Conclusion: on a site with several control processes no round could finish unless one process held all leases.

--- a/radishmoor/control/control_core.cc
+++ b/radishmoor/control/control_core.cc
@@ -14,6 +14,8 @@
 constexpr int64_t kScanBytesPerSecond = 3000;
 constexpr uint32_t kScanLimit = 500;
 constexpr Duration kHostListPeriod = Seconds(5);
+// One may fail without a stop of the round.
+constexpr size_t kObservedCanaries = 3;
 // Leases change with time as well as with events.
 constexpr Duration kLeasePeriod = Milliseconds(500);
 
@@ -157,6 +159,13 @@
     if (observed && host.phase != HostPhase::kRetired)
       hosts.push_back(&host);
   }
+  // A process that holds no lease of the canary's pool must see the canary's
+  // health too; otherwise it never starts its part of the round.
+  for (const HostId& id : controller_.FirstCompleted(kObservedCanaries)) {
+    const HostState* host = view_.state().FindHost(id);
+    if (host && std::find(hosts.begin(), hosts.end(), host) == hosts.end())
+      hosts.push_back(host);
+  }
   return hosts;
 }
 
--- a/radishmoor/fleet/controller.h
+++ b/radishmoor/fleet/controller.h
@@ -85,6 +85,10 @@
   // Why a draining host waits, for `status`.
   GateVerdict Gate(Time now, const HostId& host) const;
   bool wave_paused() const { return wave_.paused(); }
+  // As Wave::FirstCompleted().
+  std::vector<HostId> FirstCompleted(size_t limit) const {
+    return wave_.FirstCompleted(state_, limit);
+  }
   const FleetState& state() const { return state_; }
   FleetFigures figures() const;
 
--- a/radishmoor/fleet/wave.cc
+++ b/radishmoor/fleet/wave.cc
@@ -234,6 +234,23 @@
   return actions;
 }
 
+std::vector<HostId> Wave::FirstCompleted(const FleetState& state,
+                                         size_t limit) const {
+  std::vector<std::pair<Time, HostId>> completed;
+  for (const auto& [id, at] : completed_at_) {
+    const HostState* host = state.FindHost(id);
+    if (host && host->phase == HostPhase::kActive)
+      completed.emplace_back(at, id);
+  }
+  std::sort(completed.begin(), completed.end());
+  completed.resize(std::min(completed.size(), limit));
+  std::vector<HostId> hosts;
+  hosts.reserve(completed.size());
+  for (const auto& [at, id] : completed)
+    hosts.push_back(id);
+  return hosts;
+}
+
 bool Wave::CanaryPassed(Time now,
                         const FleetState& state,
                         const HealthView& health) const {
--- a/radishmoor/fleet/wave.h
+++ b/radishmoor/fleet/wave.h
@@ -86,6 +86,11 @@
                  const FleetState& state,
                  const HostState& host) const;
 
+  // The hosts that completed the round first and serve, at most `limit`. Their
+  // health tells every control process whether the canary passed.
+  std::vector<HostId> FirstCompleted(const FleetState& state,
+                                     size_t limit) const;
+
   bool paused() const { return paused_; }
   uint64_t pauses() const { return pauses_; }
 
