--- a/radishmoor/control/control_core.cc
+++ b/radishmoor/control/control_core.cc
@@ -17,6 +17,8 @@
 // pages.
 constexpr uint32_t kScanLimit = 1000;
 constexpr Duration kHostListPeriod = Seconds(5);
+// One may fail without a stop of the round.
+constexpr size_t kObservedCanaries = 3;
 // Leases change with time as well as with events.
 constexpr Duration kLeasePeriod = Milliseconds(500);
 
@@ -165,6 +167,13 @@
     if (observed && host.phase != HostPhase::kRetired)
       hosts.push_back(&host);
   }
+  // A process that holds no lease of the canary's pool must see the canary's
+  // health too; otherwise it never starts its part of the round.
+  for (const HostId& id : controller_.FirstCompleted(kObservedCanaries)) {
+    const HostState* host = view_.state().FindHost(id);
+    if (host && std::find(hosts.begin(), hosts.end(), host) == hosts.end())
+      hosts.push_back(host);
+  }
   return hosts;
 }
 
