Measure what control costs at today's size

Cause: the limits of a node (1% of a core, 256 MB, 9 KB/s) were not compared with running processes. Bytes of the store client left out HTTP headers, and entry processes did not show them; health probes were not counted.

Ruled out: counters of the network interface; on loopback all processes share one.

--- a/radishmoor/net/http_client.cc
+++ b/radishmoor/net/http_client.cc
@@ -235,6 +235,20 @@
   return impl_->connections.size();
 }
 
+namespace {
+
+// Start line, blank line and the length header that Beast adds.
+constexpr uint64_t kFramingBytes = 40;
+
+uint64_t WireBytes(const HttpHeaders& headers, const std::string& body) {
+  uint64_t bytes = kFramingBytes + body.size();
+  for (const auto& [name, value] : headers)
+    bytes += name.size() + value.size() + 4;  // ": " and the line end.
+  return bytes;
+}
+
+}  // namespace
+
 struct HttpFetcher::Impl {
   struct Exchange {
     Endpoint endpoint;
@@ -273,6 +287,9 @@
     if (it == exchanges.end())
       return;
     it->second.sent = true;
+    const HttpRequest& request = it->second.request;
+    counters.bytes_sent +=
+        WireBytes(request.headers, request.body) + request.target.size();
     client.Send(id, it->second.request);
   }
 
@@ -281,11 +298,14 @@
     if (node.empty())
       return;
     loop.Cancel(node.mapped().timer);
+    if (const auto* response = std::get_if<HttpResponse>(&result))
+      counters.bytes_received += WireBytes(response->headers, response->body);
     node.mapped().callback(std::move(result));
   }
 
   EventLoop& loop;
   HttpClient client;
+  Counters counters;
   uint64_t next_id = 1;
   std::map<ConnectionId, Exchange> exchanges;
   std::map<Endpoint, std::vector<ConnectionId>> idle;
@@ -322,4 +342,8 @@
   }
 }
 
+const HttpFetcher::Counters& HttpFetcher::counters() const {
+  return impl_->counters;
+}
+
 }  // namespace radishmoor
--- a/radishmoor/net/http_client.h
+++ b/radishmoor/net/http_client.h
@@ -79,6 +79,13 @@
              Duration timeout,
              Callback callback);
 
+  // Requests and responses with their headers, as far as exchanged whole.
+  struct Counters {
+    uint64_t bytes_sent = 0;
+    uint64_t bytes_received = 0;
+  };
+  const Counters& counters() const;
+
   struct Impl;
 
  private:
--- a/radishmoor/net/store_client.cc
+++ b/radishmoor/net/store_client.cc
@@ -35,7 +35,6 @@
     return UnknownReply{failure->error};
   }
   const HttpResponse& response = std::get<HttpResponse>(result);
-  counters.bytes_received += response.body.size();
   try {
     StoreReply reply = DecodeStoreReply(request, response);
     if (std::holds_alternative<UnavailableReply>(reply))
@@ -58,6 +57,9 @@
 void StoreClient::Execute(const StoreRequest& request,
                           std::function<void(StoreReply)> callback) {
   ++impl_->counters.requests;
+  if (std::holds_alternative<CommitRows>(request) ||
+      std::holds_alternative<PutObject>(request))
+    ++impl_->counters.writes;
   if (impl_->outstanding >= kMaxOutstanding) {
     ++impl_->counters.unavailable;
     impl_->loop.Post([callback = std::move(callback)] {
@@ -67,7 +69,6 @@
   }
   ++impl_->outstanding;
   HttpRequest message = EncodeStoreRequest(request);
-  impl_->counters.bytes_sent += message.body.size() + message.target.size();
   impl_->fetcher.Fetch(
       impl_->endpoint, std::move(message), impl_->timeout,
       [impl = std::weak_ptr(impl_), request,
@@ -81,6 +82,8 @@
 }
 
 const StoreClient::Counters& StoreClient::counters() const {
+  impl_->counters.bytes_sent = impl_->fetcher.counters().bytes_sent;
+  impl_->counters.bytes_received = impl_->fetcher.counters().bytes_received;
   return impl_->counters;
 }
 
--- a/radishmoor/net/store_client.h
+++ b/radishmoor/net/store_client.h
@@ -36,9 +36,10 @@
   // Requests by kind of reply, for the metrics endpoint.
   struct Counters {
     uint64_t requests = 0;
+    uint64_t writes = 0;  // Of these, transactions and objects written.
     uint64_t unavailable = 0;
     uint64_t unknown = 0;
-    uint64_t bytes_sent = 0;
+    uint64_t bytes_sent = 0;  // With HTTP headers.
     uint64_t bytes_received = 0;
   };
   const Counters& counters() const;
--- a/radishmoor/service/control_service.cc
+++ b/radishmoor/service/control_service.cc
@@ -350,6 +350,13 @@
       core_->leases().Held(loop_.now()).size());
   set("radishmoor_store_requests", "Requests to the platform.",
       store_.counters().requests);
+  set("radishmoor_store_writes", "Writes to the platform.",
+      store_.counters().writes);
+  set("radishmoor_fetch_bytes_sent", "Bytes of operations and health probes.",
+      fetcher_.counters().bytes_sent);
+  set("radishmoor_fetch_bytes_received",
+      "Bytes received for operations and health probes.",
+      fetcher_.counters().bytes_received);
   set("radishmoor_store_bytes_sent", "Bytes sent to the platform.",
       store_.counters().bytes_sent);
   set("radishmoor_store_bytes_received", "Bytes received from the platform.",
--- a/radishmoor/service/entry_service.cc
+++ b/radishmoor/service/entry_service.cc
@@ -483,6 +483,17 @@
       static_cast<double>(core_->claims().counters().transactions));
   set("radishmoor_store_requests", "Requests to the platform.",
       static_cast<double>(store_.counters().requests));
+  set("radishmoor_store_writes", "Writes to the platform.",
+      static_cast<double>(store_.counters().writes));
+  set("radishmoor_store_bytes_sent", "Bytes sent to the platform.",
+      static_cast<double>(store_.counters().bytes_sent));
+  set("radishmoor_store_bytes_received", "Bytes received from the platform.",
+      static_cast<double>(store_.counters().bytes_received));
+  set("radishmoor_peer_messages", "Messages between processes.",
+      static_cast<double>(peers_.counters().sent), {{"direction", "sent"}});
+  set("radishmoor_peer_messages", "Messages between processes.",
+      static_cast<double>(peers_.counters().received),
+      {{"direction", "received"}});
   set("radishmoor_store_unknown", "Store requests without an answer.",
       static_cast<double>(store_.counters().unknown));
   set("radishmoor_peer_bytes", "Bytes between processes.",
