--- a/radishmoor/standins/testing/capacity_bench.cc
+++ b/radishmoor/standins/testing/capacity_bench.cc
@@ -265,14 +265,14 @@
     Incarnation incarnation{1'700'000'000'000 + processes_.size()};
     uint64_t seed = processes_.size() + 1;
     if (control) {
-      process.control =
-          std::make_unique<ControlCore>(ControlOptions{process.id,
-                                                       zone_id,
-                                                       incarnation,
-                                                       address,
-                                                       "10.9.9.9:9000",
-                                                       seed,
-                                                       {}});
+      ControlOptions options;
+      options.member = process.id;
+      options.zone = zone_id;
+      options.incarnation = incarnation;
+      options.peer_address = address;
+      options.admin_address = "10.9.9.9:9000";
+      options.seed = seed;
+      process.control = std::make_unique<ControlCore>(std::move(options));
     } else {
       EntryOptions options;
       options.member = process.id;
