Widen the random runs of the whole system

Change: long jobs; a pool without a host in the last zone, so that sends to other zones are common; bursts of 20 to 100 changes; every fourth seed has a short bound in the drain gate and pauses longer than it; a check that each write is decided before its deadline. Ruled out: a shorter bound in all runs, because a pause between a decision and its write is longer than it.

--- a/radishmoor/entry/testing/system_driver.cc
+++ b/radishmoor/entry/testing/system_driver.cc
@@ -24,6 +24,8 @@
 // Bound of a request's deadline plus a pause; the gate's bound is larger.
 constexpr Duration kLongestPause = Seconds(200);
 constexpr Duration kGateBound = Seconds(300);
+// In runs without a pause between a decision and its actions.
+constexpr Duration kTightGateBound = Seconds(25);
 constexpr Duration kStoreTimeout = Seconds(2);
 constexpr Duration kRebootTime = Seconds(20);
 constexpr int64_t kMaxDeadlineMs = 20'000;
@@ -84,6 +86,8 @@
   Proc* proc = nullptr;
   PoolId pool;
   std::string key;
+  bool long_job = false;
+  Time deadline = kTimeMax;  // Known once the entry process has the request.
 };
 
 // The answer that the call of the core was about.
@@ -108,6 +112,7 @@
     // A last safeguard must not hide a fault of the layers before it, so half
     // of the runs go without the 421 answer.
     answer_421_ = options_.seed % 2 == 1;
+    tight_gate_ = options_.seed % 4 == 0;
     BuildFleet();
     BuildProcesses();
   }
@@ -154,7 +159,9 @@
       for (int i = 0; i < options_.hosts_per_pool; ++i, ++index) {
         HostState host;
         host.id = HostId("w" + std::to_string(100 + index));
-        int zone = index % options_.zones;
+        // The last zone has no host of its own for one of the pools.
+        int zones = options_.zones - (pool.id == PoolId("beta") ? 1 : 0);
+        int zone = index % zones;
         host.zone = ZoneId("z" + std::to_string(zone));
         host.rack = RackId(host.zone.str() + "-r" +
                            std::to_string(index / options_.zones / 3));
@@ -214,8 +221,10 @@
                              .peer_address = p.address,
                              .admin_address = p.address + "0",
                              .seed = seed};
-      options.controller.gate.max_request_time = kGateBound;
-      options.controller.retirement.max_request_time = kGateBound;
+      options.controller.gate.max_request_time =
+          tight_gate_ ? kTightGateBound : kGateBound;
+      options.controller.retirement.max_request_time =
+          options.controller.gate.max_request_time;
       p.control = std::make_unique<ControlCore>(std::move(options));
     }
     Greet(p);
@@ -242,6 +251,8 @@
         p.entry ? p.entry->view().version() : p.control->view().version();
     checker_.InForce(sim_.now, p.id.str(), p.version, version);
     p.version = version;
+    for (const auto& action : actions)
+      CheckDecision(action);
     if (p.hold_next && !actions.empty()) {
       p.hold_next = false;
       p.held = true;
@@ -259,6 +270,18 @@
     ArmWake(p);
   }
 
+  // Every write is decided before the deadline, as counted from the arrival.
+  void CheckDecision(const EntryAction& action) {
+    const auto* write = std::get_if<WriteBackendRequest>(&action);
+    if (write == nullptr)
+      return;
+    auto caller = callers_.find(write->request.value);
+    if (caller != callers_.end() && sim_.now >= caller->second.deadline)
+      checker_.Fail(sim_.now, "deadline-before-send",
+                    "uid " + std::to_string(write->request.value));
+  }
+  void CheckDecision(const ControlAction&) {}
+
   void Release(Proc& p) {
     p.held = false;
     auto outbox = std::exchange(p.outbox, {});
@@ -593,6 +616,8 @@
     Duration time = sim_.random.Exponential(Milliseconds(20));
     if (sim_.random.Chance(0.015))
       time *= 100;
+    if (request.long_job)
+      time = sim_.random.Between(Seconds(2), Seconds(18));
     sim_.At(sim_.now + time, [this, run, index, answer, text] {
       if (!runs_.contains(run))
         return;
@@ -758,7 +783,8 @@
     if (!p.entry)
       return 0;  // Connection refused.
     uint64_t uid = ++last_uid_;
-    callers_[uid] = {&p, pool, key};
+    bool long_job = sim_.random.Chance(0.03);
+    callers_[uid] = {&p, pool, key, long_job};
     checker_.Asked(uid, key);
     CallerRequest request{
         .id = {uid},
@@ -768,9 +794,12 @@
         .key = key,
         .body_hash = key.empty() ? uid : std::hash<std::string>{}(key),
         .deadline = Milliseconds(
-            100 + static_cast<int64_t>(sim_.random.Below(
-                      sim_.random.Chance(0.1) ? kMaxDeadlineMs : 3000)))};
+            long_job
+                ? kMaxDeadlineMs
+                : 100 + static_cast<int64_t>(sim_.random.Below(
+                            sim_.random.Chance(0.1) ? kMaxDeadlineMs : 3000)))};
     sim_.Post(&p, Milliseconds(1), [this, &p, request] {
+      callers_.at(request.id.value).deadline = sim_.now + request.deadline;
       Perform(p, p.entry->Request(Now(p), Wall(p), request));
     });
     return uid;
@@ -917,6 +946,21 @@
         }));
   }
 
+  // Many changes in a short time, so that a process that is cut off falls
+  // behind by more than the log of its peers.
+  void ChangeBurst(int changes) {
+    Operate([this](const FleetState& state, ConfigDelta* delta) {
+      auto it = state.hosts.begin();
+      std::advance(it, sim_.random.Below(state.hosts.size()));
+      delta->hosts.push_back(it->second);
+      ++delta->hosts.back().cores;
+    });
+    if (changes > 1) {
+      sim_.At(sim_.now + Milliseconds(100),
+              [this, changes] { ChangeBurst(changes - 1); });
+    }
+  }
+
   void StartWave() {
     Operate([](const FleetState& state, ConfigDelta* delta) {
       delta->rules = state.rules;
@@ -974,6 +1018,11 @@
                                              kLongestPause));
       case 3:
       case 4:
+        if (tight_gate_) {
+          // Longer than the gate waits for a silent process.
+          Count("pause-process");
+          return any.Pause(sim_.now + random.Between(Seconds(30), Seconds(90)));
+        }
         any.hold_next = any.up();  // Counted when it takes effect.
         return;
       case 5:
@@ -984,7 +1033,7 @@
         return Later(Seconds(20), [this] { store_.faults = {}; });
       case 6:
         Count("cut-from-platform");
-        return CutFor({entry.zone, platform_}, Seconds(40));
+        return CutFor({entry.zone, platform_}, Seconds(tight_gate_ ? 120 : 40));
       case 7:
         if (random.Chance(0.5)) {
           Count("cut-one-direction");
@@ -1041,6 +1090,10 @@
           Count("maintenance-wave");
           return StartWave();
         }
+        if (random.Chance(0.2)) {
+          Count("change-burst");
+          return ChangeBurst(static_cast<int>(20 + random.Below(80)));
+        }
         Count("operator-edit");
         RandomEdit();
         if (random.Chance(0.5))
@@ -1143,6 +1196,7 @@
   SystemChecker checker_;
   SystemReport report_;
   bool answer_421_ = true;
+  bool tight_gate_ = false;
 
   std::vector<std::unique_ptr<Proc>> procs_;
   std::vector<Proc*> entries_;
