Make the capacity bench pass the linter

Cause: clang-tidy takes the captured this of a generic lambda as unused, since every use is in a dependent call.

Ruled out: a NOLINT; the call can name its object.

Change: this->On() in the visitor.

--- a/radishmoor/standins/testing/capacity_bench.cc
+++ b/radishmoor/standins/testing/capacity_bench.cc
@@ -323,7 +323,7 @@
     if (measuring_)
       Cost(processes_[p]).cpu_core += CpuNow() - start;
     for (const auto& action : actions)
-      std::visit([this, p](const auto& a) { On(p, a); }, action);
+      std::visit([this, p](const auto& a) { this->On(p, a); }, action);
     if (wake < processes_[p].wake)
       Wake(p, std::max(wake, now_ + kMinWakeDelay));
   }
