Share the start of both daemons and their wake timer

Ruled out: one service class for both, whose actions differ. Change: RunService and WakeTimer serve both; the count is an integer. Conclusion: behaviour is as before.

--- a/radishmoor/backend/backend_pool.cc
+++ b/radishmoor/backend/backend_pool.cc
@@ -11,7 +11,7 @@
 // Stands in for the typical run time until a pool has samples.
 constexpr Duration kAssumedRunTime = Milliseconds(10);
 // Quantiles of fewer samples than this are not used for time-outs.
-constexpr double kMinSamples = 20;
+constexpr uint64_t kMinSamples = 20;
 // A server that is full is asked again after at most this many typical run
 // times: one of its slots has become free by then.
 constexpr int kMaxNotRunHold = 4;
--- a/radishmoor/config/inventory.h
+++ b/radishmoor/config/inventory.h
@@ -3,7 +3,7 @@
 //
 //   InventoryResult result = ParseInventory(text);
 //   for (const InventoryError& error : result.errors)
-//     std::cerr << error.str("sites/akwaaba.json") << '\n';
+//     std::cerr << error.str("site.json") << '\n';
 //   if (result.inventory) ...
 //
 // All errors are found in one pass, except that a text that is not JSON has
--- a/radishmoor/net/event_loop.cc
+++ b/radishmoor/net/event_loop.cc
@@ -1,5 +1,6 @@
 #include "radishmoor/net/event_loop.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -30,6 +31,10 @@
 
 namespace {
 
+// A task whose next need is always now must not keep the loop from its other
+// work.
+constexpr Duration kMinWakeDelay = Microseconds(200);
+
 Time MonotonicNow() {
   return Time(std::chrono::duration_cast<Duration>(
       std::chrono::steady_clock::now().time_since_epoch()));
@@ -131,4 +136,22 @@
   return impl_->io;
 }
 
+WakeTimer::WakeTimer(EventLoop& loop, std::function<void()> task)
+    : loop_(loop), task_(std::move(task)) {}
+
+WakeTimer::~WakeTimer() {
+  loop_.Cancel(timer_);
+}
+
+void WakeTimer::Arm(Time when) {
+  if (when >= at_)
+    return;
+  loop_.Cancel(timer_);
+  at_ = std::max(when, loop_.now() + kMinWakeDelay);
+  timer_ = loop_.RunAt(at_, [this] {
+    at_ = kTimeMax;
+    task_();
+  });
+}
+
 }  // namespace radishmoor
--- a/radishmoor/net/event_loop.h
+++ b/radishmoor/net/event_loop.h
@@ -59,6 +59,22 @@
   std::unique_ptr<Impl> impl_;
 };
 
+// Calls a task at the time of its earliest need. Arming it for a later time
+// than the one it is armed for costs nothing; the task then runs early, once.
+class WakeTimer {
+ public:
+  WakeTimer(EventLoop& loop, std::function<void()> task);
+  ~WakeTimer();
+
+  void Arm(Time when);
+
+ private:
+  EventLoop& loop_;
+  std::function<void()> task_;
+  TimerId timer_ = 0;
+  Time at_ = kTimeMax;
+};
+
 }  // namespace radishmoor
 
 #endif  // RADISHMOOR_NET_EVENT_LOOP_H_
--- a/radishmoor/service/control_service.cc
+++ b/radishmoor/service/control_service.cc
@@ -30,7 +30,6 @@
 constexpr Duration kRebootPollPeriod = Milliseconds(250);
 constexpr Duration kRebootLimit = Seconds(600);
 constexpr Duration kLeaveTime = Milliseconds(500);
-constexpr Duration kMinWakeDelay = Microseconds(200);
 
 Endpoint EndpointOf(const SocketAddress& address) {
   return {address.ip, address.port};
@@ -86,7 +85,6 @@
   void ProbeHost(const HostState& host);
   std::string MetricsPage();
   std::string StatusPage() const;
-  void ArmWake();
   void Tick();
 
   EventLoop& loop_;
@@ -97,8 +95,7 @@
   Metrics metrics_;
   std::unique_ptr<TimelineKeeper> timeline_;
   std::unique_ptr<ControlCore> core_;
-  TimerId wake_timer_ = 0;
-  Time wake_at_ = kTimeMax;
+  WakeTimer wake_;
   bool stopping_ = false;
 };
 
@@ -111,7 +108,8 @@
               .timeline = [this] { return timeline_->Page(); },
               .status = [this] { return StatusPage(); }}),
       fetcher_(loop),
-      store_(loop, EndpointOf(settings.platform_address), kStoreTimeout) {}
+      store_(loop, EndpointOf(settings.platform_address), kStoreTimeout),
+      wake_(loop, [this] { Tick(); }) {}
 
 void ControlService::Impl::Start() {
   admin_endpoint = admin_.Listen(EndpointOf(settings_.admin_address));
@@ -141,20 +139,10 @@
 void ControlService::Impl::Run(ControlActions actions) {
   for (const ControlAction& action : actions)
     std::visit([this](const auto& a) { On(a); }, action);
-  ArmWake();
-}
-
-void ControlService::Impl::ArmWake() {
-  Time wake = core_->next_wake();
-  if (wake >= wake_at_)
-    return;
-  loop_.Cancel(wake_timer_);
-  wake_at_ = std::max(wake, loop_.now() + kMinWakeDelay);
-  wake_timer_ = loop_.RunAt(wake_at_, [this] { Tick(); });
+  wake_.Arm(core_->next_wake());
 }
 
 void ControlService::Impl::Tick() {
-  wake_at_ = kTimeMax;
   Run(core_->Tick(loop_.now(), loop_.wall_now()));
 }
 
@@ -362,8 +350,8 @@
   impl_->Shutdown();
 }
 
-Endpoint ControlService::admin_endpoint() const {
-  return impl_->admin_endpoint;
+std::string ControlService::Addresses() const {
+  return "admin " + FormatEndpoint(impl_->admin_endpoint);
 }
 
 }  // namespace radishmoor
--- a/radishmoor/service/control_service.h
+++ b/radishmoor/service/control_service.h
@@ -9,8 +9,7 @@
 #define RADISHMOOR_SERVICE_CONTROL_SERVICE_H_
 
 #include <memory>
-
-#include "radishmoor/net/http_message.h"
+#include <string>
 
 namespace radishmoor {
 
@@ -27,7 +26,8 @@
   // Gives up leases and the member row, then stops the loop.
   void Shutdown();
 
-  Endpoint admin_endpoint() const;
+  // The bound address: "admin IP:PORT".
+  std::string Addresses() const;
 
  private:
   class Impl;
--- a/radishmoor/service/entry_service.cc
+++ b/radishmoor/service/entry_service.cc
@@ -28,8 +28,6 @@
 // down must not delay the end of the process further.
 constexpr Duration kLeaveTimeout = Seconds(1);
 constexpr Duration kDrainCheckPeriod = Milliseconds(20);
-// The core's next wake may be now; a timer without a least delay would spin.
-constexpr Duration kMinWakeDelay = Microseconds(200);
 constexpr Duration kSeedPeriod = Seconds(5);
 
 Endpoint EndpointOf(const SocketAddress& address) {
@@ -103,7 +101,6 @@
   void On(const EndProcess& end);
 
   void Respond(RequestId id, HttpResponse response);
-  void ArmWake();
   void Tick();
   void GreetSeeds();
   void CheckDrained();
@@ -129,8 +126,7 @@
   ConnectionId response_connection_;
   HttpResponse response_;
 
-  TimerId wake_timer_ = 0;
-  Time wake_at_ = kTimeMax;
+  WakeTimer wake_;
   bool shutting_down_ = false;
   bool leaving_ = false;
 };
@@ -179,7 +175,8 @@
       store_(loop, EndpointOf(settings.platform_address), kStoreTimeout),
       peers_(loop, [this](const PeerEnvelope& e) { OnPeer(e); }),
       latency_(metrics_.AddHistogram("radishmoor_request_seconds",
-                                     "Time from arrival to response.")) {}
+                                     "Time from arrival to response.")),
+      wake_(loop, [this] { Tick(); }) {}
 
 void EntryService::Impl::Start() {
   peer_endpoint = peers_.Listen(EndpointOf(settings_.peer_address));
@@ -377,20 +374,10 @@
 void EntryService::Impl::Run(EntryActions actions) {
   for (const EntryAction& action : actions)
     std::visit([this](const auto& a) { On(a); }, action);
-  ArmWake();
-}
-
-void EntryService::Impl::ArmWake() {
-  Time wake = core_->next_wake();
-  if (wake >= wake_at_)
-    return;
-  loop_.Cancel(wake_timer_);
-  wake_at_ = std::max(wake, loop_.now() + kMinWakeDelay);
-  wake_timer_ = loop_.RunAt(wake_at_, [this] { Tick(); });
+  wake_.Arm(core_->next_wake());
 }
 
 void EntryService::Impl::Tick() {
-  wake_at_ = kTimeMax;
   Run(core_->Tick(loop_.now(), loop_.wall_now()));
 }
 
@@ -503,16 +490,10 @@
   impl_->Shutdown();
 }
 
-Endpoint EntryService::caller_endpoint() const {
-  return impl_->caller_endpoint;
-}
-
-Endpoint EntryService::admin_endpoint() const {
-  return impl_->admin_endpoint;
-}
-
-Endpoint EntryService::peer_endpoint() const {
-  return impl_->peer_endpoint;
+std::string EntryService::Addresses() const {
+  return "listening " + FormatEndpoint(impl_->caller_endpoint) + " admin " +
+         FormatEndpoint(impl_->admin_endpoint) + " peer " +
+         FormatEndpoint(impl_->peer_endpoint);
 }
 
 }  // namespace radishmoor
--- a/radishmoor/service/entry_service.h
+++ b/radishmoor/service/entry_service.h
@@ -9,8 +9,7 @@
 #define RADISHMOOR_SERVICE_ENTRY_SERVICE_H_
 
 #include <memory>
-
-#include "radishmoor/net/http_message.h"
+#include <string>
 
 namespace radishmoor {
 
@@ -29,9 +28,8 @@
   // Graceful shutdown; stops the loop when it is complete.
   void Shutdown();
 
-  Endpoint caller_endpoint() const;
-  Endpoint admin_endpoint() const;
-  Endpoint peer_endpoint() const;
+  // The bound addresses: "listening IP:PORT admin IP:PORT peer IP:PORT".
+  std::string Addresses() const;
 
  private:
   class Impl;
--- /dev/null
+++ b/radishmoor/service/run_service.h
@@ -0,0 +1,43 @@
+// Runs a service as a process, until SIGTERM or SIGINT and the end of its
+// shutdown.
+//
+//   return RunService<EntryService>(settings);
+//
+// Prints the bound addresses on the first line of standard output. Returns the
+// exit code: 0, or 1 when an address cannot be bound.
+
+#ifndef RADISHMOOR_SERVICE_RUN_SERVICE_H_
+#define RADISHMOOR_SERVICE_RUN_SERVICE_H_
+
+#include <csignal>
+#include <iostream>
+#include <system_error>
+
+#include "radishmoor/net/event_loop.h"
+#include "radishmoor/ops/log.h"
+
+namespace radishmoor {
+
+template <typename Service, typename Settings>
+int RunService(const Settings& settings) {
+  StartLog({.format = settings.log_format, .level = settings.log_level});
+  EventLoop loop;
+  Service service(loop, settings);
+  loop.OnSignal(SIGTERM, [&service] { service.Shutdown(); });
+  loop.OnSignal(SIGINT, [&service] { service.Shutdown(); });
+  // The settings of a process do not change while it runs.
+  loop.OnSignal(SIGHUP, [] {});
+  try {
+    service.Start();
+  } catch (const std::system_error& error) {
+    LogError("cannot-start", {{"detail", error.what()}});
+    return 1;
+  }
+  std::cout << service.Addresses() << std::endl;
+  loop.Run();
+  return 0;
+}
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_SERVICE_RUN_SERVICE_H_
