Refresh targets in the moment in which the permission to send changes

Cause: a process is ready once a read after its registration confirmed the configuration; its targets followed only at the next refresh, up to 200 ms later, and calls in between found no usable host. Ruled out: the retry budget (no attempt was made) and slot shares (a fixed share holds from the start). Change: every call that changes the permission refreshes the targets before it returns.

--- a/radishmoor/entry/entry_core.cc
+++ b/radishmoor/entry/entry_core.cc
@@ -134,6 +134,11 @@
 }
 
 EntryActions EntryCore::Exit() {
+  // ready() follows the permission at once, so the targets must as well.
+  if (view_.MaySend(now_) != may_send_) {
+    may_send_ = !may_send_;
+    RefreshTargets();
+  }
   RunDispatch();
   return std::exchange(actions_, {});
 }
--- a/radishmoor/entry/entry_core.h
+++ b/radishmoor/entry/entry_core.h
@@ -218,6 +218,7 @@
   EntryActions actions_;
   std::deque<dispatch::Message> pending_;
   bool draining_ = false;
+  bool may_send_ = false;  // The permission that the targets reflect.
 
   std::unordered_map<RequestId, LiveRequest> live_;
   std::unordered_map<RequestId, LiveRequest> held_;  // Wait for their claim.
--- a/radishmoor/entry/testing/entry_core_test.cc
+++ b/radishmoor/entry/testing/entry_core_test.cc
@@ -148,5 +148,17 @@
   CHECK(bed.written[0] == RequestId{2});
 }
 
+// Guards against requests that are refused between the moment in which the
+// process says that it is ready and the next refresh of its targets.
+TEST_CASE("a process that is ready has usable hosts at once") {
+  Bed bed;
+  for (int i = 0; i < 1000 && !bed.core.ready(); ++i)
+    bed.RunFor(Milliseconds(10));
+  REQUIRE(bed.core.ready());
+  bed.Ask(1, "");
+  CHECK(bed.refused.empty());
+  CHECK(bed.written.size() == 1);
+}
+
 }  // namespace
 }  // namespace radishmoor
