Judge keyed calls after an outage from the end of the back-off on

Cause: the check took calls from 0.5 s after the platform's return, but a process may wait up to 1 s (the back-off limit of claims) before its next call to the store and refuses keyed work as not run until then. Ruled out: a fault of the claims; the refusals carry store-unavailable, are true, and end within the back-off. Change: calls from 1.1 s after the return are judged, one second later, and 95% in place of 80% must complete. Conclusion: the bound follows from the stated limit, and the share is stricter.

--- a/radishmoor/standins/testing/process_test.cc
+++ b/radishmoor/standins/testing/process_test.cc
@@ -66,7 +66,7 @@
 // platform doubles work.
 TEST_CASE("Idempotent work goes on while the platform fails") {
   Site site;
-  LoadOptions options = ShortLoad(300, Milliseconds(5500));
+  LoadOptions options = ShortLoad(300, Milliseconds(6500));
   options.keyed_share = 0.5;
   // A long call that waited for its claim may meet its deadline while it runs.
   options.long_share = 0;
@@ -105,10 +105,13 @@
   });
   CHECK(!in_outage.empty());
   CHECK(CompletedShare(in_outage) < 0.2);
+  // Claims::kMaxBackoff may delay the first call after the outage by 1 s; until
+  // then keyed work is refused as not run.
   Calls after = Where(calls, [&](const CallRecord& call) {
-    return Keyed(call) && call.start_us > up_at + 500'000;
+    return Keyed(call) && call.start_us > up_at + 1'100'000;
   });
-  CHECK(CompletedShare(after) > 0.8);
+  CHECK(!after.empty());
+  CHECK(CompletedShare(after) > 0.95);
 }
 
 // Guards against: a planned stop of an entry process cuts requests in flight.
