Convert addresses of settings in one place

Cause: both services and radishmoorctl each turned a settings address into a network endpoint on their own. Ruled out: one address type for both layers, since settings may not depend on the network layer. Change: service/endpoints.h serves all three; a redundant qualifier is gone. Conclusion: behaviour is as before.

--- a/radishmoor/daemons/ctl_main.cc
+++ b/radishmoor/daemons/ctl_main.cc
@@ -12,6 +12,7 @@
 #include "radishmoor/net/event_loop.h"
 #include "radishmoor/net/http_client.h"
 #include "radishmoor/net/store_client.h"
+#include "radishmoor/service/endpoints.h"
 
 namespace radishmoor {
 namespace {
@@ -20,9 +21,7 @@
 struct Connection {
   explicit Connection(const CtlSettings& settings)
       : timeout(settings.timeout),
-        store(loop,
-              {settings.platform_address.ip, settings.platform_address.port},
-              settings.timeout),
+        store(loop, EndpointOf(settings.platform_address), settings.timeout),
         fetcher(loop) {}
 
   StoreReply Execute(const StoreRequest& request) {
--- a/radishmoor/service/control_service.cc
+++ b/radishmoor/service/control_service.cc
@@ -15,6 +15,7 @@
 #include "radishmoor/ops/metrics.h"
 #include "radishmoor/ops/program_settings.h"
 #include "radishmoor/service/admin_server.h"
+#include "radishmoor/service/endpoints.h"
 #include "radishmoor/service/timeline_keeper.h"
 
 namespace radishmoor {
@@ -31,11 +32,7 @@
 constexpr Duration kRebootLimit = Seconds(600);
 constexpr Duration kLeaveTime = Milliseconds(500);
 
-Endpoint EndpointOf(const SocketAddress& address) {
-  return {address.ip, address.port};
-}
-
-radishmoor::LendingPolicy PolicyOf(LendingMode mode) {
+LendingPolicy PolicyOf(LendingMode mode) {
   switch (mode) {
     case LendingMode::kStatic:
       return StaticSpare{};
--- a/radishmoor/service/entry_service.cc
+++ b/radishmoor/service/entry_service.cc
@@ -17,6 +17,7 @@
 #include "radishmoor/ops/metrics.h"
 #include "radishmoor/ops/program_settings.h"
 #include "radishmoor/service/admin_server.h"
+#include "radishmoor/service/endpoints.h"
 #include "radishmoor/service/http_rules.h"
 #include "radishmoor/service/timeline_keeper.h"
 
@@ -30,10 +31,6 @@
 constexpr Duration kDrainCheckPeriod = Milliseconds(20);
 constexpr Duration kSeedPeriod = Seconds(5);
 
-Endpoint EndpointOf(const SocketAddress& address) {
-  return {address.ip, address.port};
-}
-
 HttpServerLimits LimitsOf(const EntrySettings& settings) {
   HttpServerLimits limits;
   limits.max_header_bytes = static_cast<uint32_t>(settings.max_header_bytes);
