--- /dev/null
+++ b/idl/jobs.thrift
@@ -0,0 +1,144 @@
+// Stored rows of the job scheduler and messages between its processes. The
+// generated code is committed under radishmoor/jobs/gen; run
+// tools/generate_thrift after a change. Fields are only ever added.
+
+namespace cpp radishmoor.jobs_wire
+
+struct Step {
+  1: i32 count
+  2: i32 cpu_millis
+  3: i32 memory_mb
+  4: i32 gpus
+  5: i64 estimate_ms
+  6: list<i32> after
+  7: i32 flags
+  8: string requirement
+  9: string data_rack
+  10: i32 max_per_server
+  11: string image
+  12: i64 tail_limit_ms
+  13: i32 allowed_missing
+}
+
+struct Job {
+  1: string queue
+  2: string spec
+  3: list<Step> steps
+  4: i32 repeat_count
+  5: i64 start_at_ms
+  6: i64 interval_ms
+  7: i64 submitted_wall_ms
+}
+
+struct Run {
+  1: i32 number
+  2: string server
+}
+
+struct Task {
+  1: i32 position
+  2: i32 state
+  3: i32 failures
+  4: i32 last_run
+  5: string checkpoint
+  6: list<Run> runs
+}
+
+struct Occurrence {
+  1: i32 number
+  2: list<Task> tasks
+}
+
+struct Progress {
+  1: i32 state
+  2: bool begun
+  3: i32 finished_below
+  4: list<Occurrence> occurrences
+}
+
+struct Lease {
+  1: string holder
+  2: string address
+  3: i64 token
+  4: i64 sequence
+  5: bool released
+  6: string successor
+}
+
+struct Node {
+  1: string name
+  2: string address
+  3: string zone
+  4: i64 incarnation
+  5: bool leaving
+}
+
+// The intent of a call to the platform's host API, written before the call.
+struct Duty {
+  1: string host
+  2: i32 kind
+  3: string pool
+  4: i64 wave
+  5: string server
+}
+
+struct QueueLoad {
+  1: string queue
+  2: i32 pending
+  3: i64 wait_ms
+}
+
+struct OwnerBeat {
+  1: string pool
+  2: i64 token
+  3: i64 lease_version
+  4: i64 renewed_age_ms
+  5: list<QueueLoad> queues
+  6: bool released
+  7: string successor
+  8: double demand_cores
+  9: double capacity_cores
+}
+
+struct JobNotice {
+  1: string pool
+  2: string job
+  3: Job definition
+  4: i64 age_ms
+}
+
+struct JobQuery {
+  1: i64 request
+  2: string pool
+  3: string job
+  4: bool cancel
+}
+
+struct JobAnswer {
+  1: i64 request
+  2: i32 state
+}
+
+struct VacateRequest {
+  1: string pool
+  2: string server
+  3: bool withdraw
+}
+
+struct VacateAnswer {
+  1: string pool
+  2: string server
+  3: i32 state
+  4: i64 token
+}
+
+struct Envelope {
+  1: string sender
+  2: string address
+  3: optional OwnerBeat owner_beat
+  4: optional JobNotice job_notice
+  5: optional JobQuery job_query
+  6: optional JobAnswer job_answer
+  7: optional VacateRequest vacate_request
+  8: optional VacateAnswer vacate_answer
+}
--- /dev/null
+++ b/radishmoor/jobs/commit_chain.cc
@@ -0,0 +1,227 @@
+#include "radishmoor/jobs/commit_chain.h"
+
+#include <algorithm>
+
+#include "radishmoor/base/invariant.h"
+
+namespace radishmoor {
+namespace {
+
+// Commits are at least this far apart, so that changes gather; each call to
+// the store is paid for and a partition carries 200 a second.
+constexpr Duration kMinGap = Milliseconds(15);
+// Without changes the lease is renewed this often.
+constexpr Duration kRenewPeriod = Milliseconds(500);
+// The store takes 100 entries and 1 MB in one transaction.
+constexpr size_t kMaxEntries = 90;
+constexpr size_t kMaxBytes = 600 * 1024;
+// A commit without an answer after a multiple of the usual latency is lost.
+constexpr int64_t kTimeoutFactor = 5;
+constexpr Duration kMinTimeout = Milliseconds(150);
+constexpr Duration kMaxTimeout = Milliseconds(2500);
+constexpr Duration kUnavailableDelay = Milliseconds(100);
+
+}  // namespace
+
+void CommitChain::Release(const MemberId& successor) {
+  releasing_ = true;
+  successor_ = successor;
+}
+
+void CommitChain::Tick(Time now, Outbox& outbox) {
+  next_wake_ = kTimeMax;
+  if (commit_.tag != 0 || lost_ || released_)
+    return;
+  bool changed = !state_.jobs.dirty().empty() || !rows_.empty() || releasing_;
+  Time due = changed ? last_sent_ + kMinGap : renewed_ + kRenewPeriod;
+  due = std::max(due, not_before_);
+  if (now < due) {
+    next_wake_ = due;
+    return;
+  }
+  Send(now, outbox);
+}
+
+void CommitChain::Send(Time now, Outbox& outbox) {
+  commit_ = InFlight{};
+  commit_.sent = now;
+  commit_.sequence = options_.sequence + 1;
+  Transaction transaction;
+  AddLease(commit_, transaction);
+  AddJobs(commit_, transaction);
+  AddRows(commit_, transaction);
+  last_sent_ = now;
+  ++state_.counters.commits;
+  Duration timeout =
+      std::clamp(latency_ * kTimeoutFactor, kMinTimeout, kMaxTimeout);
+  commit_.tag = outbox.Store(CommitRows{std::move(transaction)}, timeout);
+}
+
+void CommitChain::AddLease(InFlight& commit, Transaction& transaction) {
+  LeaseRow lease;
+  lease.holder = options_.node;
+  lease.address = options_.address;
+  lease.token = state_.token;
+  lease.sequence = commit.sequence;
+  // The lease goes only when nothing else is left to store.
+  commit.released = releasing_ && state_.jobs.dirty().size() < kMaxEntries / 2;
+  lease.released = commit.released;
+  lease.successor = successor_;
+  std::string key = LeaseKey(state_.pool);
+  transaction.expects.push_back({key, options_.lease_version});
+  transaction.writes.push_back({std::move(key), EncodeLease(lease)});
+}
+
+void CommitChain::AddJobs(InFlight& commit, Transaction& transaction) {
+  size_t bytes = 0;
+  std::vector<JobId> dirty(state_.jobs.dirty().begin(),
+                           state_.jobs.dirty().end());
+  bool all = true;
+  for (const JobId& id : dirty) {
+    if (transaction.writes.size() + 2 > kMaxEntries || bytes > kMaxBytes) {
+      all = false;
+      break;
+    }
+    Job& job = *state_.jobs.Find(id);
+    std::string value = EncodeProgress(state_.jobs.ProgressOf(job));
+    bytes += value.size();
+    transaction.writes.push_back(
+        {ProgressKey(state_.pool, id), std::move(value)});
+    InFlight::JobPart part{id, job.state, false};
+    if (IsFinal(job.state) && !job.HasRuns() && !job.definition_dropped) {
+      transaction.writes.push_back(
+          {JobKey(state_.pool, id), std::string(kEndedJobMark)});
+      part.definition_dropped = true;
+    }
+    commit.jobs.push_back(std::move(part));
+    state_.jobs.ClearDirty(id);
+  }
+  std::vector<RunRef> later;
+  for (const RunRef& ref : state_.planned) {
+    bool included = std::any_of(
+        commit.jobs.begin(), commit.jobs.end(),
+        [&ref](const InFlight::JobPart& p) { return p.job == ref.task.job; });
+    Task* task = state_.jobs.FindTask(ref.task);
+    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    if (run == nullptr || run->phase != RunPhase::kPlanned)
+      continue;
+    if (!included) {
+      later.push_back(ref);
+      continue;
+    }
+    run->commit = commit.sequence;
+    commit.starts.push_back(ref);
+  }
+  state_.planned = std::move(later);
+  if (!all)
+    return;
+  for (const auto& [id, server] : state_.servers.all()) {
+    if (server.ended_seen > server.ended_stored)
+      commit.ends.push_back({id, server.ended_seen, server.born});
+  }
+}
+
+void CommitChain::Write(RowWrite write) {
+  std::string key = write.key;
+  rows_[key] = {std::move(write), ++changes_};
+}
+
+void CommitChain::AddRows(InFlight& commit, Transaction& transaction) {
+  for (const auto& [key, pending] : rows_) {
+    if (transaction.writes.size() >= kMaxEntries)
+      break;
+    transaction.writes.push_back(pending.write);
+    commit.rows.emplace_back(key, pending.change);
+  }
+}
+
+bool CommitChain::OnAnswer(Time now,
+                           const StoreAnswer& answer,
+                           Stored* stored) {
+  if (commit_.tag == 0 || answer.tag != commit_.tag)
+    return false;
+  if (const auto* done = std::get_if<CommittedReply>(&answer.reply)) {
+    OnStored(now, done->versions.empty() ? 0 : done->versions.front(), stored);
+    return true;
+  }
+  Revert(now);
+  if (const auto* conflict = std::get_if<ConflictReply>(&answer.reply)) {
+    OnConflict(now, conflict->rows);
+  } else if (std::holds_alternative<UnknownReply>(answer.reply)) {
+    ++state_.counters.commits_unknown;
+    ++unknown_in_a_row_;
+    latency_ = std::min(latency_ * 2, kMaxTimeout / kTimeoutFactor);
+  } else {
+    not_before_ = now + kUnavailableDelay;
+  }
+  return true;
+}
+
+void CommitChain::OnStored(Time now, RowVersion version, Stored* stored) {
+  unknown_in_a_row_ = 0;
+  latency_ += (now - commit_.sent - latency_) / 4;
+  options_.lease_version = version;
+  options_.sequence = commit_.sequence;
+  renewed_ = commit_.sent;
+  for (const InFlight::JobPart& part : commit_.jobs) {
+    Job* job = state_.jobs.Find(part.job);
+    if (job == nullptr)
+      continue;
+    job->shown = part.state;
+    job->definition_dropped =
+        job->definition_dropped || part.definition_dropped;
+  }
+  for (const InFlight::EndsPart& part : commit_.ends) {
+    ServerState* server = state_.servers.Find(part.server);
+    if (server != nullptr && server->born == part.born)
+      server->ended_stored = std::max(server->ended_stored, part.sequence);
+  }
+  for (const auto& [key, change] : commit_.rows) {
+    auto it = rows_.find(key);
+    if (it == rows_.end() || it->second.change != change)
+      continue;
+    rows_.erase(it);
+    stored->rows.push_back(key);
+  }
+  stored->starts = std::move(commit_.starts);
+  stored->released = commit_.released;
+  released_ = commit_.released;
+  commit_ = InFlight{};
+}
+
+void CommitChain::Revert(Time now) {
+  (void)now;
+  for (const InFlight::JobPart& part : commit_.jobs) {
+    Job* job = state_.jobs.Find(part.job);
+    if (job != nullptr)
+      state_.jobs.Touch(*job);
+  }
+  for (const RunRef& ref : commit_.starts)
+    state_.planned.push_back(ref);
+  commit_.tag = 0;
+}
+
+void CommitChain::OnConflict(Time now, const std::vector<Row>& rows) {
+  std::string key = LeaseKey(state_.pool);
+  for (const Row& row : rows) {
+    if (row.key != key)
+      continue;
+    std::optional<LeaseRow> lease = DecodeLease(row.value);
+    bool own = lease && lease->holder == options_.node &&
+               lease->token == state_.token && !lease->released;
+    // An own commit whose answer was lost was carried out after all.
+    if (own && lease->sequence >= options_.sequence) {
+      options_.lease_version = row.version;
+      options_.sequence = lease->sequence;
+      renewed_ = std::max(renewed_, commit_.sent - kMaxTimeout);
+      unknown_in_a_row_ = 0;
+      return;
+    }
+    lost_ = true;
+    return;
+  }
+  // The row is not named: the conflict is not about the lease.
+  not_before_ = now + kUnavailableDelay;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -0,0 +1,459 @@
+#include "radishmoor/jobs/fleet_keeper.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace radishmoor {
+namespace {
+
+constexpr Duration kListPeriod = Milliseconds(600);
+constexpr Duration kTickPeriod = Milliseconds(100);
+constexpr Duration kVacateRepeat = Milliseconds(250);
+// A host that cannot be emptied in this time makes room for others.
+constexpr Duration kEmptyingLimit = Seconds(9);
+constexpr Duration kSetAside = Seconds(3);
+constexpr Duration kCallRepeat = Milliseconds(400);
+constexpr Duration kBusyRepeat = Milliseconds(500);
+constexpr Duration kReportRepeat = Milliseconds(500);
+// A host that is not in the list for this long has left the fleet.
+constexpr Duration kGoneAfter = Seconds(4);
+// Hosts that are emptied ahead of their turn, beyond those that may be down.
+constexpr uint32_t kEmptiedAhead = 1;
+
+int64_t ToMillis(Duration d) {
+  return d.count() / 1000;
+}
+
+}  // namespace
+
+FleetKeeper::FleetKeeper(const FleetKeeperOptions& options, Outbox& outbox)
+    : options_(options),
+      state_(PoolId(kFleetPool), options.bounds),
+      chain_(state_,
+             {options.node, options.address, options.lease_version, 0}) {
+  state_.token = options.token;
+  chain_.set_renewed(options.lease_taken);
+  SendLoad(outbox);
+}
+
+void FleetKeeper::SendLoad(Outbox& outbox) {
+  ScanRows scan;
+  scan.prefix = "duties/" + std::string(kFleetPool) + "/";
+  scan.limit = 500;
+  load_tag_ = outbox.Store(std::move(scan));
+}
+
+void FleetKeeper::OnLoadRow(Time now, const Row& row) {
+  std::optional<DutyRow> stored = DecodeDuty(row.value);
+  if (!stored) {
+    ++state_.counters.unreadable_rows;
+    return;
+  }
+  if (stored->kind == DutyKind::kMaintained) {
+    stored_done_[stored->host].insert(stored->wave);
+    return;
+  }
+  Duty duty;
+  duty.stage = Stage::kCalling;
+  duty.wave = stored->wave;
+  duty.server = stored->server;
+  duty.since = now;
+  duty.started = now;
+  duty.next_try = now;
+  duties_[stored->host] = duty;
+}
+
+void FleetKeeper::OnWaves(Time now,
+                          std::span<const MaintenanceWave> waves,
+                          Outbox& outbox) {
+  for (const MaintenanceWave& plan : waves) {
+    auto [it, inserted] = waves_.try_emplace(plan.number);
+    Wave& wave = it->second;
+    wave.plan = plan;
+    if (!inserted)
+      continue;
+    wave.seen = now;
+    outbox.Log("wave-seen",
+               {{"wave", static_cast<int64_t>(plan.number)},
+                {"hosts", static_cast<int64_t>(plan.hosts.size())},
+                {"at_once", static_cast<int64_t>(plan.max_at_once)},
+                {"length_ms", ToMillis(plan.length)}});
+  }
+}
+
+bool FleetKeeper::IsStandby(const PoolId& pool) const {
+  const PoolConfig* config = config_.FindPool(pool);
+  return config != nullptr && config->standby;
+}
+
+bool FleetKeeper::HasOpenWave() const {
+  return std::any_of(waves_.begin(), waves_.end(),
+                     [](const auto& entry) { return !entry.second.completed; });
+}
+
+uint32_t FleetKeeper::DownCount(uint64_t wave) const {
+  uint32_t down = 0;
+  for (const auto& [host, duty] : duties_) {
+    if (duty.wave == wave && duty.stage != Stage::kEmptying)
+      ++down;
+  }
+  // A call of an earlier keeper may have put others down.
+  for (const auto& [host, listing] : hosts_) {
+    if (listing.state == HostState::kMaintenance && !duties_.contains(host))
+      ++down;
+  }
+  return down;
+}
+
+bool FleetKeeper::OnStoreAnswer(Time now,
+                                const StoreAnswer& answer,
+                                Outbox& outbox) {
+  CommitChain::Stored stored;
+  if (chain_.OnAnswer(now, answer, &stored)) {
+    for (const std::string& key : stored.rows) {
+      auto it = duties_.find(HostId(KeyName(key)));
+      if (it == duties_.end() || it->second.stage != Stage::kStoring)
+        continue;
+      it->second.stage = Stage::kCalling;
+      it->second.since = now;
+      it->second.next_try = now;
+    }
+    return true;
+  }
+  if (load_tag_ != 0 && answer.tag == load_tag_) {
+    load_tag_ = 0;
+    const auto* rows = std::get_if<RowsReply>(&answer.reply);
+    if (rows == nullptr) {
+      load_retry_ = now + kVacateRepeat;
+      return true;
+    }
+    for (const Row& row : rows->rows)
+      OnLoadRow(now, row);
+    loaded_ = true;
+    return true;
+  }
+  for (auto& [number, wave] : waves_) {
+    if (wave.report_tag == 0 || answer.tag != wave.report_tag)
+      continue;
+    wave.report_tag = 0;
+    if (!std::holds_alternative<CommittedReply>(answer.reply)) {
+      wave.next_report = now + kReportRepeat;
+      return true;
+    }
+    if (wave.completed)
+      wave.reported_end = true;
+    wave.reported_start = true;
+    return true;
+  }
+  (void)outbox;
+  return false;
+}
+
+bool FleetKeeper::OnHostReply(Time now, const HostReply& reply, Outbox& out) {
+  if (list_tag_ != 0 && reply.tag == list_tag_) {
+    list_tag_ = 0;
+    if (reply.outcome == HostOutcome::kDone)
+      OnHosts(now, reply.hosts, out);
+    return true;
+  }
+  for (auto& [host, duty] : duties_) {
+    if (duty.call_tag == 0 || duty.call_tag != reply.tag)
+      continue;
+    duty.call_tag = 0;
+    HostId id = host;
+    OnCallReply(now, id, duty, reply.outcome, out);
+    return true;
+  }
+  return false;
+}
+
+void FleetKeeper::OnHosts(Time now,
+                          const std::vector<HostListing>& hosts,
+                          Outbox& outbox) {
+  hosts_.clear();
+  for (const HostListing& host : hosts)
+    hosts_[host.host] = host;
+  hosts_read_ = now;
+  std::vector<HostId> back;
+  for (auto& [id, duty] : duties_) {
+    auto it = hosts_.find(id);
+    if (duty.stage != Stage::kReturning || it == hosts_.end())
+      continue;
+    bool returned =
+        it->second.state == HostState::kUp && it->second.server != duty.server;
+    bool long_ago = now - duty.since > kGoneAfter;
+    if (returned || (long_ago && it->second.state != HostState::kMaintenance))
+      back.push_back(id);
+  }
+  for (const HostId& id : back) {
+    outbox.Log("host-back", {{"host", id.str()}});
+    duties_.erase(id);
+  }
+}
+
+void FleetKeeper::OnCallReply(Time now,
+                              const HostId& host,
+                              Duty& duty,
+                              HostOutcome outcome,
+                              Outbox& outbox) {
+  outbox.Log("host-call", {{"host", host.str()},
+                           {"wave", static_cast<int64_t>(duty.wave)},
+                           {"outcome", static_cast<int64_t>(outcome)},
+                           {"emptied_ms", ToMillis(now - duty.started)}});
+  switch (outcome) {
+    case HostOutcome::kDone:
+      MarkMaintained(now, host, duty, outbox);
+      return;
+    case HostOutcome::kFenced:
+      fenced_ = true;
+      return;
+    case HostOutcome::kBusy:
+      duty.next_try = now + kBusyRepeat;
+      return;
+    case HostOutcome::kWrongWave:
+    case HostOutcome::kRefused: {
+      auto wave = waves_.find(duty.wave);
+      if (wave != waves_.end())
+        wave->second.done.insert(host);
+      chain_.Write({DutyKey(state_.pool, host), "", true});
+      duties_.erase(host);
+      return;
+    }
+    case HostOutcome::kThrottled:
+    case HostOutcome::kUnanswered:
+      duty.next_try = now + kCallRepeat;
+      return;
+  }
+}
+
+void FleetKeeper::MarkMaintained(Time now,
+                                 const HostId& host,
+                                 Duty& duty,
+                                 Outbox& outbox) {
+  duty.stage = Stage::kReturning;
+  duty.since = now;
+  DutyRow row{host, DutyKind::kMaintained, duty.pool, duty.wave, duty.server};
+  chain_.Write({DutyKey(state_.pool, host), EncodeDuty(row)});
+  auto it = waves_.find(duty.wave);
+  if (it == waves_.end())
+    return;
+  it->second.done.insert(host);
+  CheckCompleted(now, it->second, outbox);
+}
+
+void FleetKeeper::CheckCompleted(Time now, Wave& wave, Outbox& outbox) {
+  if (wave.completed)
+    return;
+  for (const HostId& host : wave.plan.hosts) {
+    if (wave.done.contains(host))
+      continue;
+    auto missing = wave.missing.find(host);
+    if (missing == wave.missing.end() || now - missing->second < kGoneAfter)
+      return;
+  }
+  wave.completed = true;
+  wave.next_report = now;
+  outbox.Log("wave-completed",
+             {{"wave", static_cast<int64_t>(wave.plan.number)},
+              {"took_ms", ToMillis(now - wave.seen)}});
+}
+
+void FleetKeeper::OnVacateAnswer(Time now,
+                                 const VacateAnswer& answer,
+                                 Outbox& outbox) {
+  for (auto& [host, duty] : duties_) {
+    if (duty.stage != Stage::kEmptying || duty.server != answer.server)
+      continue;
+    bool empty = answer.state == VacateState::kEmpty;
+    uint32_t limit = 1;
+    auto wave = waves_.find(duty.wave);
+    if (wave != waves_.end())
+      limit = std::max(1u, wave->second.plan.max_at_once);
+    if (empty && DownCount(duty.wave) < limit)
+      StoreDuty(now, host, duty);
+    return;
+  }
+  (void)outbox;
+}
+
+void FleetKeeper::StoreDuty(Time now, const HostId& host, Duty& duty) {
+  duty.stage = Stage::kStoring;
+  duty.since = now;
+  DutyRow row{host, DutyKind::kMaintain, duty.pool, duty.wave, duty.server};
+  chain_.Write({DutyKey(state_.pool, host), EncodeDuty(row)});
+}
+
+void FleetKeeper::ListHostsIfDue(Time now, Outbox& outbox) {
+  bool needed = HasOpenWave() || !duties_.empty();
+  if (!needed || list_tag_ != 0)
+    return;
+  if (now < next_list_) {
+    Wake(next_list_);
+    return;
+  }
+  next_list_ = now + kListPeriod;
+  list_tag_ = outbox.Host(state_.token, ListHosts{});
+}
+
+void FleetKeeper::ReportWaves(Time now, Outbox& outbox) {
+  for (auto& [number, wave] : waves_) {
+    bool due = wave.completed ? !wave.reported_end : !wave.reported_start;
+    if (!due || wave.report_tag != 0)
+      continue;
+    if (now < wave.next_report) {
+      Wake(wave.next_report);
+      continue;
+    }
+    wave.report_tag = outbox.Report(number, wave.completed);
+  }
+}
+
+void FleetKeeper::StartDuties(Time now,
+                              const std::map<PoolId, PoolContact>& contacts,
+                              Outbox& outbox) {
+  for (auto& [number, wave] : waves_) {
+    if (wave.completed)
+      continue;
+    uint32_t open = 0;
+    for (const auto& [host, duty] : duties_) {
+      if (duty.wave == number)
+        ++open;
+    }
+    using Choice = std::tuple<double, HostId>;
+    std::vector<Choice> choices;
+    for (const HostId& host : wave.plan.hosts) {
+      auto stored = stored_done_.find(host);
+      if (stored != stored_done_.end() && stored->second.contains(number))
+        wave.done.insert(host);
+      auto listing = hosts_.find(host);
+      if (listing == hosts_.end()) {
+        wave.missing.try_emplace(host, now);
+        continue;
+      }
+      wave.missing.erase(host);
+      auto aside = wave.set_aside.find(host);
+      if (wave.done.contains(host) || duties_.contains(host) ||
+          listing->second.state != HostState::kUp ||
+          (aside != wave.set_aside.end() && now < aside->second))
+        continue;
+      auto contact = contacts.find(listing->second.pool);
+      bool standby = IsStandby(listing->second.pool);
+      if (!standby && contact == contacts.end())
+        continue;
+      choices.emplace_back(standby ? -1.0 : contact->second.demand_share, host);
+    }
+    CheckCompleted(now, wave, outbox);
+    std::sort(choices.begin(), choices.end());
+    uint32_t limit = std::max(1u, wave.plan.max_at_once) + kEmptiedAhead;
+    for (const auto& [share, host] : choices) {
+      if (open >= limit)
+        break;
+      const HostListing& listing = hosts_.at(host);
+      Duty duty;
+      duty.wave = number;
+      duty.pool = listing.pool;
+      duty.server = listing.server;
+      duty.since = duty.started = duty.next_try = now;
+      duties_[host] = duty;
+      ++open;
+      outbox.Log("host-chosen",
+                 {{"host", host.str()},
+                  {"wave", static_cast<int64_t>(number)},
+                  {"pool", listing.pool.str()},
+                  {"demand_percent", static_cast<int64_t>(share * 100)}});
+    }
+  }
+}
+
+void FleetKeeper::AdvanceDuty(Time now,
+                              const HostId& host,
+                              Duty& duty,
+                              const std::map<PoolId, PoolContact>& contacts,
+                              Outbox& outbox) {
+  if (now < duty.next_try) {
+    Wake(duty.next_try);
+    return;
+  }
+  if (duty.stage == Stage::kCalling && duty.call_tag == 0) {
+    duty.next_try = now + kCallRepeat;
+    duty.call_tag = outbox.Host(state_.token, MaintainHost{host, duty.wave});
+    return;
+  }
+  if (duty.stage != Stage::kEmptying)
+    return;
+  duty.next_try = now + kVacateRepeat;
+  if (IsStandby(duty.pool)) {
+    auto wave = waves_.find(duty.wave);
+    if (wave != waves_.end() &&
+        DownCount(duty.wave) < std::max(1u, wave->second.plan.max_at_once))
+      StoreDuty(now, host, duty);
+    return;
+  }
+  auto contact = contacts.find(duty.pool);
+  if (contact == contacts.end())
+    return;
+  outbox.Send(contact->second.node, contact->second.address,
+              VacateRequest{duty.pool, duty.server, false});
+}
+
+void FleetKeeper::Tick(Time now,
+                       const std::map<PoolId, PoolContact>& contacts,
+                       Outbox& outbox) {
+  next_wake_ = now + kTickPeriod;
+  chain_.Tick(now, outbox);
+  Wake(chain_.next_wake());
+  if (!loaded_ && load_tag_ == 0 && now >= load_retry_) {
+    load_retry_ = kTimeMax;
+    SendLoad(outbox);
+  }
+  if (!loaded_ || lost() || released())
+    return;
+  ListHostsIfDue(now, outbox);
+  ReportWaves(now, outbox);
+  // Two holders of the duties must be this far apart.
+  bool may_act = options_.first_owner ||
+                 now - options_.lease_taken > options_.bounds.duty_lease;
+  bool lease_fresh = now - chain_.renewed() < options_.bounds.duty_lease / 2;
+  if (!may_act || !lease_fresh || hosts_.empty())
+    return;
+  StartDuties(now, contacts, outbox);
+  std::vector<HostId> ids;
+  for (const auto& [host, duty] : duties_)
+    ids.push_back(host);
+  for (const HostId& host : ids) {
+    Duty& duty = duties_.at(host);
+    bool stuck =
+        duty.stage == Stage::kEmptying && now - duty.started > kEmptyingLimit;
+    auto listing = hosts_.find(host);
+    bool changed =
+        duty.stage == Stage::kEmptying &&
+        (listing == hosts_.end() || listing->second.state != HostState::kUp ||
+         listing->second.server != duty.server);
+    if (stuck || changed) {
+      auto contact = contacts.find(duty.pool);
+      if (contact != contacts.end())
+        outbox.Send(contact->second.node, contact->second.address,
+                    VacateRequest{duty.pool, duty.server, true});
+      auto wave = waves_.find(duty.wave);
+      if (wave != waves_.end())
+        wave->second.set_aside[host] = now + kSetAside;
+      duties_.erase(host);
+      continue;
+    }
+    AdvanceDuty(now, host, duty, contacts, outbox);
+  }
+  chain_.Tick(now, outbox);
+}
+
+OwnerBeat FleetKeeper::Beat(Time now) const {
+  OwnerBeat beat;
+  beat.pool = state_.pool;
+  beat.token = state_.token;
+  beat.lease_version = chain_.lease_version();
+  beat.renewed_age = now - chain_.renewed();
+  beat.released = chain_.released();
+  return beat;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -0,0 +1,148 @@
+// Maintenance waves over hosts: empties each host of a wave through the owner
+// of its pool, then has the platform maintain it, a limited number at once.
+//
+// One process keeps the fleet, by a lease of its own (kFleetPool). Each call to
+// the host API is stored before it is sent; a successor repeats calls that may
+// be under way with its own, higher token, and the API answers a call that was
+// carried out already without carrying it out again.
+//
+// Load that it answers: waves over half of the hosts that must be over within
+// some 25 s, while queues peak in turn. Hosts of pools with little demand go
+// first, standby hosts before all.
+
+#ifndef RADISHMOOR_JOBS_FLEET_KEEPER_H_
+#define RADISHMOOR_JOBS_FLEET_KEEPER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "radishmoor/jobs/commit_chain.h"
+#include "radishmoor/jobs/pool_leases.h"
+#include "radishmoor/jobs/pool_state.h"
+
+namespace radishmoor {
+
+// Names the fleet's lease and the partition of its rows. No pool has this name.
+inline constexpr std::string_view kFleetPool = "@fleet";
+
+struct FleetKeeperOptions {
+  MemberId node;
+  std::string address;
+  JobBounds bounds;
+  FencingToken token = 0;
+  RowVersion lease_version = 0;
+  Time lease_taken;
+  bool first_owner = false;
+};
+
+// Whom to ask about a pool.
+struct PoolContact {
+  MemberId node;
+  std::string address;
+  double demand_share = 0;  // Of the pool's cores, as last announced.
+};
+
+class FleetKeeper {
+ public:
+  FleetKeeper(const FleetKeeperOptions& options, Outbox& outbox);
+
+  void OnConfig(const JobConfig& config) { config_ = config; }
+  void OnWaves(Time now, std::span<const MaintenanceWave> waves, Outbox& out);
+  void OnVacateAnswer(Time now, const VacateAnswer& answer, Outbox& outbox);
+  bool OnStoreAnswer(Time now, const StoreAnswer& answer, Outbox& outbox);
+  bool OnHostReply(Time now, const HostReply& reply, Outbox& outbox);
+  // `contacts`: the owners of pools, as far as they are known.
+  void Tick(Time now,
+            const std::map<PoolId, PoolContact>& contacts,
+            Outbox& outbox);
+  Time next_wake() const { return next_wake_; }
+
+  void Release(const MemberId& successor) { chain_.Release(successor); }
+  bool released() const { return chain_.released(); }
+  bool lost() const { return chain_.lost() || fenced_; }
+  OwnerBeat Beat(Time now) const;
+
+ private:
+  enum class Stage : uint8_t {
+    kEmptying,   // The pool's owner is asked to empty the server.
+    kStoring,    // The call is being stored.
+    kCalling,    // The call is under way, or repeated.
+    kReturning,  // The call was carried out; the host is not back yet.
+  };
+  struct Duty {
+    Stage stage = Stage::kEmptying;
+    uint64_t wave = 0;
+    PoolId pool;
+    ServerId server;  // That ends by the call.
+    Time since;       // Of the stage.
+    Time started;
+    Time next_try;
+    uint64_t call_tag = 0;
+  };
+  struct Wave {
+    MaintenanceWave plan;
+    Time seen;
+    std::set<HostId> done;
+    std::map<HostId, Time> set_aside;  // Could not be emptied; until then.
+    std::map<HostId, Time> missing;    // Not in the list of hosts, since then.
+    bool completed = false;
+    uint64_t report_tag = 0;
+    bool reported_start = false;
+    bool reported_end = false;
+    Time next_report;
+  };
+
+  void SendLoad(Outbox& outbox);
+  void OnLoadRow(Time now, const Row& row);
+  void OnHosts(Time now, const std::vector<HostListing>& hosts, Outbox& out);
+  void ListHostsIfDue(Time now, Outbox& outbox);
+  void ReportWaves(Time now, Outbox& outbox);
+  void StartDuties(Time now,
+                   const std::map<PoolId, PoolContact>& contacts,
+                   Outbox& outbox);
+  void AdvanceDuty(Time now,
+                   const HostId& host,
+                   Duty& duty,
+                   const std::map<PoolId, PoolContact>& contacts,
+                   Outbox& outbox);
+  void OnCallReply(Time now,
+                   const HostId& host,
+                   Duty& duty,
+                   HostOutcome outcome,
+                   Outbox& outbox);
+  void StoreDuty(Time now, const HostId& host, Duty& duty);
+  void MarkMaintained(Time now, const HostId& host, Duty& duty, Outbox& out);
+  void CheckCompleted(Time now, Wave& wave, Outbox& outbox);
+  bool IsStandby(const PoolId& pool) const;
+  // Hosts of the wave that are, or may be, down for maintenance.
+  uint32_t DownCount(uint64_t wave) const;
+  bool HasOpenWave() const;
+  void Wake(Time at) { next_wake_ = std::min(next_wake_, at); }
+
+  FleetKeeperOptions options_;
+  JobConfig config_;
+  PoolState state_;  // Without jobs; the chain needs one.
+  CommitChain chain_;
+  uint64_t load_tag_ = 0;
+  bool loaded_ = false;
+  Time load_retry_ = kTimeMax;
+
+  std::map<HostId, HostListing> hosts_;
+  Time hosts_read_;
+  uint64_t list_tag_ = 0;
+  Time next_list_;
+  std::map<uint64_t, Wave> waves_;
+  std::map<HostId, Duty> duties_;
+  std::map<HostId, std::set<uint64_t>> stored_done_;
+  bool fenced_ = false;
+  Time next_wake_ = kTimeMax;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_FLEET_KEEPER_H_
--- /dev/null
+++ b/radishmoor/jobs/intake.cc
@@ -0,0 +1,426 @@
+#include "radishmoor/jobs/intake.h"
+
+#include <algorithm>
+
+#include "radishmoor/jobs/job_rows.h"
+
+namespace radishmoor {
+namespace {
+
+constexpr Duration kDefaultTimeLimit = Seconds(3);
+// Left of a time limit for the answer to reach the caller.
+constexpr Duration kAnswerMargin = Milliseconds(150);
+constexpr Duration kOwnerTimeout = Milliseconds(150);
+constexpr Duration kStoreTimeout = Milliseconds(500);
+constexpr Duration kStoreRetry = Milliseconds(60);
+// Queue lengths are answered from an announcement of at most this age.
+constexpr Duration kMaxBeatAge = Milliseconds(1800);
+constexpr Duration kUnavailableRetry = Seconds(1);
+constexpr size_t kJobIdDigits = 16;
+constexpr size_t kMaxOpenCalls = 2000;
+
+bool IsJobId(std::string_view text) {
+  return text.size() == kJobIdDigits &&
+         std::all_of(text.begin(), text.end(),
+                     [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
+}  // namespace
+
+void Intake::OnConfig(const JobConfig& config) {
+  if (config.version >= config_.version)
+    config_ = config;
+}
+
+Intake::Route Intake::FindRoute(std::string_view host,
+                                std::string_view path) const {
+  Route best;
+  for (const QueueConfig& queue : config_.queues) {
+    if (queue.host != host || !path.starts_with(queue.path_prefix))
+      continue;
+    if (best.queue == nullptr ||
+        queue.path_prefix.size() > best.queue->path_prefix.size())
+      best = {&queue, path.substr(queue.path_prefix.size())};
+  }
+  return best;
+}
+
+void Intake::OnCall(Time now, WallMillis wall, JobCall call, Outbox& outbox) {
+  const auto& [host, path] = std::visit(
+      [](const auto& request) { return std::tie(request.host, request.path); },
+      call.request);
+  if (config_.version == 0) {
+    Refuse(call.id, CallOutcome::kUnavailable, kUnavailableRetry,
+           "no-configuration", outbox);
+    return;
+  }
+  if (calls_.size() >= kMaxOpenCalls) {
+    Refuse(call.id, CallOutcome::kOverloaded, kUnavailableRetry,
+           "too-many-calls", outbox);
+    return;
+  }
+  Route route = FindRoute(host, path);
+  if (route.queue == nullptr) {
+    ++counters_.unknown_queue;
+    Refuse(call.id, CallOutcome::kNoQueue, {}, "no-queue", outbox);
+    return;
+  }
+  bool reads = std::holds_alternative<ReadJob>(call.request);
+  if (reads && route.rest.empty()) {
+    AnswerPending(now, call.id, *route.queue, outbox);
+    return;
+  }
+  auto* submit = std::get_if<SubmitJob>(&call.request);
+  if (!IsJobId(route.rest)) {
+    Refuse(call.id,
+           submit != nullptr ? CallOutcome::kBadJob : CallOutcome::kNoJob, {},
+           "bad-job-id", outbox);
+    return;
+  }
+  OpenCall open;
+  open.job = JobId(route.rest);
+  open.queue = route.queue->id;
+  open.pool = route.queue->pool;
+  open.arrived = call.arrived;
+  open.deadline = call.arrived + call.time_limit.value_or(kDefaultTimeLimit) -
+                  kAnswerMargin;
+  open.kind = submit != nullptr ? Kind::kSubmit
+              : reads           ? Kind::kRead
+                                : Kind::kCancel;
+  if (submit != nullptr) {
+    open.spec = std::move(submit->spec);
+    open.spec.queue = open.queue;
+    open.spec.submitted_at = wall;
+    if (std::optional<std::string> fault = CheckJob(open.spec)) {
+      Refuse(call.id, CallOutcome::kBadJob, {}, *fault, outbox);
+      return;
+    }
+  }
+  JobCallId id = call.id;
+  auto [it, inserted] = calls_.emplace(id, std::move(open));
+  Start(now, id, it->second, outbox);
+}
+
+void Intake::Start(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
+  if (call.kind == Kind::kSubmit) {
+    Store(now, id, call, outbox);
+    return;
+  }
+  const PoolOwner* owner = leases_.OwnerOf(call.pool);
+  bool local = local_beats_.contains(call.pool);
+  bool heard = owner != nullptr && now - owner->heard < kMaxBeatAge;
+  if (!local && !heard) {
+    Read(now, id, call, outbox);
+    return;
+  }
+  call.stage = Stage::kAskingOwner;
+  call.timeout = now + kOwnerTimeout;
+  uint64_t request = next_request_++;
+  owner_calls_[request] = id;
+  JobQuery query{request, call.pool, call.job, call.kind == Kind::kCancel};
+  if (local)
+    outbox.Send(node_, "", query);
+  else
+    outbox.Send(owner->node, owner->address, query);
+}
+
+void Intake::Store(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
+  call.stage = Stage::kStoring;
+  call.retry_at = kTimeMax;
+  Transaction transaction;
+  std::string key = JobKey(call.pool, call.job);
+  transaction.expects.push_back({key, 0});
+  transaction.writes.push_back({std::move(key), EncodeJob(call.spec)});
+  transaction.writes.push_back(
+      {InboxKey(call.pool, kInboxSubmitted, call.job), ""});
+  Duration timeout =
+      std::clamp(call.deadline - now, Milliseconds(50),
+                 call.uncertain ? 2 * kStoreTimeout : kStoreTimeout);
+  uint64_t tag = outbox.Store(CommitRows{std::move(transaction)}, timeout);
+  store_calls_[tag] = id;
+}
+
+void Intake::OnStored(Time now,
+                      JobCallId id,
+                      const StoreReply& reply,
+                      Outbox& outbox) {
+  OpenCall& call = calls_.at(id);
+  bool conflict = std::holds_alternative<ConflictReply>(reply);
+  if (conflict || std::holds_alternative<CommittedReply>(reply)) {
+    ++(conflict ? counters_.repeated : counters_.accepted);
+    JobNotice notice{call.pool, call.job, std::move(call.spec),
+                     now - call.arrived};
+    outbox.Log("job-stored",
+               {{"job", call.job.str()},
+                {"queue", call.queue.str()},
+                {"pool", call.pool.str()},
+                {"repeat", conflict ? 1 : 0},
+                {"took_ms", (now - call.arrived).count() / 1000},
+                {"config", static_cast<int64_t>(config_.version)}});
+    const PoolOwner* owner = leases_.OwnerOf(call.pool);
+    if (local_beats_.contains(call.pool))
+      outbox.Send(node_, "", std::move(notice));
+    else if (owner != nullptr)
+      outbox.Send(owner->node, owner->address, std::move(notice));
+    Finish(id, {.outcome = CallOutcome::kAccepted}, outbox);
+    return;
+  }
+  bool unknown = std::holds_alternative<UnknownReply>(reply);
+  call.uncertain = call.uncertain || unknown;
+  if (!call.uncertain) {
+    Refuse(id, CallOutcome::kUnavailable, kUnavailableRetry,
+           "store-unavailable", outbox);
+    return;
+  }
+  // It may be stored: only a repeat can tell.
+  call.retry_at = unknown ? now : now + kStoreRetry;
+  if (call.retry_at >= call.deadline) {
+    ++counters_.uncertain;
+    Refuse(id, CallOutcome::kUncertain, {}, "store-unanswered", outbox);
+  }
+}
+
+void Intake::Read(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
+  (void)now;
+  call.stage = Stage::kReading;
+  call.pools_to_read.clear();
+  for (const QueueConfig& queue : config_.queues) {
+    if (queue.pool != call.pool &&
+        std::find(call.pools_to_read.begin(), call.pools_to_read.end(),
+                  queue.pool) == call.pools_to_read.end())
+      call.pools_to_read.push_back(queue.pool);
+  }
+  uint64_t tag = outbox.Store(
+      ReadRows{{ProgressKey(call.pool, call.job), JobKey(call.pool, call.job)}},
+      kStoreTimeout);
+  store_calls_[tag] = id;
+}
+
+void Intake::OnRead(Time now,
+                    JobCallId id,
+                    const StoreReply& reply,
+                    Outbox& outbox) {
+  OpenCall& call = calls_.at(id);
+  const auto* rows = std::get_if<RowsReply>(&reply);
+  if (rows == nullptr || rows->rows.size() != 2) {
+    call.retry_at = now + kStoreRetry;
+    if (call.retry_at >= call.deadline)
+      Refuse(id, CallOutcome::kUnavailable, kUnavailableRetry,
+             "store-unavailable", outbox);
+    return;
+  }
+  const Row& progress = rows->rows[0];
+  const Row& definition = rows->rows[1];
+  if (progress.version == 0 && definition.version == 0) {
+    // The queue may have belonged to another pool when the job was accepted.
+    if (call.pools_to_read.empty()) {
+      Refuse(id, CallOutcome::kNoJob, {}, "no-job", outbox);
+      return;
+    }
+    call.pool = call.pools_to_read.back();
+    call.pools_to_read.pop_back();
+    uint64_t tag = outbox.Store(ReadRows{{ProgressKey(call.pool, call.job),
+                                          JobKey(call.pool, call.job)}},
+                                kStoreTimeout);
+    store_calls_[tag] = id;
+    return;
+  }
+  ++counters_.states_from_store;
+  JobState state = JobState::kQueued;
+  if (progress.version != 0) {
+    std::optional<StoredProgress> stored = DecodeProgress(progress.value);
+    if (!stored) {
+      Refuse(id, CallOutcome::kUnavailable, kUnavailableRetry,
+             "progress-unreadable", outbox);
+      return;
+    }
+    state = stored->state;
+  }
+  if (call.kind == Kind::kCancel && !IsFinal(state))
+    Mark(now, id, call, outbox);
+  else
+    AnswerState(id, state, outbox);
+}
+
+void Intake::Mark(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
+  (void)now;
+  call.stage = Stage::kMarking;
+  Transaction transaction;
+  transaction.writes.push_back(
+      {InboxKey(call.pool, kInboxCancelled, call.job), ""});
+  store_calls_[outbox.Store(CommitRows{std::move(transaction)},
+                            kStoreTimeout)] = id;
+}
+
+void Intake::OnMarked(Time now,
+                      JobCallId id,
+                      const StoreReply& reply,
+                      Outbox& outbox) {
+  OpenCall& call = calls_.at(id);
+  if (std::holds_alternative<CommittedReply>(reply)) {
+    ++counters_.cancelled;
+    outbox.Log("job-cancel-marked",
+               {{"job", call.job.str()}, {"pool", call.pool.str()}});
+    Finish(id, {.outcome = CallOutcome::kCancelled}, outbox);
+    return;
+  }
+  call.retry_at = now + kStoreRetry;
+  if (call.retry_at >= call.deadline)
+    Refuse(id, CallOutcome::kUncertain, kUnavailableRetry, "store-unavailable",
+           outbox);
+}
+
+bool Intake::OnStoreAnswer(Time now,
+                           const StoreAnswer& answer,
+                           Outbox& outbox) {
+  auto node = store_calls_.extract(answer.tag);
+  if (node.empty())
+    return false;
+  JobCallId id = node.mapped();
+  auto it = calls_.find(id);
+  if (it == calls_.end())
+    return true;
+  switch (it->second.stage) {
+    case Stage::kStoring:
+      OnStored(now, id, answer.reply, outbox);
+      break;
+    case Stage::kReading:
+      OnRead(now, id, answer.reply, outbox);
+      break;
+    case Stage::kMarking:
+      OnMarked(now, id, answer.reply, outbox);
+      break;
+    case Stage::kAskingOwner:
+      break;
+  }
+  return true;
+}
+
+void Intake::OnJobAnswer(Time now, const JobAnswer& answer, Outbox& outbox) {
+  auto node = owner_calls_.extract(answer.request);
+  if (node.empty())
+    return;
+  auto it = calls_.find(node.mapped());
+  if (it == calls_.end() || it->second.stage != Stage::kAskingOwner)
+    return;
+  if (answer.state == JobAnswerState::kUnknown) {
+    Read(now, it->first, it->second, outbox);
+    return;
+  }
+  AnswerState(it->first, static_cast<JobState>(answer.state), outbox);
+}
+
+void Intake::AnswerState(JobCallId id, JobState state, Outbox& outbox) {
+  if (calls_.at(id).kind == Kind::kCancel) {
+    ++counters_.cancelled;
+    Finish(id, {.outcome = CallOutcome::kCancelled}, outbox);
+    return;
+  }
+  ++counters_.states;
+  Finish(id, {.outcome = CallOutcome::kState, .state = state}, outbox);
+}
+
+void Intake::AnswerPending(Time now,
+                           JobCallId id,
+                           const QueueConfig& queue,
+                           Outbox& outbox) {
+  const OwnerBeat* beat = nullptr;
+  auto local = local_beats_.find(queue.pool);
+  const PoolOwner* owner = leases_.OwnerOf(queue.pool);
+  if (local != local_beats_.end())
+    beat = &local->second.first;
+  else if (owner != nullptr && now - owner->heard < kMaxBeatAge)
+    beat = &owner->beat;
+  if (beat == nullptr) {
+    Refuse(id, CallOutcome::kUnavailable, kUnavailableRetry, "owner-unknown",
+           outbox);
+    return;
+  }
+  uint32_t pending = 0;
+  for (const QueueLoad& load : beat->queues) {
+    if (load.queue == queue.id)
+      pending = load.pending;
+  }
+  outbox.Answer(
+      {.id = id, .outcome = CallOutcome::kPending, .pending = pending});
+}
+
+void Intake::SetLocalBeat(const OwnerBeat& beat, Time now) {
+  if (beat.released)
+    local_beats_.erase(beat.pool);
+  else
+    local_beats_[beat.pool] = {beat, now};
+}
+
+void Intake::OnAbandoned(JobCallId call) {
+  calls_.erase(call);
+}
+
+void Intake::Finish(JobCallId id, AnswerCall answer, Outbox& outbox) {
+  answer.id = id;
+  calls_.erase(id);
+  outbox.Answer(std::move(answer));
+}
+
+void Intake::Refuse(JobCallId id,
+                    CallOutcome outcome,
+                    Duration retry_after,
+                    std::string_view why,
+                    Outbox& outbox) {
+  auto it = calls_.find(id);
+  ++counters_.refused;
+  outbox.Log("call-refused",
+             {{"job", it == calls_.end() ? "" : it->second.job.str()},
+              {"outcome", static_cast<int64_t>(outcome)},
+              {"reason", std::string(why)},
+              {"config", static_cast<int64_t>(config_.version)}});
+  Finish(id,
+         {.outcome = outcome,
+          .retry_after = retry_after,
+          .detail = std::string(why)},
+         outbox);
+}
+
+void Intake::Tick(Time now, Outbox& outbox) {
+  std::vector<JobCallId> due;
+  for (const auto& [id, call] : calls_) {
+    bool owner_silent =
+        call.stage == Stage::kAskingOwner && now >= call.timeout;
+    if (owner_silent || now >= call.retry_at || now >= call.deadline)
+      due.push_back(id);
+  }
+  for (JobCallId id : due) {
+    OpenCall& call = calls_.at(id);
+    if (now >= call.deadline) {
+      CallOutcome outcome = call.kind == Kind::kRead ? CallOutcome::kUnavailable
+                                                     : CallOutcome::kUncertain;
+      Refuse(id, outcome, kUnavailableRetry, "time-limit", outbox);
+      continue;
+    }
+    call.retry_at = kTimeMax;
+    switch (call.stage) {
+      case Stage::kStoring:
+        Store(now, id, call, outbox);
+        break;
+      case Stage::kAskingOwner:
+      case Stage::kReading:
+        Read(now, id, call, outbox);
+        break;
+      case Stage::kMarking:
+        Mark(now, id, call, outbox);
+        break;
+    }
+  }
+}
+
+Time Intake::next_wake() const {
+  Time next = kTimeMax;
+  for (const auto& [id, call] : calls_) {
+    next = std::min({next, call.deadline, call.retry_at});
+    if (call.stage == Stage::kAskingOwner)
+      next = std::min(next, call.timeout);
+  }
+  return next;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/intake.h
@@ -0,0 +1,116 @@
+// Callers' requests on one process: submissions, states, cancellations and the
+// length of queues.
+//
+// A submission is answered with success only after the store has acknowledged
+// it, and refused as not accepted only when it surely is not stored. In
+// between, when answers of the store are lost, it is repeated: the insert
+// expects that the job is absent, so a repeat finds the stored job.
+//
+// States come from the pool's owner; where it does not answer, from the store.
+// Only the store can say that a job does not exist.
+
+#ifndef RADISHMOOR_JOBS_INTAKE_H_
+#define RADISHMOOR_JOBS_INTAKE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "radishmoor/jobs/outbox.h"
+#include "radishmoor/jobs/pool_leases.h"
+
+namespace radishmoor {
+
+class Intake {
+ public:
+  Intake(MemberId node, const PoolLeases& leases)
+      : node_(std::move(node)), leases_(leases) {}
+
+  // The newest configuration; versions only grow.
+  void OnConfig(const JobConfig& config);
+  void OnCall(Time now, WallMillis wall, JobCall call, Outbox& outbox);
+  // The caller has gone: nothing is answered any more. A submission under way
+  // may still be stored.
+  void OnAbandoned(JobCallId call);
+  bool OnStoreAnswer(Time now, const StoreAnswer& answer, Outbox& outbox);
+  void OnJobAnswer(Time now, const JobAnswer& answer, Outbox& outbox);
+  void Tick(Time now, Outbox& outbox);
+  Time next_wake() const;
+
+  // Announcement of a pool that this process owns itself.
+  void SetLocalBeat(const OwnerBeat& beat, Time now);
+
+  size_t open_calls() const { return calls_.size(); }
+
+  struct Counters {
+    uint64_t accepted = 0;
+    uint64_t repeated = 0;
+    uint64_t refused = 0;
+    uint64_t uncertain = 0;
+    uint64_t states = 0;
+    uint64_t states_from_store = 0;
+    uint64_t cancelled = 0;
+    uint64_t unknown_queue = 0;
+  };
+  const Counters& counters() const { return counters_; }
+
+ private:
+  enum class Kind : uint8_t { kSubmit, kRead, kCancel };
+  enum class Stage : uint8_t { kStoring, kAskingOwner, kReading, kMarking };
+  struct OpenCall {
+    Kind kind = Kind::kRead;
+    Stage stage = Stage::kReading;
+    JobId job;
+    QueueId queue;
+    PoolId pool;
+    JobSpec spec;
+    Time arrived;
+    Time deadline;
+    Time timeout;  // Of the owner's answer.
+    Time retry_at = kTimeMax;
+    bool uncertain = false;  // A submission may have been stored.
+    std::vector<PoolId> pools_to_read;
+  };
+  struct Route {
+    const QueueConfig* queue = nullptr;
+    std::string_view rest;  // Of the path, after the prefix.
+  };
+
+  Route FindRoute(std::string_view host, std::string_view path) const;
+  void Start(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
+  void Store(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
+  void Read(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
+  void Mark(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
+  void OnStored(Time now, JobCallId id, const StoreReply& reply, Outbox& out);
+  void OnRead(Time now, JobCallId id, const StoreReply& reply, Outbox& outbox);
+  void OnMarked(Time now, JobCallId id, const StoreReply& reply, Outbox& out);
+  void AnswerPending(Time now,
+                     JobCallId id,
+                     const QueueConfig& queue,
+                     Outbox& outbox);
+  void AnswerState(JobCallId id, JobState state, Outbox& outbox);
+  void Finish(JobCallId id, AnswerCall answer, Outbox& outbox);
+  void Refuse(JobCallId id,
+              CallOutcome outcome,
+              Duration retry_after,
+              std::string_view why,
+              Outbox& outbox);
+
+  MemberId node_;
+  const PoolLeases& leases_;
+  JobConfig config_;
+  std::map<JobCallId, OpenCall> calls_;
+  std::map<uint64_t, JobCallId> store_calls_;
+  std::map<uint64_t, JobCallId> owner_calls_;
+  std::map<PoolId, std::pair<OwnerBeat, Time>> local_beats_;
+  uint64_t next_request_ = 1;
+  Counters counters_;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_INTAKE_H_
--- /dev/null
+++ b/radishmoor/jobs/job_rows.cc
@@ -0,0 +1,271 @@
+#include "radishmoor/jobs/job_rows.h"
+
+#include <utility>
+
+#include "radishmoor/jobs/job_wire.h"
+#include "radishmoor/jobs/thrift_bytes.h"
+
+namespace radishmoor {
+namespace {
+
+std::string Key(std::string_view table,
+                const std::string& part,
+                std::string_view name) {
+  std::string key;
+  key.reserve(table.size() + part.size() + name.size() + 2);
+  key.append(table).append("/").append(part).append("/").append(name);
+  return key;
+}
+
+enum StepFlag : int32_t {
+  kCheckpointing = 1,
+  kGang = 2,
+  kColocated = 4,
+  kSpeculative = 8,
+  kLongRunning = 16,
+  kUsesSpare = 32,
+};
+
+int32_t FlagsOf(const StepSpec& step) {
+  int32_t flags = 0;
+  flags |= step.checkpointing ? kCheckpointing : 0;
+  flags |= step.gang ? kGang : 0;
+  flags |= step.colocated ? kColocated : 0;
+  flags |= step.speculative ? kSpeculative : 0;
+  flags |= step.long_running ? kLongRunning : 0;
+  flags |= step.uses_spare ? kUsesSpare : 0;
+  return flags;
+}
+
+jobs_wire::Step StepToWire(const StepSpec& step) {
+  jobs_wire::Step wire;
+  wire.count = static_cast<int32_t>(step.count);
+  wire.cpu_millis = static_cast<int32_t>(step.request.cpu_millis);
+  wire.memory_mb = static_cast<int32_t>(step.request.memory_mb);
+  wire.gpus = static_cast<int32_t>(step.request.gpus);
+  wire.estimate_ms = step.estimate.count() / 1000;
+  wire.after.assign(step.after.begin(), step.after.end());
+  wire.flags = FlagsOf(step);
+  wire.requirement = step.requirement;
+  wire.data_rack = step.data_rack.str();
+  wire.max_per_server = static_cast<int32_t>(step.max_per_server);
+  wire.image = step.image;
+  wire.tail_limit_ms = step.tail_limit.count() / 1000;
+  wire.allowed_missing = static_cast<int32_t>(step.allowed_missing);
+  return wire;
+}
+
+StepSpec StepFromWire(const jobs_wire::Step& wire) {
+  StepSpec step;
+  step.count = static_cast<uint32_t>(wire.count);
+  step.request = {wire.cpu_millis, wire.memory_mb, wire.gpus};
+  step.estimate = Milliseconds(wire.estimate_ms);
+  step.after.assign(wire.after.begin(), wire.after.end());
+  step.checkpointing = (wire.flags & kCheckpointing) != 0;
+  step.gang = (wire.flags & kGang) != 0;
+  step.colocated = (wire.flags & kColocated) != 0;
+  step.speculative = (wire.flags & kSpeculative) != 0;
+  step.long_running = (wire.flags & kLongRunning) != 0;
+  step.uses_spare = (wire.flags & kUsesSpare) != 0;
+  step.requirement = wire.requirement;
+  step.data_rack = RackId(wire.data_rack);
+  step.max_per_server = static_cast<uint32_t>(wire.max_per_server);
+  step.image = wire.image;
+  step.tail_limit = Milliseconds(wire.tail_limit_ms);
+  step.allowed_missing = static_cast<uint32_t>(wire.allowed_missing);
+  return step;
+}
+
+jobs_wire::Task TaskToWire(const StoredTask& task) {
+  jobs_wire::Task wire;
+  wire.position = static_cast<int32_t>(task.position);
+  wire.state = task.done ? 1 : 0;
+  wire.failures = static_cast<int32_t>(task.failures);
+  wire.last_run = static_cast<int32_t>(task.last_run);
+  wire.checkpoint = task.checkpoint;
+  for (const StoredRun& run : task.runs) {
+    jobs_wire::Run r;
+    r.number = static_cast<int32_t>(run.number);
+    r.server = run.server.str();
+    wire.runs.push_back(std::move(r));
+  }
+  return wire;
+}
+
+StoredTask TaskFromWire(const jobs_wire::Task& wire) {
+  StoredTask task;
+  task.position = static_cast<uint32_t>(wire.position);
+  task.done = wire.state == 1;
+  task.failures = static_cast<uint32_t>(wire.failures);
+  task.last_run = static_cast<RunNumber>(wire.last_run);
+  task.checkpoint = wire.checkpoint;
+  for (const jobs_wire::Run& run : wire.runs)
+    task.runs.push_back(
+        {static_cast<RunNumber>(run.number), ServerId(run.server)});
+  return task;
+}
+
+}  // namespace
+
+std::string JobKey(const PoolId& pool, const JobId& job) {
+  return Key("jobs", pool.str(), job.str());
+}
+
+std::string ProgressKey(const PoolId& pool, const JobId& job) {
+  return Key("progress", pool.str(), job.str());
+}
+
+std::string InboxKey(const PoolId& pool, char kind, const JobId& job) {
+  return Key("inbox", pool.str(), std::string(1, kind) + ":" + job.str());
+}
+
+std::string LeaseKey(const PoolId& pool) {
+  return Key("owner", pool.str(), "lease");
+}
+
+std::string NodeKey(const MemberId& node) {
+  return Key("nodes", "", node.str());
+}
+
+std::string DutyKey(const PoolId& pool, const HostId& host) {
+  return Key("duties", pool.str(), host.str());
+}
+
+std::string_view KeyName(std::string_view key) {
+  return key.substr(key.rfind('/') + 1);
+}
+
+jobs_wire::Job JobToWire(const JobSpec& spec) {
+  jobs_wire::Job wire;
+  wire.queue = spec.queue.str();
+  wire.spec = spec.payload;
+  for (const StepSpec& step : spec.steps)
+    wire.steps.push_back(StepToWire(step));
+  wire.repeat_count = static_cast<int32_t>(spec.repeat_count);
+  wire.start_at_ms = spec.start_at;
+  wire.interval_ms = spec.interval.count() / 1000;
+  wire.submitted_wall_ms = spec.submitted_at;
+  return wire;
+}
+
+JobSpec JobFromWire(const jobs_wire::Job& wire) {
+  JobSpec spec;
+  spec.queue = QueueId(wire.queue);
+  spec.payload = wire.spec;
+  for (const jobs_wire::Step& step : wire.steps)
+    spec.steps.push_back(StepFromWire(step));
+  spec.repeat_count = static_cast<uint32_t>(wire.repeat_count);
+  spec.start_at = wire.start_at_ms;
+  spec.interval = Milliseconds(wire.interval_ms);
+  spec.submitted_at = wire.submitted_wall_ms;
+  return spec;
+}
+
+std::string EncodeJob(const JobSpec& spec) {
+  return ToBytes(JobToWire(spec));
+}
+
+std::optional<JobSpec> DecodeJob(std::string_view bytes) {
+  jobs_wire::Job wire;
+  if (!FromBytes(bytes, wire))
+    return std::nullopt;
+  JobSpec spec = JobFromWire(wire);
+  if (CheckJob(spec))
+    return std::nullopt;
+  return spec;
+}
+
+std::string EncodeProgress(const StoredProgress& progress) {
+  jobs_wire::Progress wire;
+  wire.state = static_cast<int32_t>(progress.state);
+  wire.begun = progress.begun;
+  wire.finished_below = static_cast<int32_t>(progress.finished_below);
+  for (const StoredOccurrence& occurrence : progress.occurrences) {
+    jobs_wire::Occurrence o;
+    o.number = static_cast<int32_t>(occurrence.number);
+    for (const StoredTask& task : occurrence.tasks)
+      o.tasks.push_back(TaskToWire(task));
+    wire.occurrences.push_back(std::move(o));
+  }
+  return ToBytes(wire);
+}
+
+std::optional<StoredProgress> DecodeProgress(std::string_view bytes) {
+  jobs_wire::Progress wire;
+  if (!FromBytes(bytes, wire) || wire.state < 0 ||
+      wire.state > static_cast<int32_t>(JobState::kCancelled))
+    return std::nullopt;
+  StoredProgress progress;
+  progress.state = static_cast<JobState>(wire.state);
+  progress.begun = wire.begun;
+  progress.finished_below = static_cast<uint32_t>(wire.finished_below);
+  for (const jobs_wire::Occurrence& o : wire.occurrences) {
+    StoredOccurrence occurrence{static_cast<uint32_t>(o.number), {}};
+    for (const jobs_wire::Task& task : o.tasks)
+      occurrence.tasks.push_back(TaskFromWire(task));
+    progress.occurrences.push_back(std::move(occurrence));
+  }
+  return progress;
+}
+
+std::string EncodeLease(const LeaseRow& lease) {
+  jobs_wire::Lease wire;
+  wire.holder = lease.holder.str();
+  wire.address = lease.address;
+  wire.token = static_cast<int64_t>(lease.token);
+  wire.sequence = static_cast<int64_t>(lease.sequence);
+  wire.released = lease.released;
+  wire.successor = lease.successor.str();
+  return ToBytes(wire);
+}
+
+std::optional<LeaseRow> DecodeLease(std::string_view bytes) {
+  jobs_wire::Lease wire;
+  if (!FromBytes(bytes, wire))
+    return std::nullopt;
+  return LeaseRow{MemberId(wire.holder),
+                  wire.address,
+                  static_cast<FencingToken>(wire.token),
+                  static_cast<uint64_t>(wire.sequence),
+                  wire.released,
+                  MemberId(wire.successor)};
+}
+
+std::string EncodeNode(const NodeRow& node) {
+  jobs_wire::Node wire;
+  wire.name = node.name.str();
+  wire.address = node.address;
+  wire.zone = node.zone.str();
+  wire.incarnation = static_cast<int64_t>(node.incarnation);
+  wire.leaving = node.leaving;
+  return ToBytes(wire);
+}
+
+std::optional<NodeRow> DecodeNode(std::string_view bytes) {
+  jobs_wire::Node wire;
+  if (!FromBytes(bytes, wire) || wire.name.empty())
+    return std::nullopt;
+  return NodeRow{MemberId(wire.name), wire.address, ZoneId(wire.zone),
+                 static_cast<uint64_t>(wire.incarnation), wire.leaving};
+}
+
+std::string EncodeDuty(const DutyRow& duty) {
+  jobs_wire::Duty wire;
+  wire.host = duty.host.str();
+  wire.kind = static_cast<int32_t>(duty.kind);
+  wire.pool = duty.pool.str();
+  wire.wave = static_cast<int64_t>(duty.wave);
+  wire.server = duty.server.str();
+  return ToBytes(wire);
+}
+
+std::optional<DutyRow> DecodeDuty(std::string_view bytes) {
+  jobs_wire::Duty wire;
+  if (!FromBytes(bytes, wire) || wire.kind < 1 || wire.kind > 3)
+    return std::nullopt;
+  return DutyRow{HostId(wire.host), static_cast<DutyKind>(wire.kind),
+                 PoolId(wire.pool), static_cast<uint64_t>(wire.wave),
+                 ServerId(wire.server)};
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/job_table.cc
@@ -0,0 +1,308 @@
+#include "radishmoor/jobs/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "radishmoor/base/invariant.h"
+
+namespace radishmoor {
+namespace {
+
+// A recurring job whose schedule began long ago is caught up in steps of this
+// many occurrences.
+constexpr uint32_t kMaxNewOccurrences = 16;
+
+bool DiffersFromNew(const Task& task) {
+  return task.done || task.failures > 0 || task.last_run > 0 ||
+         !task.checkpoint.empty() || !task.runs.empty();
+}
+
+}  // namespace
+
+Run* Task::FindRun(RunNumber number) {
+  for (Run& run : runs) {
+    if (run.number == number)
+      return &run;
+  }
+  return nullptr;
+}
+
+bool Task::at_work() const {
+  for (const Run& run : runs) {
+    if (run.phase == RunPhase::kRunning && run.percent >= 100 &&
+        !run.stop_wanted)
+      return true;
+  }
+  return false;
+}
+
+uint32_t Job::StepOffset(uint32_t step) const {
+  uint32_t offset = 0;
+  for (uint32_t i = 0; i < step; ++i)
+    offset += spec.steps[i].count;
+  return offset;
+}
+
+bool Job::HasRuns() const {
+  for (const auto& [number, occurrence] : occurrences) {
+    for (const Task& task : occurrence.tasks) {
+      if (!task.runs.empty())
+        return true;
+    }
+  }
+  return false;
+}
+
+Job& JobTable::Add(const JobId& id,
+                   JobSpec spec,
+                   Time arrived,
+                   Time objective) {
+  auto [it, inserted] = jobs_.try_emplace(id);
+  Job& job = it->second;
+  if (!inserted)
+    return job;
+  job.id = id;
+  job.spec = std::move(spec);
+  job.arrived = arrived;
+  job.objective = objective;
+  open_.insert(id);
+  if (!job.spec.scheduled())
+    AddOccurrence(job, 0, arrived);
+  return job;
+}
+
+Job& JobTable::AddEnded(const JobId& id, JobState state, Time now) {
+  Job& job = jobs_[id];
+  job.id = id;
+  job.state = state;
+  job.shown = state;
+  job.begun = true;
+  job.ended = now;
+  job.definition_dropped = true;
+  return job;
+}
+
+void JobTable::Restore(Job& job, const StoredProgress& progress, Time now) {
+  job.state = progress.state;
+  job.shown = progress.state;
+  job.begun = progress.begun;
+  job.finished_below = progress.finished_below;
+  if (IsFinal(job.state))
+    job.ended = now;
+  for (const StoredOccurrence& stored : progress.occurrences) {
+    if (stored.number >= job.spec.occurrences())
+      continue;
+    Occurrence& occurrence = AddOccurrence(job, stored.number, now);
+    for (const StoredTask& s : stored.tasks) {
+      if (s.position >= occurrence.tasks.size())
+        continue;
+      Task& task = occurrence.tasks[s.position];
+      task.failures = s.failures;
+      task.last_run = s.last_run;
+      task.checkpoint = s.checkpoint;
+      if (s.done && !task.done) {
+        task.done = true;
+        ++occurrence.done_in_step[task.step];
+      }
+      for (const StoredRun& r : s.runs) {
+        Run run;
+        run.number = r.number;
+        run.server = r.server;
+        run.phase = RunPhase::kInherited;
+        run.since = now;
+        run.ordered = now;
+        run.percent_changed = now;
+        run.stop_wanted = IsFinal(job.state) || task.done;
+        task.runs.push_back(std::move(run));
+      }
+    }
+    occurrence.finished =
+        stored.number < job.finished_below ||
+        std::all_of(occurrence.tasks.begin(), occurrence.tasks.end(),
+                    [](const Task& task) { return task.done; });
+  }
+  CloseIfResolved(job);
+}
+
+Job* JobTable::Find(const JobId& id) {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+const Job* JobTable::Find(const JobId& id) const {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+Task* JobTable::FindTask(const TaskId& id) {
+  Job* job = Find(id.job);
+  if (job == nullptr || id.step >= job->spec.steps.size() ||
+      id.index >= job->spec.steps[id.step].count)
+    return nullptr;
+  auto it = job->occurrences.find(id.occurrence);
+  if (it == job->occurrences.end())
+    return nullptr;
+  return &it->second.tasks[job->StepOffset(id.step) + id.index];
+}
+
+Occurrence& JobTable::AddOccurrence(Job& job, uint32_t number, Time now) {
+  auto [it, inserted] = job.occurrences.try_emplace(number);
+  Occurrence& occurrence = it->second;
+  if (!inserted)
+    return occurrence;
+  occurrence.number = number;
+  occurrence.due = now;
+  occurrence.done_in_step.assign(job.spec.steps.size(), 0);
+  occurrence.tasks.reserve(job.spec.tasks_per_occurrence());
+  for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+    for (uint32_t index = 0; index < job.spec.steps[step].count; ++index) {
+      Task task;
+      task.step = step;
+      task.index = index;
+      task.ready_since = now;
+      if (job.spec.steps[step].long_running)
+        task.missing_since = now;
+      occurrence.tasks.push_back(std::move(task));
+    }
+  }
+  return occurrence;
+}
+
+std::optional<WallMillis> JobTable::CreateDue(Job& job,
+                                              Time now,
+                                              WallMillis wall) {
+  if (!job.spec.scheduled() || IsFinal(job.state))
+    return std::nullopt;
+  uint32_t next = job.finished_below;
+  if (!job.occurrences.empty())
+    next = std::max(next, job.occurrences.rbegin()->first + 1);
+  uint32_t created = 0;
+  while (next < job.spec.repeat_count) {
+    WallMillis due = job.spec.start_at + static_cast<WallMillis>(next) *
+                                             (job.spec.interval.count() / 1000);
+    if (due > wall || created == kMaxNewOccurrences)
+      return due;
+    AddOccurrence(job, next, now);
+    ++created;
+    ++next;
+  }
+  return std::nullopt;
+}
+
+bool JobTable::IsReady(const Job& job,
+                       const Occurrence& occurrence,
+                       const Task& task) {
+  for (uint32_t before : job.spec.steps[task.step].after) {
+    if (occurrence.done_in_step[before] < job.spec.steps[before].count)
+      return false;
+  }
+  return true;
+}
+
+void JobTable::MarkDone(Job& job,
+                        Occurrence& occurrence,
+                        Task& task,
+                        Time now) {
+  if (task.done)
+    return;
+  task.done = true;
+  task.checkpoint.clear();
+  ++occurrence.done_in_step[task.step];
+  Touch(job);
+  for (const Task& other : occurrence.tasks) {
+    if (!other.done)
+      return;
+  }
+  occurrence.finished = true;
+  while (true) {
+    auto first = job.occurrences.find(job.finished_below);
+    if (first == job.occurrences.end() || !first->second.finished)
+      break;
+    ++job.finished_below;
+  }
+  if (job.finished_below == job.spec.occurrences() && !IsFinal(job.state)) {
+    job.state = JobState::kCompleted;
+    job.ended = now;
+  }
+}
+
+void JobTable::MarkFailed(Job& job, Time now) {
+  if (IsFinal(job.state))
+    return;
+  job.state = JobState::kFailed;
+  job.ended = now;
+  Touch(job);
+}
+
+void JobTable::MarkCancelled(Job& job, Time now) {
+  if (IsFinal(job.state))
+    return;
+  job.state = JobState::kCancelled;
+  job.ended = now;
+  Touch(job);
+}
+
+void JobTable::Touch(Job& job) {
+  ++job.changes;
+  dirty_.insert(job.id);
+}
+
+StoredProgress JobTable::ProgressOf(const Job& job) const {
+  StoredProgress progress;
+  progress.state = job.state;
+  progress.begun = job.begun;
+  progress.finished_below = job.finished_below;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    bool past = number < job.finished_below || IsFinal(job.state);
+    StoredOccurrence stored{number, {}};
+    for (uint32_t i = 0; i < occurrence.tasks.size(); ++i) {
+      const Task& task = occurrence.tasks[i];
+      if (past ? task.runs.empty() : !DiffersFromNew(task))
+        continue;
+      StoredTask s{i, task.done, task.failures, task.last_run, task.checkpoint,
+                   {}};
+      for (const Run& run : task.runs)
+        s.runs.push_back({run.number, run.server});
+      stored.tasks.push_back(std::move(s));
+    }
+    if (!past || !stored.tasks.empty())
+      progress.occurrences.push_back(std::move(stored));
+  }
+  return progress;
+}
+
+void JobTable::CloseIfResolved(Job& job) {
+  for (auto it = job.occurrences.begin(); it != job.occurrences.end();) {
+    bool over = it->first < job.finished_below || IsFinal(job.state);
+    bool has_runs = false;
+    for (const Task& task : it->second.tasks)
+      has_runs = has_runs || !task.runs.empty();
+    if (over && !has_runs)
+      it = job.occurrences.erase(it);
+    else
+      ++it;
+  }
+  if (!IsFinal(job.state) || !job.occurrences.empty())
+    return;
+  open_.erase(job.id);
+  job.spec.payload.clear();
+  job.spec.payload.shrink_to_fit();
+}
+
+std::vector<JobId> JobTable::Purge(Time before, size_t limit) {
+  std::vector<JobId> purged;
+  for (auto it = jobs_.begin(); it != jobs_.end() && purged.size() < limit;) {
+    const Job& job = it->second;
+    bool old = IsFinal(job.state) && job.ended < before &&
+               !open_.contains(job.id) && !dirty_.contains(job.id);
+    if (!old) {
+      ++it;
+      continue;
+    }
+    purged.push_back(job.id);
+    it = jobs_.erase(it);
+  }
+  return purged;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/node_core.cc
@@ -0,0 +1,458 @@
+#include "radishmoor/jobs/node_core.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishmoor {
+namespace {
+
+// The store holds an answer back this long when nothing has changed; a silent
+// connection is noticed soon after.
+constexpr Duration kOperatorsWait = Milliseconds(900);
+constexpr Duration kOperatorsRetry = Milliseconds(150);
+constexpr Duration kBeatPeriod = Milliseconds(300);
+constexpr Duration kRegisterPeriod = Seconds(15);
+constexpr Duration kRegisterRetry = Milliseconds(300);
+constexpr Duration kNodesPeriod = Seconds(4);
+constexpr Duration kFirstNodesPeriod = Milliseconds(500);
+// Rows of processes that have not been renewed for this long are passed over.
+constexpr Duration kNodeExpiry = Seconds(40);
+constexpr Duration kServersPeriod = Milliseconds(900);
+constexpr Duration kServersRetry = Milliseconds(200);
+// After the signal to stop, callers with open connections are served this long.
+constexpr Duration kServeAfterStop = Milliseconds(3500);
+// Before the end of the grace period.
+constexpr Duration kEndMargin = Milliseconds(800);
+
+}  // namespace
+
+NodeCore::NodeCore(const NodeOptions& options)
+    : options_(options),
+      leases_(options.name, options.address),
+      intake_(options.name, leases_) {}
+
+void NodeCore::Start(Time now, WallMillis wall) {
+  outbox_.Log("process-started",
+              {{"node", options_.name.str()},
+               {"zone", options_.zone.str()},
+               {"address", options_.address},
+               {"incarnation", static_cast<int64_t>(options_.incarnation)}});
+  Settle(now, wall);
+}
+
+void NodeCore::OnCall(Time now, WallMillis wall, JobCall call) {
+  intake_.OnCall(now, wall, std::move(call), outbox_);
+  Settle(now, wall);
+}
+
+void NodeCore::OnAbandoned(Time now, WallMillis wall, JobCallId call) {
+  intake_.OnAbandoned(call);
+  Settle(now, wall);
+}
+
+void NodeCore::OnStoreAnswer(Time now,
+                             WallMillis wall,
+                             const StoreAnswer& answer) {
+  bool failed = std::holds_alternative<UnavailableReply>(answer.reply) ||
+                std::holds_alternative<UnknownReply>(answer.reply);
+  if (failed == store_reached_) {
+    store_reached_ = !failed;
+    outbox_.Log(failed ? "store-lost" : "store-regained", {});
+  }
+  if (register_tag_ != 0 && answer.tag == register_tag_) {
+    register_tag_ = 0;
+    next_register_ = now + (failed ? kRegisterRetry : kRegisterPeriod);
+  } else if (nodes_tag_ != 0 && answer.tag == nodes_tag_) {
+    nodes_tag_ = 0;
+    if (const auto* rows = std::get_if<RowsReply>(&answer.reply))
+      OnNodes(now, rows->rows);
+  } else if (!intake_.OnStoreAnswer(now, answer, outbox_) &&
+             !leases_.OnStoreAnswer(now, answer, outbox_) &&
+             (fleet_ == nullptr ||
+              !fleet_->OnStoreAnswer(now, answer, outbox_))) {
+    for (auto& [pool, scheduler] : schedulers_) {
+      if (scheduler->OnStoreAnswer(now, wall, answer, outbox_))
+        break;
+    }
+  }
+  Settle(now, wall);
+}
+
+void NodeCore::OnServerReply(Time now,
+                             WallMillis wall,
+                             const ServerReply& reply) {
+  for (auto& [pool, scheduler] : schedulers_) {
+    if (scheduler->OnServerReply(now, reply, outbox_))
+      break;
+  }
+  Settle(now, wall);
+}
+
+void NodeCore::OnServers(Time now, WallMillis wall, const ServersReply& reply) {
+  if (servers_tag_ != reply.tag)
+    return;
+  servers_tag_ = 0;
+  if (!reply.answered) {
+    next_servers_ = now + kServersRetry;
+  } else {
+    servers_ = reply.servers;
+    for (auto& [pool, scheduler] : schedulers_)
+      scheduler->OnServers(now, servers_, outbox_);
+  }
+  Settle(now, wall);
+}
+
+void NodeCore::OnOperators(Time now,
+                           WallMillis wall,
+                           const OperatorsReply& reply) {
+  if (operators_tag_ != reply.tag)
+    return;
+  operators_tag_ = 0;
+  if (!reply.answered) {
+    operators_version_ = 0;
+    operators_retry_ = now + kOperatorsRetry;
+    Settle(now, wall);
+    return;
+  }
+  operators_version_ = std::max(operators_version_, reply.version);
+  if (reply.config && reply.config->version > config_.version) {
+    config_ = *reply.config;
+    outbox_.Log("config-in-force",
+                {{"version", static_cast<int64_t>(config_.version)},
+                 {"queues", static_cast<int64_t>(config_.queues.size())},
+                 {"pools", static_cast<int64_t>(config_.pools.size())}});
+    intake_.OnConfig(config_);
+    for (auto& [pool, scheduler] : schedulers_)
+      scheduler->OnConfig(config_);
+    if (fleet_ != nullptr)
+      fleet_->OnConfig(config_);
+    leases_.Watch(now, WatchedPools());
+  }
+  for (const MaintenanceWave& wave : reply.waves)
+    waves_[wave.number] = wave;
+  if (fleet_ != nullptr)
+    fleet_->OnWaves(now, reply.waves, outbox_);
+  Settle(now, wall);
+}
+
+void NodeCore::OnHostReply(Time now, WallMillis wall, const HostReply& reply) {
+  if (fleet_ != nullptr)
+    fleet_->OnHostReply(now, reply, outbox_);
+  Settle(now, wall);
+}
+
+void NodeCore::OnPeer(Time now,
+                      WallMillis wall,
+                      const JobPeerEnvelope& envelope) {
+  Dispatch(now, envelope.sender, envelope.address, envelope.message);
+  Settle(now, wall);
+}
+
+void NodeCore::Tick(Time now, WallMillis wall) {
+  Settle(now, wall);
+}
+
+void NodeCore::Resumed(Time now, WallMillis wall) {
+  outbox_.Log("process-resumed", {});
+  for (auto& [pool, scheduler] : schedulers_)
+    scheduler->Resumed();
+  Settle(now, wall);
+}
+
+void NodeCore::Shutdown(Time now, WallMillis wall) {
+  if (!shutdown_) {
+    shutdown_ = now;
+    outbox_.Log("process-stopping",
+                {{"pools", static_cast<int64_t>(schedulers_.size())}});
+    leases_.StopAcquiring();
+    for (auto& [pool, scheduler] : schedulers_)
+      scheduler->Release(MemberId());
+    if (fleet_ != nullptr)
+      fleet_->Release(MemberId());
+  }
+  Settle(now, wall);
+}
+
+bool NodeCore::accepts_connections(Time now) const {
+  return !shutdown_ || now - *shutdown_ < kServeAfterStop;
+}
+
+// Messages.
+
+void NodeCore::Dispatch(Time now,
+                        const MemberId& from,
+                        const std::string& address,
+                        const JobPeerMessage& message) {
+  auto find = [this](const PoolId& pool) -> PoolScheduler* {
+    auto it = schedulers_.find(pool);
+    return it == schedulers_.end() ? nullptr : it->second.get();
+  };
+  if (const auto* beat = std::get_if<OwnerBeat>(&message)) {
+    leases_.OnBeat(now, from, address, *beat);
+  } else if (const auto* notice = std::get_if<JobNotice>(&message)) {
+    if (PoolScheduler* scheduler = find(notice->pool))
+      scheduler->OnJobNotice(now, *notice, outbox_);
+  } else if (const auto* query = std::get_if<JobQuery>(&message)) {
+    if (PoolScheduler* scheduler = find(query->pool))
+      scheduler->OnJobQuery(now, from, address, *query, outbox_);
+    else
+      outbox_.Send(from, address, JobAnswer{query->request});
+  } else if (const auto* answer = std::get_if<JobAnswer>(&message)) {
+    intake_.OnJobAnswer(now, *answer, outbox_);
+  } else if (const auto* request = std::get_if<VacateRequest>(&message)) {
+    if (PoolScheduler* scheduler = find(request->pool))
+      scheduler->OnVacateRequest(now, from, address, *request, outbox_);
+  } else if (const auto* vacated = std::get_if<VacateAnswer>(&message)) {
+    if (fleet_ != nullptr)
+      fleet_->OnVacateAnswer(now, *vacated, outbox_);
+  }
+}
+
+void NodeCore::DeliverLocal(Time now) {
+  // A message to this process may cause another one; the chains are short.
+  constexpr int kMaxRounds = 4;
+  for (int round = 0; round < kMaxRounds; ++round) {
+    std::vector<JobPeerMessage> local = outbox_.TakeMessagesTo(options_.name);
+    if (local.empty())
+      return;
+    for (const JobPeerMessage& message : local)
+      Dispatch(now, options_.name, options_.address, message);
+  }
+}
+
+// Ownership.
+
+std::vector<PoolId> NodeCore::WatchedPools() const {
+  std::vector<PoolId> pools{PoolId(kFleetPool)};
+  for (const PoolConfig& pool : config_.pools) {
+    bool used = std::any_of(
+        config_.queues.begin(), config_.queues.end(),
+        [&pool](const QueueConfig& queue) { return queue.pool == pool.id; });
+    if (used || !pool.standby)
+      pools.push_back(pool.id);
+  }
+  return pools;
+}
+
+void NodeCore::TakeOver(Time now) {
+  for (const AcquiredLease& lease : leases_.TakeAcquired()) {
+    if (lease.pool.str() == kFleetPool) {
+      FleetKeeperOptions options;
+      options.node = options_.name;
+      options.address = options_.address;
+      options.bounds = options_.bounds;
+      options.token = lease.token;
+      options.lease_version = lease.version;
+      options.lease_taken = lease.sent;
+      options.first_owner = lease.first_owner;
+      fleet_ = std::make_unique<FleetKeeper>(options, outbox_);
+      fleet_->OnConfig(config_);
+      std::vector<MaintenanceWave> waves;
+      for (const auto& [number, wave] : waves_)
+        waves.push_back(wave);
+      fleet_->OnWaves(now, waves, outbox_);
+    } else {
+      PoolSchedulerOptions options;
+      options.pool = lease.pool;
+      options.node = options_.name;
+      options.address = options_.address;
+      options.bounds = options_.bounds;
+      options.token = lease.token;
+      options.lease_version = lease.version;
+      options.lease_taken = lease.sent;
+      options.first_owner = lease.first_owner;
+      schedulers_[lease.pool] =
+          std::make_unique<PoolScheduler>(options, config_, outbox_);
+      next_servers_ = now;
+    }
+    next_beat_ = now;
+  }
+}
+
+void NodeCore::DropLost(Time now) {
+  for (auto it = schedulers_.begin(); it != schedulers_.end();) {
+    if (!it->second->lost() && !it->second->released()) {
+      ++it;
+      continue;
+    }
+    OwnerBeat beat = it->second->Beat(now);
+    bool released = it->second->released();
+    outbox_.Log(released ? "pool-released" : "pool-lost",
+                {{"pool", it->first.str()},
+                 {"token", static_cast<int64_t>(it->second->token())}});
+    if (released)
+      Announce(now, beat);
+    beat.released = true;
+    intake_.SetLocalBeat(beat, now);
+    leases_.SetOwned(now, it->first, false);
+    it = schedulers_.erase(it);
+  }
+  if (fleet_ != nullptr && (fleet_->lost() || fleet_->released())) {
+    if (fleet_->released())
+      Announce(now, fleet_->Beat(now));
+    leases_.SetOwned(now, PoolId(kFleetPool), false);
+    fleet_.reset();
+  }
+}
+
+void NodeCore::Announce(Time now, const OwnerBeat& beat) {
+  for (const auto& [name, node] : nodes_) {
+    if (name != options_.name && !node.row.leaving &&
+        now - node.changed < kNodeExpiry)
+      outbox_.Send(name, node.row.address, beat);
+  }
+}
+
+void NodeCore::SendBeats(Time now) {
+  if (!HasOwned())
+    return;
+  if (now < next_beat_) {
+    Wake(next_beat_);
+    return;
+  }
+  next_beat_ = now + kBeatPeriod;
+  Wake(next_beat_);
+  for (const auto& [pool, scheduler] : schedulers_) {
+    OwnerBeat beat = scheduler->Beat(now);
+    intake_.SetLocalBeat(beat, now);
+    Announce(now, beat);
+  }
+  if (fleet_ != nullptr)
+    Announce(now, fleet_->Beat(now));
+}
+
+std::map<PoolId, PoolContact> NodeCore::Contacts(Time now) const {
+  constexpr Duration kMaxAge = Milliseconds(1500);
+  std::map<PoolId, PoolContact> contacts;
+  for (const PoolConfig& pool : config_.pools) {
+    auto own = schedulers_.find(pool.id);
+    const PoolOwner* owner = leases_.OwnerOf(pool.id);
+    OwnerBeat beat;
+    PoolContact contact;
+    if (own != schedulers_.end()) {
+      contact.node = options_.name;
+      beat = own->second->Beat(now);
+    } else if (owner != nullptr && now - owner->heard < kMaxAge) {
+      contact.node = owner->node;
+      contact.address = owner->address;
+      beat = owner->beat;
+    } else {
+      continue;
+    }
+    contact.demand_share =
+        beat.capacity_cores > 0 ? beat.demand_cores / beat.capacity_cores : 0;
+    contacts[pool.id] = std::move(contact);
+  }
+  return contacts;
+}
+
+// Reading the platform.
+
+void NodeCore::FollowOperators(Time now) {
+  if (operators_tag_ != 0)
+    return;
+  if (now < operators_retry_) {
+    Wake(operators_retry_);
+    return;
+  }
+  operators_tag_ = outbox_.Operators(operators_version_, kOperatorsWait);
+}
+
+void NodeCore::RegisterNode(Time now) {
+  if (register_tag_ != 0)
+    return;
+  if (now < next_register_) {
+    Wake(next_register_);
+    return;
+  }
+  NodeRow row{options_.name, options_.address, options_.zone,
+              options_.incarnation, shutdown_.has_value()};
+  Transaction transaction;
+  transaction.writes.push_back({NodeKey(options_.name), EncodeNode(row)});
+  register_tag_ = outbox_.Store(CommitRows{std::move(transaction)});
+}
+
+void NodeCore::ScanNodes(Time now) {
+  if (nodes_tag_ != 0)
+    return;
+  if (now < next_nodes_) {
+    Wake(next_nodes_);
+    return;
+  }
+  next_nodes_ = now + (nodes_.size() < 2 ? kFirstNodesPeriod : kNodesPeriod);
+  ScanRows scan;
+  scan.prefix = NodeKey(MemberId());
+  nodes_tag_ = outbox_.Store(std::move(scan));
+}
+
+void NodeCore::OnNodes(Time now, const std::vector<Row>& rows) {
+  std::vector<MemberId> live;
+  for (const Row& row : rows) {
+    std::optional<NodeRow> decoded = DecodeNode(row.value);
+    if (!decoded) {
+      outbox_.Log("row-unreadable", {{"key", row.key}});
+      continue;
+    }
+    Node& node = nodes_[decoded->name];
+    if (node.version != row.version) {
+      node.version = row.version;
+      node.changed = now;
+    }
+    node.row = std::move(*decoded);
+    if (!node.row.leaving && now - node.changed < kNodeExpiry)
+      live.push_back(node.row.name);
+  }
+  leases_.SetNodes(live);
+}
+
+void NodeCore::ReadServers(Time now) {
+  if (schedulers_.empty() || servers_tag_ != 0)
+    return;
+  if (now < next_servers_) {
+    Wake(next_servers_);
+    return;
+  }
+  next_servers_ = now + kServersPeriod;
+  servers_tag_ = outbox_.Servers();
+}
+
+void NodeCore::TickShutdown(Time now) {
+  if (!shutdown_ || ended_)
+    return;
+  bool served = now - *shutdown_ >= kServeAfterStop &&
+                intake_.open_calls() == 0 && !HasOwned();
+  if (served || now - *shutdown_ >= options_.grace - kEndMargin) {
+    ended_ = true;
+    outbox_.Log("process-ended", {});
+    outbox_.End();
+    return;
+  }
+  Wake(now + Milliseconds(50));
+}
+
+void NodeCore::Settle(Time now, WallMillis wall) {
+  next_wake_ = kTimeMax;
+  leases_.Tick(now, outbox_);
+  TakeOver(now);
+  for (auto& [pool, scheduler] : schedulers_)
+    scheduler->Tick(now, wall, outbox_);
+  if (fleet_ != nullptr)
+    fleet_->Tick(now, Contacts(now), outbox_);
+  intake_.Tick(now, outbox_);
+  SendBeats(now);
+  DeliverLocal(now);
+  DropLost(now);
+  FollowOperators(now);
+  RegisterNode(now);
+  ScanNodes(now);
+  ReadServers(now);
+  TickShutdown(now);
+  Wake(leases_.next_wake());
+  Wake(intake_.next_wake());
+  for (auto& [pool, scheduler] : schedulers_)
+    Wake(scheduler->next_wake());
+  if (fleet_ != nullptr)
+    Wake(fleet_->next_wake());
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/node_core.h
@@ -0,0 +1,130 @@
+// One process of the job scheduler without its input and output: takes callers'
+// requests, and owns pools and the fleet's duties as leases come to it.
+//
+//   NodeCore core(options);
+//   core.Start(now, wall);
+//   core.OnCall(now, wall, call);
+//   for (JobAction& action : core.TakeActions()) ...
+//   loop.RunAt(core.next_wake(), ...);  // Tick
+//
+// Every method takes the time; answers come back by the tags of the actions.
+
+#ifndef RADISHMOOR_JOBS_NODE_CORE_H_
+#define RADISHMOOR_JOBS_NODE_CORE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "radishmoor/jobs/fleet_keeper.h"
+#include "radishmoor/jobs/intake.h"
+#include "radishmoor/jobs/peer_frames.h"
+#include "radishmoor/jobs/pool_leases.h"
+#include "radishmoor/jobs/pool_scheduler.h"
+
+namespace radishmoor {
+
+struct NodeOptions {
+  MemberId name;
+  std::string address;  // For messages of other processes.
+  ZoneId zone;
+  uint64_t incarnation = 0;
+  JobBounds bounds;
+  // From the signal to stop until the process must have ended.
+  Duration grace = Seconds(6);
+};
+
+class NodeCore {
+ public:
+  explicit NodeCore(const NodeOptions& options);
+
+  void Start(Time now, WallMillis wall);
+  void OnCall(Time now, WallMillis wall, JobCall call);
+  void OnAbandoned(Time now, WallMillis wall, JobCallId call);
+  void OnStoreAnswer(Time now, WallMillis wall, const StoreAnswer& answer);
+  void OnServerReply(Time now, WallMillis wall, const ServerReply& reply);
+  void OnServers(Time now, WallMillis wall, const ServersReply& reply);
+  void OnOperators(Time now, WallMillis wall, const OperatorsReply& reply);
+  void OnHostReply(Time now, WallMillis wall, const HostReply& reply);
+  void OnPeer(Time now, WallMillis wall, const JobPeerEnvelope& envelope);
+  void Tick(Time now, WallMillis wall);
+  // The process was suspended for a while that the clock does not show.
+  void Resumed(Time now, WallMillis wall);
+  // Hands over what the process owns and ends.
+  void Shutdown(Time now, WallMillis wall);
+
+  std::vector<JobAction> TakeActions() { return outbox_.Take(); }
+  Time next_wake() const { return next_wake_; }
+
+  // New callers may come.
+  bool ready() const { return config_.version != 0 && !shutdown_; }
+  bool accepts_connections(Time now) const;
+
+  const JobConfig& config() const { return config_; }
+  const Intake& intake() const { return intake_; }
+  const std::map<PoolId, std::unique_ptr<PoolScheduler>>& pools() const {
+    return schedulers_;
+  }
+  bool keeps_fleet() const { return fleet_ != nullptr; }
+
+ private:
+  struct Node {
+    NodeRow row;
+    RowVersion version = 0;
+    Time changed;  // When its row was last seen to change.
+  };
+
+  void Settle(Time now, WallMillis wall);
+  void Dispatch(Time now,
+                const MemberId& from,
+                const std::string& address,
+                const JobPeerMessage& message);
+  void DeliverLocal(Time now);
+  void TakeOver(Time now);
+  void DropLost(Time now);
+  void SendBeats(Time now);
+  void Announce(Time now, const OwnerBeat& beat);
+  void FollowOperators(Time now);
+  void RegisterNode(Time now);
+  void ScanNodes(Time now);
+  void OnNodes(Time now, const std::vector<Row>& rows);
+  void ReadServers(Time now);
+  void TickShutdown(Time now);
+  std::map<PoolId, PoolContact> Contacts(Time now) const;
+  std::vector<PoolId> WatchedPools() const;
+  bool HasOwned() const { return !schedulers_.empty() || fleet_ != nullptr; }
+  void Wake(Time at) { next_wake_ = std::min(next_wake_, at); }
+
+  NodeOptions options_;
+  Outbox outbox_;
+  JobConfig config_;
+  std::map<uint64_t, MaintenanceWave> waves_;
+  PoolLeases leases_;
+  Intake intake_;
+  std::map<PoolId, std::unique_ptr<PoolScheduler>> schedulers_;
+  std::unique_ptr<FleetKeeper> fleet_;
+  std::map<MemberId, Node> nodes_;
+
+  uint64_t operators_tag_ = 0;
+  RowVersion operators_version_ = 0;
+  Time operators_retry_;
+  uint64_t register_tag_ = 0;
+  Time next_register_;
+  uint64_t nodes_tag_ = 0;
+  Time next_nodes_;
+  uint64_t servers_tag_ = 0;
+  Time next_servers_;
+  std::vector<ServerListing> servers_;
+  Time next_beat_;
+  std::optional<Time> shutdown_;
+  bool ended_ = false;
+  bool store_reached_ = true;
+  Time next_wake_ = kTimeMax;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_NODE_CORE_H_
--- /dev/null
+++ b/radishmoor/jobs/outbox.cc
@@ -0,0 +1,88 @@
+#include "radishmoor/jobs/outbox.h"
+
+#include <utility>
+
+namespace radishmoor {
+
+uint64_t Outbox::Store(StoreRequest request, Duration timeout) {
+  uint64_t tag = next_tag_++;
+  actions_.emplace_back(StoreCall{tag, std::move(request), timeout});
+  return tag;
+}
+
+uint64_t Outbox::Order(const ServerId& server,
+                       const std::string& address,
+                       FencingToken token,
+                       ServerOrder order) {
+  uint64_t tag = next_tag_++;
+  actions_.emplace_back(
+      OrderToServer{tag, server, address, token, std::move(order)});
+  return tag;
+}
+
+uint64_t Outbox::Advice(AskAdvice ask) {
+  ask.tag = next_tag_++;
+  uint64_t tag = ask.tag;
+  actions_.emplace_back(std::move(ask));
+  return tag;
+}
+
+uint64_t Outbox::Servers() {
+  uint64_t tag = next_tag_++;
+  actions_.emplace_back(ListServers{tag});
+  return tag;
+}
+
+uint64_t Outbox::Operators(RowVersion after, Duration wait) {
+  uint64_t tag = next_tag_++;
+  actions_.emplace_back(FollowOperators{tag, after, wait});
+  return tag;
+}
+
+uint64_t Outbox::Host(FencingToken token, HostRequest request) {
+  uint64_t tag = next_tag_++;
+  actions_.emplace_back(HostCall{tag, token, std::move(request)});
+  return tag;
+}
+
+uint64_t Outbox::Report(uint64_t wave, bool completed) {
+  uint64_t tag = next_tag_++;
+  actions_.emplace_back(ReportWave{tag, wave, completed});
+  return tag;
+}
+
+void Outbox::Send(const MemberId& to,
+                  const std::string& address,
+                  JobPeerMessage message) {
+  actions_.emplace_back(SendJobPeer{to, address, std::move(message)});
+}
+
+void Outbox::Answer(AnswerCall answer) {
+  actions_.emplace_back(std::move(answer));
+}
+
+void Outbox::Log(std::string_view event, std::vector<DecisionField> fields) {
+  actions_.emplace_back(Decision{event, std::move(fields)});
+}
+
+void Outbox::End() {
+  actions_.emplace_back(EndJobProcess{});
+}
+
+std::vector<JobPeerMessage> Outbox::TakeMessagesTo(const MemberId& to) {
+  std::vector<JobPeerMessage> messages;
+  std::erase_if(actions_, [&](JobAction& action) {
+    auto* send = std::get_if<SendJobPeer>(&action);
+    if (send == nullptr || send->to != to)
+      return false;
+    messages.push_back(std::move(send->message));
+    return true;
+  });
+  return messages;
+}
+
+std::vector<JobAction> Outbox::Take() {
+  return std::exchange(actions_, {});
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/outbox.h
@@ -0,0 +1,53 @@
+// Collects the actions of one step of the scheduler and assigns tags to
+// requests, so that the answer finds its way back.
+//
+//   Outbox outbox;
+//   uint64_t tag = outbox.Store(ReadRows{{"owner/a/lease"}});
+//   for (JobAction& action : outbox.Take()) ...
+
+#ifndef RADISHMOOR_JOBS_OUTBOX_H_
+#define RADISHMOOR_JOBS_OUTBOX_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "radishmoor/jobs/messages.h"
+
+namespace radishmoor {
+
+class Outbox {
+ public:
+  // Requests; each returns the tag that its answer will carry.
+  uint64_t Store(StoreRequest request, Duration timeout = Duration::zero());
+  uint64_t Order(const ServerId& server,
+                 const std::string& address,
+                 FencingToken token,
+                 ServerOrder order);
+  uint64_t Advice(AskAdvice ask);
+  uint64_t Servers();
+  uint64_t Operators(RowVersion after, Duration wait);
+  uint64_t Host(FencingToken token, HostRequest request);
+  uint64_t Report(uint64_t wave, bool completed);
+
+  void Send(const MemberId& to,
+            const std::string& address,
+            JobPeerMessage message);
+  void Answer(AnswerCall answer);
+  void Log(std::string_view event, std::vector<DecisionField> fields);
+  void End();
+
+  // Removes the messages to one process and returns them in their order.
+  std::vector<JobPeerMessage> TakeMessagesTo(const MemberId& to);
+
+  std::vector<JobAction> Take();
+
+ private:
+  uint64_t next_tag_ = 1;
+  std::vector<JobAction> actions_;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_OUTBOX_H_
--- /dev/null
+++ b/radishmoor/jobs/placement.h
@@ -0,0 +1,81 @@
+// Which tasks start next, and on which server. Pure decisions over values.
+//
+// Order: jobs that can still meet their objective come first, by priority and
+// then by least slack; jobs that cannot come after them, shortest remaining
+// work first, so that a backlog from a peak does not make the following jobs
+// late as well. This answers the load in which a queue asks for more than its
+// pool holds for some seconds. Long-running tasks come before all, since each
+// second that they are missing counts.
+//
+// Placement: the server with the largest free share of cores among those that
+// fit, with penalties for distance from the data and for slowness. A task that
+// fits nowhere reserves the server that comes nearest, so that smaller tasks do
+// not starve it.
+
+#ifndef RADISHMOOR_JOBS_PLACEMENT_H_
+#define RADISHMOOR_JOBS_PLACEMENT_H_
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "radishmoor/base/time.h"
+#include "radishmoor/jobs/job.h"
+
+namespace radishmoor {
+
+struct JobOrderInput {
+  uint32_t position = 0;  // Of the job in the caller's list.
+  uint32_t priority = 0;
+  bool long_running = false;
+  Time objective;
+  Time arrived;
+  Duration remaining_chain{};
+  // The caller's own index; kept as it is.
+};
+
+// Positions in the order of start. O(n log n).
+std::vector<uint32_t> OrderJobs(Time now, std::span<const JobOrderInput> jobs);
+
+struct PlacementServer {
+  uint32_t position = 0;  // Of the server in the caller's list.
+  RackId rack;
+  std::span<const std::string> labels;
+  Resources capacity;
+  Resources room;
+  double slowness = 1.0;
+  // Succeeded lately, and no suspicion stands against it.
+  bool trusted = true;
+  uint32_t same_step = 0;  // Runs of the same step and occurrence.
+  // Runs with a tail limit, which tasks that use spare room would disturb.
+  uint32_t sensitive_runs = 0;
+  uint32_t spare_runs = 0;
+  bool reserved = false;
+  bool leaving_soon = false;  // Maintenance or a move comes soon.
+  bool failed_before = false;
+};
+
+struct PlacementTask {
+  const StepSpec* step = nullptr;
+  // One more failure ends the job.
+  bool last_attempt = false;
+  // Racks that hold most of the step's other tasks, for colocated steps.
+  RackId preferred_rack;
+  double far_factor = 1.0;
+};
+
+// Index into `servers` of the best server, or nothing if none fits. O(n).
+std::optional<size_t> ChooseServer(const PlacementTask& task,
+                                   std::span<const PlacementServer> servers);
+
+// The server, among those that would fit the task when empty, that has the most
+// room now. Nothing if no server could ever hold the task.
+std::optional<size_t> ChooseReservation(
+    const PlacementTask& task,
+    std::span<const PlacementServer> servers);
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_PLACEMENT_H_
--- /dev/null
+++ b/radishmoor/jobs/pool_leases.cc
@@ -0,0 +1,251 @@
+#include "radishmoor/jobs/pool_leases.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "radishmoor/base/hash.h"
+
+namespace radishmoor {
+namespace {
+
+// An owner renews at least every half second; a lease that has not changed for
+// three times as long has no owner that can store anything.
+constexpr Duration kLeaseLength = Milliseconds(1500);
+// A slow store makes renewals late by the time that its answers take.
+constexpr int64_t kLatencyFactor = 4;
+// Announcements come every 300 ms; without two of them the row is read.
+constexpr Duration kQuietOwner = Milliseconds(900);
+// An owner that is heard but has not renewed for this long may be cut off from
+// the store.
+constexpr Duration kUnrenewedOwner = Milliseconds(1200);
+constexpr Duration kReadPeriod = Milliseconds(300);
+constexpr Duration kReadTimeout = Milliseconds(800);
+constexpr Duration kTakeTimeout = Milliseconds(1200);
+// Of the processes that could take a lease, each waits for those before it.
+constexpr Duration kRankDelay = Milliseconds(60);
+constexpr Duration kMaxRankDelay = Milliseconds(420);
+constexpr Duration kOwnedDelay = Milliseconds(250);
+
+}  // namespace
+
+void PoolLeases::Watch(Time now, std::span<const PoolId> pools) {
+  for (const PoolId& pool : pools) {
+    auto [it, inserted] = pools_.try_emplace(pool);
+    if (inserted)
+      it->second.watched_since = now;
+  }
+}
+
+void PoolLeases::SetNodes(std::span<const MemberId> nodes) {
+  nodes_.assign(nodes.begin(), nodes.end());
+}
+
+void PoolLeases::OnBeat(Time now,
+                        const MemberId& from,
+                        const std::string& address,
+                        const OwnerBeat& beat) {
+  auto it = pools_.find(beat.pool);
+  if (it == pools_.end() || it->second.owned)
+    return;
+  Watched& watched = it->second;
+  if (watched.owner && watched.owner->beat.token > beat.token)
+    return;  // From an earlier owner.
+  watched.owner = PoolOwner{from, address, now, beat};
+  if (beat.lease_version > watched.version) {
+    watched.version = beat.lease_version;
+    watched.unchanged_since = now - beat.renewed_age;
+    watched.row.reset();
+    watched.read = false;
+  }
+  if (beat.released) {
+    watched.next_read = now;
+    watched.owner->heard = now - kQuietOwner;
+  }
+}
+
+bool PoolLeases::OnStoreAnswer(Time now,
+                               const StoreAnswer& answer,
+                               Outbox& outbox) {
+  for (auto& [pool, watched] : pools_) {
+    if (watched.read_tag != 0 && answer.tag == watched.read_tag) {
+      watched.read_tag = 0;
+      if (const auto* rows = std::get_if<RowsReply>(&answer.reply)) {
+        read_latency_ = now - watched.read_sent;
+        if (!rows->rows.empty())
+          OnRead(now, pool, watched, rows->rows.front());
+      }
+      return true;
+    }
+    if (watched.take_tag == 0 || answer.tag != watched.take_tag)
+      continue;
+    watched.take_tag = 0;
+    if (const auto* done = std::get_if<CommittedReply>(&answer.reply)) {
+      OnTaken(now, pool, watched,
+              done->versions.empty() ? 0 : done->versions.front());
+      outbox.Log("pool-taken",
+                 {{"pool", pool.str()},
+                  {"token", static_cast<int64_t>(watched.take_token)}});
+    } else {
+      // The next read tells who has it.
+      watched.next_read = now;
+      watched.read = false;
+    }
+    return true;
+  }
+  return false;
+}
+
+void PoolLeases::OnRead(Time now,
+                        const PoolId& pool,
+                        Watched& watched,
+                        const Row& row) {
+  if (watched.owned)
+    return;
+  std::optional<LeaseRow> lease = DecodeLease(row.value);
+  if (!watched.read || row.version != watched.version) {
+    bool same = row.version == watched.version && row.version != 0;
+    if (!same)
+      watched.unchanged_since = now;
+    watched.version = row.version;
+    watched.take_after = now + StandBack(pool);
+  }
+  watched.read = true;
+  watched.row = lease;
+  // A lease that this process took, with the answer lost.
+  bool own = lease && lease->holder == node_ && !lease->released &&
+             watched.take_token != 0 && lease->token == watched.take_token &&
+             lease->sequence == 0;
+  if (own)
+    OnTaken(now, pool, watched, row.version);
+}
+
+void PoolLeases::OnTaken(Time now,
+                         const PoolId& pool,
+                         Watched& watched,
+                         RowVersion version) {
+  watched.version = version;
+  watched.unchanged_since = now;
+  acquired_.push_back({pool, watched.take_token, version, watched.take_sent,
+                       watched.take_first});
+  SetOwned(now, pool, true);
+}
+
+std::vector<AcquiredLease> PoolLeases::TakeAcquired() {
+  return std::exchange(acquired_, {});
+}
+
+void PoolLeases::SetOwned(Time now, const PoolId& pool, bool owned) {
+  auto it = pools_.find(pool);
+  if (it == pools_.end())
+    return;
+  Watched& watched = it->second;
+  watched.owned = owned;
+  watched.owner.reset();
+  watched.read = false;
+  watched.unchanged_since = now;
+  watched.watched_since = now;
+  watched.take_token = 0;
+}
+
+const PoolOwner* PoolLeases::OwnerOf(const PoolId& pool) const {
+  auto it = pools_.find(pool);
+  if (it == pools_.end() || !it->second.owner)
+    return nullptr;
+  return &*it->second.owner;
+}
+
+size_t PoolLeases::OwnedCount() const {
+  return static_cast<size_t>(
+      std::count_if(pools_.begin(), pools_.end(),
+                    [](const auto& entry) { return entry.second.owned; }));
+}
+
+Duration PoolLeases::StandBack(const PoolId& pool) const {
+  uint64_t own = RendezvousWeight(pool.str(), node_.str());
+  int64_t rank = 0;
+  for (const MemberId& node : nodes_) {
+    if (node != node_ && RendezvousWeight(pool.str(), node.str()) > own)
+      ++rank;
+  }
+  return std::min(kRankDelay * rank, kMaxRankDelay) +
+         kOwnedDelay * static_cast<int64_t>(OwnedCount());
+}
+
+void PoolLeases::Tick(Time now, Outbox& outbox) {
+  next_wake_ = kTimeMax;
+  if (stopped_)
+    return;
+  for (auto& [pool, watched] : pools_) {
+    if (!watched.owned)
+      TickPool(now, pool, watched, outbox);
+  }
+}
+
+void PoolLeases::TickPool(Time now,
+                          const PoolId& pool,
+                          Watched& watched,
+                          Outbox& outbox) {
+  if (watched.owner && !watched.owner->beat.released) {
+    Duration quiet = now - watched.owner->heard;
+    Duration unrenewed = quiet + watched.owner->beat.renewed_age;
+    if (quiet < kQuietOwner && unrenewed < kUnrenewedOwner) {
+      watched.next_read = now;
+      Wake(now + std::min(kQuietOwner - quiet, kUnrenewedOwner - unrenewed));
+      return;
+    }
+  }
+  if (watched.take_tag != 0)
+    return;
+  if (watched.read && watched.read_tag == 0) {
+    bool vacant = watched.version == 0;
+    bool released = watched.row && watched.row->released;
+    Time due =
+        watched.unchanged_since + kLeaseLength + kLatencyFactor * read_latency_;
+    if (vacant)
+      due = watched.take_after;
+    if (released)
+      due = watched.row->successor == node_ ? now : watched.take_after;
+    else if (!vacant)
+      due += StandBack(pool);
+    if (now >= due) {
+      Take(now, pool, watched, outbox);
+      return;
+    }
+    Wake(due);
+  }
+  if (watched.read_tag != 0)
+    return;
+  if (now < watched.next_read) {
+    Wake(watched.next_read);
+    return;
+  }
+  watched.next_read = now + kReadPeriod;
+  watched.read_sent = now;
+  watched.read_tag = outbox.Store(ReadRows{{LeaseKey(pool)}}, kReadTimeout);
+  Wake(watched.next_read);
+}
+
+void PoolLeases::Take(Time now,
+                      const PoolId& pool,
+                      Watched& watched,
+                      Outbox& outbox) {
+  LeaseRow lease;
+  lease.holder = node_;
+  lease.address = address_;
+  lease.token = (watched.row ? watched.row->token : 0) + 1;
+  watched.take_token = lease.token;
+  watched.take_first = watched.version == 0;
+  watched.take_sent = now;
+  Transaction transaction;
+  transaction.expects.push_back({LeaseKey(pool), watched.version});
+  transaction.writes.push_back({LeaseKey(pool), EncodeLease(lease)});
+  watched.take_tag =
+      outbox.Store(CommitRows{std::move(transaction)}, kTakeTimeout);
+  outbox.Log("pool-lease-expired",
+             {{"pool", pool.str()},
+              {"version", static_cast<int64_t>(watched.version)},
+              {"unchanged_ms", (now - watched.unchanged_since).count() / 1000},
+              {"holder", watched.row ? watched.row->holder.str() : ""}});
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -0,0 +1,550 @@
+#include "radishmoor/jobs/pool_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishmoor {
+namespace {
+
+constexpr uint32_t kLoadPage = 400;
+constexpr Duration kLoadRetry = Milliseconds(150);
+// Notices bring stored jobs at once; the inbox brings those whose notice was
+// lost.
+constexpr Duration kInboxPeriod = Milliseconds(1000);
+constexpr uint32_t kInboxPage = 200;
+// Planning waits so that events that come together are planned together.
+constexpr Duration kPlanGap = Milliseconds(4);
+constexpr Duration kReviewPeriod = Milliseconds(100);
+// Without a listing, a server that answers stays in use this long: listings
+// that lapsed while the store was away come back within it.
+constexpr Duration kUnlistedGrace = Seconds(2);
+constexpr Duration kUnlistedContact = Milliseconds(1500);
+constexpr Duration kForgetServer = Seconds(30);
+// Without a renewal for this long nothing new is planned: it could not be
+// stored.
+constexpr Duration kPlanningLease = Seconds(3);
+// A request to empty a server holds this long.
+constexpr Duration kVacateHold = Seconds(3);
+constexpr Duration kPurgePeriod = Seconds(10);
+constexpr size_t kPurgeBatch = 20;
+// A submission time that another process wrote is believed up to this age.
+constexpr Duration kMaxBelievedAge = Seconds(60);
+
+JobAnswerState AnswerOf(JobState state) {
+  return static_cast<JobAnswerState>(state);
+}
+
+}  // namespace
+
+PoolScheduler::PoolScheduler(const PoolSchedulerOptions& options,
+                             const JobConfig& config,
+                             Outbox& outbox)
+    : options_(options),
+      state_(options.pool, options.bounds),
+      runs_(state_),
+      dispatch_(state_, runs_),
+      chain_(state_,
+             {options.node, options.address, options.lease_version,
+              options.sequence}) {
+  state_.token = options.token;
+  chain_.set_renewed(options.lease_taken);
+  OnConfig(config);
+  SendLoad(outbox);
+}
+
+void PoolScheduler::OnConfig(const JobConfig& config) {
+  for (const QueueConfig& queue : config.queues)
+    state_.queues[queue.id] = queue;
+  const PoolConfig* pool = config.FindPool(state_.pool);
+  state_.standby = pool != nullptr && pool->standby;
+  plan_needed_ = true;
+}
+
+// Loading.
+
+void PoolScheduler::SendLoad(Outbox& outbox) {
+  ScanRows scan;
+  scan.limit = kLoadPage;
+  scan.after = load_.after;
+  const char* table = load_.stage == LoadStage::kProgress ? "progress/"
+                      : load_.stage == LoadStage::kJobs   ? "jobs/"
+                                                          : "inbox/";
+  scan.prefix = table + state_.pool.str() + "/";
+  load_.tag = outbox.Store(std::move(scan));
+}
+
+void PoolScheduler::OnLoadAnswer(Time now,
+                                 WallMillis wall,
+                                 const StoreReply& reply,
+                                 Outbox& outbox) {
+  load_.tag = 0;
+  const auto* rows = std::get_if<RowsReply>(&reply);
+  if (rows == nullptr) {
+    load_.failed = true;
+    load_.retry_at = now + kLoadRetry;
+    Wake(load_.retry_at);
+    return;
+  }
+  for (const Row& row : rows->rows)
+    LoadRow(now, wall, row, outbox);
+  if (!rows->rows.empty())
+    load_.after = rows->rows.back().key;
+  if (!rows->rows.empty() && rows->more) {
+    SendLoad(outbox);
+    return;
+  }
+  load_.after.clear();
+  load_.stage = static_cast<LoadStage>(static_cast<int>(load_.stage) + 1);
+  if (load_.stage == LoadStage::kDone)
+    FinishLoading(now, outbox);
+  else
+    SendLoad(outbox);
+}
+
+void PoolScheduler::LoadRow(Time now,
+                            WallMillis wall,
+                            const Row& row,
+                            Outbox& outbox) {
+  JobId id{KeyName(row.key)};
+  switch (load_.stage) {
+    case LoadStage::kProgress:
+      if (std::optional<StoredProgress> progress = DecodeProgress(row.value)) {
+        load_.progress[id] = std::move(*progress);
+      } else {
+        ++state_.counters.unreadable_rows;
+        outbox.Log("row-unreadable", {{"key", row.key}});
+      }
+      break;
+    case LoadStage::kJobs:
+      LoadJob(now, wall, row, outbox);
+      break;
+    case LoadStage::kInbox:
+      OnInboxRow(now, row, outbox);
+      break;
+    case LoadStage::kDone:
+      break;
+  }
+}
+
+void PoolScheduler::LoadJob(Time now,
+                            WallMillis wall,
+                            const Row& row,
+                            Outbox& outbox) {
+  JobId id{KeyName(row.key)};
+  auto stored = load_.progress.find(id);
+  if (row.value == kEndedJobMark) {
+    JobState state = stored == load_.progress.end() ? JobState::kCompleted
+                                                    : stored->second.state;
+    state_.jobs.AddEnded(id, state, now);
+    return;
+  }
+  std::optional<JobSpec> spec = DecodeJob(row.value);
+  if (!spec) {
+    ++state_.counters.unreadable_rows;
+    outbox.Log("row-unreadable", {{"key", row.key}});
+    return;
+  }
+  Duration age = std::clamp(Milliseconds(wall - spec->submitted_at),
+                            Duration::zero(), kMaxBelievedAge);
+  TakeUp(now, id, *spec, age, outbox);
+  if (stored == load_.progress.end())
+    return;
+  Job& job = *state_.jobs.Find(id);
+  state_.jobs.Restore(job, stored->second, now);
+  state_.jobs.ClearDirty(id);
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (Task& task : occurrence.tasks) {
+      for (const Run& run : task.runs) {
+        state_.servers.AddRun(run.server,
+                              {{id, number, task.step, task.index}, run.number},
+                              PoolState::CountedRequest(job.StepOf(task)));
+        state_.servers.Find(run.server)->inherited_until =
+            options_.lease_taken + kUnrenewedExtension +
+            state_.bounds.max_lease;
+      }
+    }
+  }
+}
+
+void PoolScheduler::FinishLoading(Time now, Outbox& outbox) {
+  size_t inherited = 0;
+  for (const auto& [id, server] : state_.servers.all())
+    inherited += server.runs.size();
+  outbox.Log("pool-loaded",
+             {{"pool", state_.pool.str()},
+              {"token", static_cast<int64_t>(state_.token)},
+              {"jobs", static_cast<int64_t>(state_.jobs.size())},
+              {"open", static_cast<int64_t>(state_.jobs.open().size())},
+              {"inherited_runs", static_cast<int64_t>(inherited)},
+              {"took_ms", (now - options_.lease_taken).count() / 1000}});
+  load_.progress.clear();
+  next_inbox_ = now + kInboxPeriod;
+  plan_needed_ = true;
+}
+
+// Jobs.
+
+Time PoolScheduler::ObjectiveOf(const JobSpec& spec, Time arrived) const {
+  auto it = state_.queues.find(spec.queue);
+  double slack = it == state_.queues.end() ? 1.0 : it->second.slack_factor;
+  Duration goal = it == state_.queues.end() ? Duration::zero()
+                                            : it->second.latency_objective;
+  std::vector<Duration> end(spec.steps.size(), Duration::zero());
+  Duration chain{};
+  for (size_t pass = 0; pass < spec.steps.size(); ++pass) {
+    for (size_t i = 0; i < spec.steps.size(); ++i) {
+      Duration before{};
+      for (uint32_t b : spec.steps[i].after)
+        before = std::max(before, end[b]);
+      end[i] = before + spec.steps[i].estimate;
+      chain = std::max(chain, end[i]);
+    }
+  }
+  return arrived + goal +
+         Duration(
+             static_cast<int64_t>(slack * static_cast<double>(chain.count())));
+}
+
+void PoolScheduler::TakeUp(Time now,
+                           const JobId& id,
+                           const JobSpec& spec,
+                           Duration age,
+                           Outbox& outbox) {
+  if (state_.jobs.Find(id) != nullptr)
+    return;
+  Time arrived = now - age;
+  Job& job = state_.jobs.Add(id, spec, arrived, ObjectiveOf(spec, arrived));
+  if (spec.scheduled())
+    scheduled_.insert(id);
+  plan_needed_ = true;
+  outbox.Log("job-taken-up",
+             {{"job", id.str()},
+              {"queue", spec.queue.str()},
+              {"tasks", static_cast<int64_t>(spec.tasks_per_occurrence())},
+              {"age_ms", age.count() / 1000},
+              {"objective_ms", (job.objective - now).count() / 1000}});
+}
+
+void PoolScheduler::OnJobNotice(Time now,
+                                const JobNotice& notice,
+                                Outbox& outbox) {
+  if (!loaded() || CheckJob(notice.spec))
+    return;
+  if (state_.jobs.Find(notice.job) == nullptr)
+    RemoveRow(InboxKey(state_.pool, kInboxSubmitted, notice.job));
+  TakeUp(now, notice.job, notice.spec, notice.age, outbox);
+}
+
+bool PoolScheduler::Cancel(Time now, const JobId& id, Outbox& outbox) {
+  Job* job = state_.jobs.Find(id);
+  if (job == nullptr)
+    return false;
+  if (IsFinal(job->state))
+    return true;
+  state_.jobs.MarkCancelled(*job, now);
+  outbox.Log("job-cancelled", {{"job", id.str()}});
+  runs_.StopJob(now, *job, "job-cancelled", outbox);
+  return true;
+}
+
+void PoolScheduler::OnJobQuery(Time now,
+                               const MemberId& from,
+                               const std::string& address,
+                               const JobQuery& query,
+                               Outbox& outbox) {
+  JobAnswer answer{query.request, JobAnswerState::kUnknown};
+  const Job* job = loaded() ? state_.jobs.Find(query.job) : nullptr;
+  if (job != nullptr && query.cancel && !IsFinal(job->shown)) {
+    Cancel(now, query.job, outbox);
+    waiters_[query.job].push_back({from, address, query.request});
+    return;
+  }
+  if (job != nullptr)
+    answer.state = AnswerOf(job->shown);
+  outbox.Send(from, address, answer);
+}
+
+void PoolScheduler::AnswerWaiters(Outbox& outbox) {
+  for (auto it = waiters_.begin(); it != waiters_.end();) {
+    const Job* job = state_.jobs.Find(it->first);
+    if (job != nullptr && !IsFinal(job->shown)) {
+      ++it;
+      continue;
+    }
+    for (const Waiter& waiter : it->second) {
+      outbox.Send(
+          waiter.node, waiter.address,
+          JobAnswer{waiter.request, job == nullptr ? JobAnswerState::kUnknown
+                                                   : AnswerOf(job->shown)});
+    }
+    it = waiters_.erase(it);
+  }
+}
+
+void PoolScheduler::PollInbox(Time now, Outbox& outbox) {
+  if (inbox_tag_ != 0)
+    return;
+  if (now < next_inbox_) {
+    Wake(next_inbox_);
+    return;
+  }
+  next_inbox_ = now + kInboxPeriod;
+  inbox_tag_ = outbox.Store(
+      ScanRows{"inbox/" + state_.pool.str() + "/", "", kInboxPage});
+}
+
+void PoolScheduler::OnInboxRow(Time now, const Row& row, Outbox& outbox) {
+  std::string_view name = KeyName(row.key);
+  if (name.size() < 3 || name[1] != ':') {
+    ++state_.counters.unreadable_rows;
+    RemoveRow(row.key);
+    return;
+  }
+  JobId id{name.substr(2)};
+  bool known = state_.jobs.Find(id) != nullptr;
+  if (name[0] == kInboxCancelled && known) {
+    Cancel(now, id, outbox);
+    RemoveRow(row.key);
+  } else if (known) {
+    RemoveRow(row.key);
+  } else if (reading_.insert(id).second) {
+    uint64_t tag = outbox.Store(ReadRows{{JobKey(state_.pool, id)}});
+    job_reads_[tag] = id;
+  }
+}
+
+void PoolScheduler::UpdateScheduled(Time now, WallMillis wall) {
+  for (auto it = scheduled_.begin(); it != scheduled_.end();) {
+    Job* job = state_.jobs.Find(*it);
+    if (job == nullptr || IsFinal(job->state)) {
+      it = scheduled_.erase(it);
+      continue;
+    }
+    size_t before = job->occurrences.size();
+    std::optional<WallMillis> next = state_.jobs.CreateDue(*job, now, wall);
+    plan_needed_ = plan_needed_ || job->occurrences.size() != before;
+    if (next)
+      Wake(now + std::min(Milliseconds(std::max<WallMillis>(1, *next - wall)),
+                          Seconds(1)));
+    ++it;
+  }
+}
+
+// Servers.
+
+void PoolScheduler::OnServers(Time now,
+                              std::span<const ServerListing> listings,
+                              Outbox& outbox) {
+  std::set<ServerId> seen;
+  for (const ServerListing& listing : listings) {
+    if (listing.pool != state_.pool &&
+        state_.servers.Find(listing.id) == nullptr)
+      continue;
+    seen.insert(listing.id);
+    ServerState& server = state_.servers.Ensure(listing.id);
+    bool joined = !server.listed;
+    bool drains = listing.draining && !server.listing.draining;
+    server.listing = listing;
+    server.listed = true;
+    if (joined) {
+      server.next_look = now;
+      outbox.Log("server-joined", {{"server", listing.id.str()},
+                                   {"pool", listing.pool.str()},
+                                   {"cpu", listing.capacity.cpu_millis}});
+    }
+    if (drains)
+      outbox.Log("server-draining",
+                 {{"server", listing.id.str()},
+                  {"remaining_ms", listing.remaining.count() / 1000}});
+    if (listing.born != 0)
+      runs_.OnBorn(now, listing.id, listing.born, outbox);
+  }
+  std::vector<ServerId> forgotten;
+  for (auto& [id, server] : state_.servers.all()) {
+    if (seen.contains(id)) {
+      server.unlisted_since = kTimeMax;
+      continue;
+    }
+    if (server.unlisted_since == kTimeMax)
+      server.unlisted_since = now;
+    bool answers = server.contact && now - *server.contact < kUnlistedContact;
+    if (server.listed &&
+        (!answers || now - server.unlisted_since > kUnlistedGrace)) {
+      server.listed = false;
+      outbox.Log("server-left", {{"server", id.str()}});
+    }
+    if (!server.listed && server.runs.empty() &&
+        now - server.unlisted_since > kForgetServer)
+      forgotten.push_back(id);
+  }
+  for (const ServerId& id : forgotten)
+    state_.servers.Erase(id);
+  plan_needed_ = true;
+}
+
+bool PoolScheduler::OnServerReply(Time now,
+                                  const ServerReply& reply,
+                                  Outbox& outbox) {
+  if (!runs_.OnReply(now, reply, outbox))
+    return false;
+  plan_needed_ = true;
+  return true;
+}
+
+void PoolScheduler::OnVacateRequest(Time now,
+                                    const MemberId& from,
+                                    const std::string& address,
+                                    const VacateRequest& request,
+                                    Outbox& outbox) {
+  ServerState* server =
+      loaded() ? state_.servers.Find(request.server) : nullptr;
+  VacateAnswer answer{state_.pool, request.server, VacateState::kUnknownServer,
+                      state_.token};
+  if (server != nullptr && request.withdraw) {
+    server->vacating = false;
+    plan_needed_ = true;
+    return;
+  }
+  if (server != nullptr) {
+    if (!server->vacating) {
+      server->vacating = true;
+      server->vacate_started = now;
+      outbox.Log("server-emptying",
+                 {{"server", request.server.str()},
+                  {"runs", static_cast<int64_t>(server->runs.size())}});
+    }
+    server->vacate_asked = now;
+    answer.state =
+        server->runs.empty() ? VacateState::kEmpty : VacateState::kEmptying;
+  }
+  outbox.Send(from, address, answer);
+}
+
+// Answers and time.
+
+bool PoolScheduler::OnStoreAnswer(Time now,
+                                  WallMillis wall,
+                                  const StoreAnswer& answer,
+                                  Outbox& outbox) {
+  CommitChain::Stored stored;
+  if (chain_.OnAnswer(now, answer, &stored)) {
+    for (const RunRef& start : stored.starts)
+      runs_.SendStart(now, start, outbox);
+    AnswerWaiters(outbox);
+    return true;
+  }
+  if (load_.tag != 0 && answer.tag == load_.tag) {
+    OnLoadAnswer(now, wall, answer.reply, outbox);
+    return true;
+  }
+  if (inbox_tag_ != 0 && answer.tag == inbox_tag_) {
+    inbox_tag_ = 0;
+    if (const auto* rows = std::get_if<RowsReply>(&answer.reply)) {
+      for (const Row& row : rows->rows)
+        OnInboxRow(now, row, outbox);
+    }
+    return true;
+  }
+  auto read = job_reads_.extract(answer.tag);
+  if (read.empty())
+    return false;
+  const JobId& id = read.mapped();
+  reading_.erase(id);
+  const auto* rows = std::get_if<RowsReply>(&answer.reply);
+  if (rows == nullptr || rows->rows.empty())
+    return true;  // The next poll of the inbox tries again.
+  const Row& row = rows->rows.front();
+  if (row.version == 0) {
+    // A cancellation of a job that is not stored: nothing to cancel.
+    RemoveRow(InboxKey(state_.pool, kInboxCancelled, id));
+  } else if (row.value != kEndedJobMark) {
+    LoadJob(now, wall, row, outbox);
+    next_inbox_ = now;
+  }
+  return true;
+}
+
+void PoolScheduler::Tick(Time now, WallMillis wall, Outbox& outbox) {
+  next_wake_ = kTimeMax;
+  if (load_.failed && now >= load_.retry_at) {
+    load_.failed = false;
+    SendLoad(outbox);
+  }
+  if (load_.failed)
+    Wake(load_.retry_at);
+  chain_.Tick(now, outbox);
+  Wake(chain_.next_wake());
+  if (!loaded() || lost())
+    return;
+  runs_.Tick(now, renewed_age(now) < kUnrenewedExtension, outbox);
+  PollInbox(now, outbox);
+  UpdateScheduled(now, wall);
+  for (auto& [id, server] : state_.servers.all()) {
+    if (server.vacating && now - server.vacate_asked > kVacateHold)
+      server.vacating = false;
+  }
+  if (renewed_age(now) < kPlanningLease && !chain_.released()) {
+    if (now - last_review_ >= kReviewPeriod) {
+      last_review_ = now;
+      dispatch_.Review(now, outbox);
+      plan_needed_ = true;
+    }
+    if (plan_needed_ && now - last_plan_ >= kPlanGap) {
+      plan_needed_ = false;
+      last_plan_ = now;
+      dispatch_.Plan(now, outbox);
+    }
+    if (plan_needed_)
+      Wake(last_plan_ + kPlanGap);
+    if (!state_.jobs.open().empty())
+      Wake(last_review_ + kReviewPeriod);
+  }
+  if (now - last_purge_ > kPurgePeriod) {
+    last_purge_ = now;
+    Time before = now - state_.bounds.status_retention - kMaxBelievedAge;
+    for (const JobId& job : state_.jobs.Purge(before, kPurgeBatch)) {
+      RemoveRow(JobKey(state_.pool, job));
+      RemoveRow(ProgressKey(state_.pool, job));
+    }
+  }
+  chain_.Tick(now, outbox);
+  Wake(chain_.next_wake());
+  Wake(runs_.next_wake());
+}
+
+void PoolScheduler::Release(const MemberId& successor) {
+  chain_.Release(successor);
+}
+
+void PoolScheduler::Resumed() {
+  chain_.set_renewed(chain_.renewed() - kUnrenewedExtension);
+}
+
+OwnerBeat PoolScheduler::Beat(Time now) const {
+  OwnerBeat beat;
+  beat.pool = state_.pool;
+  beat.token = state_.token;
+  beat.lease_version = chain_.lease_version();
+  beat.renewed_age = renewed_age(now);
+  beat.released = chain_.released();
+  std::map<QueueId, uint32_t> pending;
+  for (const JobId& id : state_.jobs.open()) {
+    const Job* job = state_.jobs.Find(id);
+    if (job != nullptr && !job->begun && !job->spec.scheduled() &&
+        !IsFinal(job->state))
+      ++pending[job->spec.queue];
+  }
+  for (const auto& [id, queue] : state_.queues) {
+    if (queue.pool == state_.pool)
+      beat.queues.push_back({id, pending[id], dispatch_.expected_wait()});
+  }
+  beat.demand_cores = static_cast<double>(dispatch_.demand_cpu()) / 1000;
+  for (const auto& [id, server] : state_.servers.all()) {
+    if (server.Serves(state_.pool))
+      beat.capacity_cores +=
+          static_cast<double>(server.listing.capacity.cpu_millis) / 1000;
+  }
+  return beat;
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/pool_state.h
@@ -0,0 +1,117 @@
+// State that the parts of a pool's scheduler share, and its limits.
+
+#ifndef RADISHMOOR_JOBS_POOL_STATE_H_
+#define RADISHMOOR_JOBS_POOL_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "radishmoor/base/ids.h"
+#include "radishmoor/base/time.h"
+#include "radishmoor/jobs/job.h"
+#include "radishmoor/jobs/job_table.h"
+#include "radishmoor/jobs/outbox.h"
+#include "radishmoor/jobs/server_book.h"
+
+namespace radishmoor {
+
+// Bounds that the platform sets. The defaults are those of a small site.
+struct JobBounds {
+  // Longest lease that a backend server grants.
+  Duration max_lease = Seconds(6);
+  // A stop is over within this time.
+  Duration stop = Milliseconds(200);
+  // A member of a gang waits this long for the others.
+  Duration gang_wait = Seconds(3);
+  // An occurrence may start this much before its time.
+  Duration early_start = Milliseconds(250);
+  // A task away from its data takes this many times as long.
+  double far_factor = 1.5;
+  // An unavailable task counts as missing after this time.
+  Duration missing_notice = Milliseconds(4500);
+  // A tail above its limit is a breach after this time.
+  Duration tail_breach = Seconds(4);
+  // States of ended jobs are kept at least this long.
+  Duration status_retention = Seconds(120);
+  // Two holders of a host's duties are at least this far apart.
+  Duration duty_lease = Seconds(3);
+};
+
+// How long an owner whose lease is not renewed goes on extending leases of
+// running tasks. A successor waits for it, and for the last lease, before it
+// starts tasks anew that an unreachable server may still run.
+inline constexpr Duration kUnrenewedExtension = Seconds(8);
+
+// Observed run times of a queue, as a ratio to their estimates.
+struct QueueStats {
+  double run_time_ratio = 1.0;
+};
+
+struct PoolCounters {
+  uint64_t starts = 0;
+  uint64_t starts_refused = 0;
+  uint64_t starts_unanswered = 0;
+  uint64_t runs_done = 0;
+  uint64_t runs_failed = 0;
+  uint64_t runs_stopped = 0;
+  uint64_t runs_lapsed = 0;
+  uint64_t runs_gang = 0;
+  uint64_t looks = 0;
+  uint64_t commits = 0;
+  uint64_t commits_unknown = 0;
+  uint64_t relocations = 0;
+  uint64_t copies = 0;
+  uint64_t unreadable_rows = 0;
+};
+
+struct PoolState {
+  PoolState(PoolId pool_id, JobBounds platform_bounds)
+      : pool(std::move(pool_id)), bounds(platform_bounds), jobs(pool) {}
+
+  // Length of the leases that this owner gives.
+  Duration lease() const { return std::min(bounds.max_lease, kLease); }
+
+  PoolId pool;
+  JobBounds bounds;
+  FencingToken token = 0;
+  bool standby = false;
+  std::map<QueueId, QueueConfig> queues;  // All that were ever seen.
+  std::map<QueueId, QueueStats> stats;
+  JobTable jobs;
+  ServerBook servers;
+  std::vector<RunRef> planned;  // Runs in the phase kPlanned.
+  PoolCounters counters;
+  // The successor's token was seen: this process must not order anything.
+  bool fenced = false;
+
+  // Long enough to survive a change of the owner, short enough that the tasks
+  // of a crashed server start again soon.
+  static constexpr Duration kLease = Milliseconds(3000);
+
+  const QueueConfig& QueueOf(const Job& job) {
+    QueueConfig& queue = queues[job.spec.queue];
+    queue.id = job.spec.queue;
+    return queue;
+  }
+
+  // What a task takes from its server's capacity.
+  static Resources CountedRequest(const StepSpec& step) {
+    Resources request = step.request;
+    if (step.uses_spare)
+      request.cpu_millis = 0;
+    return request;
+  }
+
+  Duration ExpectedRunTime(const Job& job, const StepSpec& step) const {
+    auto it = stats.find(job.spec.queue);
+    double ratio = it == stats.end() ? 1.0 : it->second.run_time_ratio;
+    return Duration(static_cast<int64_t>(
+        static_cast<double>(step.estimate.count()) * ratio));
+  }
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_POOL_STATE_H_
--- /dev/null
+++ b/radishmoor/jobs/run_control.cc
@@ -0,0 +1,713 @@
+#include "radishmoor/jobs/run_control.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "radishmoor/base/invariant.h"
+
+namespace radishmoor {
+namespace {
+
+// A server may hold back the answer to a look this long while it runs tasks.
+// Each look renews the leases, so it is well below their length.
+constexpr Duration kBusyLookWait = Milliseconds(700);
+// Between looks at a server that runs nothing: keeps its clock known.
+constexpr Duration kIdleLookPeriod = Milliseconds(1500);
+// Between two looks at a busy server, so that ends are taken in groups.
+constexpr Duration kMinLookGap = Milliseconds(20);
+// After a look without an answer.
+constexpr Duration kFailedLookDelay = Milliseconds(200);
+constexpr Duration kMaxFailedLookDelay = Milliseconds(1000);
+// A stop without an answer is repeated after this time.
+constexpr Duration kStopRepeat = Milliseconds(300);
+// Of a server's failures: held back at this score, for this time.
+constexpr double kFailureLimit = 3.0;
+constexpr double kMaxFailureScore = 6.0;
+constexpr Duration kHoldBack = Seconds(3);
+constexpr Duration kRefusedHoldBack = Milliseconds(500);
+// Weight of one run in the moving averages of run times.
+constexpr double kQueueRatioWeight = 0.05;
+constexpr double kSlownessWeight = 0.25;
+// One run moves an average by no more than this factor.
+constexpr double kMaxRatio = 4.0;
+// A start that a lost server did not answer is not carried out after this time.
+constexpr Duration kLateOrderLimit = Seconds(15);
+// A server lists at most this many ends at once; a run that is in none of a
+// full list may have ended all the same.
+constexpr size_t kFullEndList = 500;
+
+int64_t ToMillis(Duration d) {
+  return d.count() / 1000;
+}
+
+std::string_view EndName(RunEnd end) {
+  switch (end) {
+    case RunEnd::kDone:
+      return "done";
+    case RunEnd::kFailed:
+      return "failed";
+    case RunEnd::kStopped:
+      return "stopped";
+    case RunEnd::kLeaseLapsed:
+      return "lapsed";
+    case RunEnd::kGangBroken:
+      return "gang-broken";
+    case RunEnd::kGangAlone:
+      return "gang-alone";
+  }
+  return "unknown";
+}
+
+// True when the run cannot be there any more, given that all leases of the
+// server have lapsed. A start that was not answered may still be carried out by
+// a later life of the server, whose clock began anew.
+bool HasLapsed(const Run& run, const ServerState& server, Time now) {
+  if (run.phase == RunPhase::kOrdered)
+    return false;
+  if (run.phase != RunPhase::kUncertain || run.start_lease == 0)
+    return true;
+  return now - run.since > kLateOrderLimit ||
+         (server.clock.known() && server.clock.Earliest(now) > run.start_lease);
+}
+
+}  // namespace
+
+void RunControl::SendStart(Time now, const RunRef& ref, Outbox& outbox) {
+  Task* task = state_.jobs.FindTask(ref.task);
+  Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+  if (run == nullptr || run->phase != RunPhase::kPlanned)
+    return;
+  Job& job = *state_.jobs.Find(ref.task.job);
+  ServerState* server = state_.servers.Find(run->server);
+  bool wanted = !run->stop_wanted && !IsFinal(job.state) && !task->done &&
+                server != nullptr && server->listed &&
+                !server->listing.draining && server->clock.known();
+  if (!wanted) {
+    RemoveRun(now, ref, "not-wanted");
+    return;
+  }
+  StartRun start;
+  start.task = ref.task;
+  start.run = ref.run;
+  start.payload = job.spec.payload;
+  start.lease_until = server->clock.Latest(now) + ToMillis(state_.lease());
+  start.checkpoint = task->checkpoint;
+  server->lease_until = std::max(server->lease_until, start.lease_until);
+  run->start_lease = start.lease_until;
+  run->phase = RunPhase::kOrdered;
+  run->since = now;
+  run->ordered = now;
+  run->percent_changed = now;
+  ++state_.counters.starts;
+  if (!job.begun) {
+    job.begun = true;
+    job.state = JobState::kInProgress;
+    state_.jobs.Touch(job);
+  }
+  uint64_t tag = outbox.Order(server->listing.id, server->listing.address,
+                              state_.token, std::move(start));
+  orders_[tag] = {OrderKind::kStart, run->server, ref, now};
+  outbox.Log("run-started", {{"task", FormatTask(ref.task)},
+                             {"run", static_cast<int64_t>(ref.run)},
+                             {"server", run->server.str()},
+                             {"waited_ms", ToMillis(now - task->ready_since)},
+                             {"free_cpu", server->Room().cpu_millis}});
+}
+
+void RunControl::RequestStop(Time now,
+                             const TaskId& task_id,
+                             RunNumber number,
+                             std::string_view reason,
+                             Outbox& outbox) {
+  Task* task = state_.jobs.FindTask(task_id);
+  Run* run = task == nullptr ? nullptr : task->FindRun(number);
+  if (run == nullptr || run->stop_wanted)
+    return;
+  run->stop_wanted = true;
+  outbox.Log("run-stop", {{"task", FormatTask(task_id)},
+                          {"run", static_cast<int64_t>(number)},
+                          {"server", run->server.str()},
+                          {"reason", std::string(reason)}});
+  RunRef ref{task_id, number};
+  if (run->phase == RunPhase::kPlanned && run->commit == 0) {
+    RemoveRun(now, ref, "not-wanted");
+    return;
+  }
+  if (run->phase != RunPhase::kPlanned)
+    SendStop(now, ref, *run, outbox);
+}
+
+void RunControl::StopJob(Time now,
+                         Job& job,
+                         std::string_view reason,
+                         Outbox& outbox) {
+  std::vector<RunRef> refs;
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (const Task& task : occurrence.tasks) {
+      for (const Run& run : task.runs)
+        refs.push_back({{job.id, number, task.step, task.index}, run.number});
+    }
+  }
+  for (const RunRef& ref : refs)
+    RequestStop(now, ref.task, ref.run, reason, outbox);
+  state_.jobs.CloseIfResolved(job);
+}
+
+void RunControl::SetPace(Time now,
+                         const RunRef& ref,
+                         uint32_t percent,
+                         Outbox& outbox) {
+  Task* task = state_.jobs.FindTask(ref.task);
+  Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+  if (run == nullptr || run->phase != RunPhase::kRunning)
+    return;
+  ServerState* server = state_.servers.Find(run->server);
+  if (server == nullptr)
+    return;
+  run->pace = percent;
+  uint64_t tag =
+      outbox.Order(run->server, server->listing.address, state_.token,
+                   PaceRun{ref.task, ref.run, percent});
+  orders_[tag] = {OrderKind::kPace, run->server, ref, now};
+  outbox.Log("run-paced", {{"task", FormatTask(ref.task)},
+                           {"run", static_cast<int64_t>(ref.run)},
+                           {"server", run->server.str()},
+                           {"percent", static_cast<int64_t>(percent)}});
+}
+
+void RunControl::SendStop(Time now,
+                          const RunRef& ref,
+                          Run& run,
+                          Outbox& outbox) {
+  ServerState* server = state_.servers.Find(run.server);
+  if (server == nullptr || server->listing.address.empty() || run.stop_tag != 0)
+    return;
+  run.stop_tag = outbox.Order(run.server, server->listing.address, state_.token,
+                              StopRun{ref.task, ref.run});
+  orders_[run.stop_tag] = {OrderKind::kStop, run.server, ref, now};
+}
+
+bool RunControl::OnReply(Time now, const ServerReply& reply, Outbox& outbox) {
+  auto node = orders_.extract(reply.tag);
+  if (node.empty())
+    return false;
+  const PendingOrder& order = node.mapped();
+  if (reply.outcome == OrderOutcome::kFenced) {
+    state_.fenced = true;
+    return true;
+  }
+  ServerState* server = state_.servers.Find(order.server);
+  if (server == nullptr)
+    return true;
+  if (reply.born)
+    OnBorn(now, order.server, *reply.born, outbox);
+  if (reply.clock) {
+    server->clock.Observe(order.sent, now, *reply.clock);
+    server->contact = now;
+  }
+  if (reply.outcome == OrderOutcome::kOtherLife) {
+    OnServerGone(now, *server, "other-life");
+    // The listing that led to it is out of date.
+    server->listed = false;
+    server->unlisted_since = now;
+  }
+  switch (order.kind) {
+    case OrderKind::kStart:
+      OnStartReply(now, order, reply, outbox);
+      break;
+    case OrderKind::kStop:
+      OnStopReply(now, order, reply, outbox);
+      break;
+    case OrderKind::kLook:
+    case OrderKind::kQuickLook:
+      OnLookReply(now, order, reply, outbox);
+      break;
+    case OrderKind::kPace:
+      break;
+  }
+  return true;
+}
+
+void RunControl::OnBorn(Time now,
+                        const ServerId& id,
+                        WallMillis born,
+                        Outbox& outbox) {
+  ServerState* server = state_.servers.Find(id);
+  if (server == nullptr || (server->born && *server->born >= born))
+    return;
+  bool reborn = server->born.has_value();
+  server->born = born;
+  if (!reborn)
+    return;
+  outbox.Log("server-restarted", {{"server", id.str()}, {"born", born}});
+  server->clock.Reset();
+  server->contact.reset();
+  server->lease_until = 0;
+  server->ended_seen = server->ended_stored = server->ended_sent = 0;
+  server->next_look = now;
+  // A start without an answer may reach the new life: it has to be stopped
+  // there before its run counts as gone.
+  std::vector<RunRef> runs = server->runs;
+  for (const RunRef& ref : runs) {
+    Task* task = state_.jobs.FindTask(ref.task);
+    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    if (run == nullptr || run->phase == RunPhase::kPlanned)
+      continue;
+    if (run->phase == RunPhase::kRunning) {
+      RemoveRun(now, ref, "server-restarted");
+      continue;
+    }
+    run->phase = RunPhase::kUncertain;
+    run->since = now;
+    run->stopped_at.reset();
+  }
+}
+
+void RunControl::OnStartReply(Time now,
+                              const PendingOrder& order,
+                              const ServerReply& reply,
+                              Outbox& outbox) {
+  Task* task = state_.jobs.FindTask(order.run.task);
+  Run* run = task == nullptr ? nullptr : task->FindRun(order.run.run);
+  if (run == nullptr || run->phase != RunPhase::kOrdered)
+    return;
+  ServerState& server = *state_.servers.Find(order.server);
+  switch (reply.outcome) {
+    case OrderOutcome::kDone:
+      run->phase = RunPhase::kRunning;
+      run->since = now;
+      run->percent_changed = now;
+      if (run->stop_wanted)
+        SendStop(now, order.run, *run, outbox);
+      // The look under way may have been asked without a wait for ends.
+      if (server.look_tag == 0)
+        server.next_look = std::min(server.next_look, now + kMinLookGap);
+      return;
+    case OrderOutcome::kUnanswered:
+      ++state_.counters.starts_unanswered;
+      run->phase = RunPhase::kUncertain;
+      run->since = now;
+      outbox.Log("start-unanswered",
+                 {{"task", FormatTask(order.run.task)},
+                  {"run", static_cast<int64_t>(order.run.run)},
+                  {"server", order.server.str()}});
+      SendLook(now, server, true, true, outbox);
+      return;
+    case OrderOutcome::kNotSent:
+      // The connection failed before the order was written.
+      server.failed_looks = std::max(server.failed_looks, 1u);
+      RemoveRun(now, order.run, "not-sent");
+      return;
+    default:
+      break;
+  }
+  ++state_.counters.starts_refused;
+  outbox.Log("start-refused",
+             {{"task", FormatTask(order.run.task)},
+              {"run", static_cast<int64_t>(order.run.run)},
+              {"server", order.server.str()},
+              {"outcome", static_cast<int64_t>(reply.outcome)}});
+  server.held_back_until =
+      std::max(server.held_back_until, now + kRefusedHoldBack);
+  RemoveRun(now, order.run, "refused");
+}
+
+void RunControl::OnStopReply(Time now,
+                             const PendingOrder& order,
+                             const ServerReply& reply,
+                             Outbox& outbox) {
+  Task* task = state_.jobs.FindTask(order.run.task);
+  Run* run = task == nullptr ? nullptr : task->FindRun(order.run.run);
+  if (run == nullptr)
+    return;
+  run->stop_tag = 0;
+  if (reply.outcome == OrderOutcome::kDone) {
+    run->stopped_at = now;
+    SendLook(now, *state_.servers.Find(order.server), true, true, outbox);
+    return;
+  }
+  Wake(now + kStopRepeat);
+}
+
+void RunControl::OnLookReply(Time now,
+                             const PendingOrder& order,
+                             const ServerReply& reply,
+                             Outbox& outbox) {
+  ServerState& server = *state_.servers.Find(order.server);
+  if (server.look_tag == reply.tag)
+    server.look_tag = 0;
+  if (server.quick_look_tag == reply.tag)
+    server.quick_look_tag = 0;
+  if (reply.outcome != OrderOutcome::kDone) {
+    if (order.kind == OrderKind::kQuickLook)
+      return;
+    ++server.failed_looks;
+    server.next_look =
+        now +
+        std::min(kMaxFailedLookDelay,
+                 kFailedLookDelay * static_cast<int64_t>(server.failed_looks));
+    return;
+  }
+  server.failed_looks = 0;
+  // A list of an earlier life says nothing about this one.
+  if (reply.born && server.born && *reply.born < *server.born)
+    return;
+  ApplyEnds(now, server, reply, outbox);
+  ApplyRunning(now, server, reply, outbox);
+  ResolveMissing(now, server, order.sent, reply, outbox);
+  if (order.kind == OrderKind::kLook) {
+    server.next_look = server.runs.empty()
+                           ? now + kIdleLookPeriod
+                           : std::max(now, order.sent + kMinLookGap);
+  }
+}
+
+void RunControl::ApplyEnds(Time now,
+                           ServerState& server,
+                           const ServerReply& reply,
+                           Outbox& outbox) {
+  for (const EndedRun& ended : reply.ended) {
+    if (ended.sequence <= server.ended_seen)
+      continue;
+    server.ended_seen = ended.sequence;
+    OnEnd(now, ended, server, outbox);
+  }
+}
+
+void RunControl::OnEnd(Time now,
+                       const EndedRun& ended,
+                       ServerState& server,
+                       Outbox& outbox) {
+  Job* job = state_.jobs.Find(ended.task.job);
+  Task* task = state_.jobs.FindTask(ended.task);
+  Run* run = task == nullptr ? nullptr : task->FindRun(ended.run);
+  if (run == nullptr || run->server != server.listing.id)
+    return;
+  RunRef ref{ended.task, ended.run};
+  outbox.Log("run-ended", {{"task", FormatTask(ended.task)},
+                           {"run", static_cast<int64_t>(ended.run)},
+                           {"server", server.listing.id.str()},
+                           {"end", std::string(EndName(ended.end))},
+                           {"ran_ms", ToMillis(now - run->ordered)}});
+  if (ended.end != RunEnd::kDone && !ended.checkpoint.empty())
+    task->checkpoint = ended.checkpoint;
+  if (ended.end == RunEnd::kDone)
+    LearnRunTime(now, *job, *task, *run, server);
+  state_.jobs.Touch(*job);
+  RemoveRun(now, ref, EndName(ended.end));
+  switch (ended.end) {
+    case RunEnd::kDone:
+      OnTaskDone(now, *job, *task, ref, outbox);
+      break;
+    case RunEnd::kFailed:
+      OnTaskFailed(now, *job, *task, ref, server, outbox);
+      break;
+    case RunEnd::kStopped:
+      ++state_.counters.runs_stopped;
+      break;
+    case RunEnd::kLeaseLapsed:
+      ++state_.counters.runs_lapsed;
+      break;
+    case RunEnd::kGangBroken:
+    case RunEnd::kGangAlone:
+      ++state_.counters.runs_gang;
+      break;
+  }
+}
+
+void RunControl::OnTaskDone(Time now,
+                            Job& job,
+                            Task& task,
+                            const RunRef& ref,
+                            Outbox& outbox) {
+  ++state_.counters.runs_done;
+  if (job.StepOf(task).long_running)
+    return;  // It starts again.
+  Occurrence& occurrence = job.occurrences.at(ref.task.occurrence);
+  bool gang = job.StepOf(task).gang;
+  for (Task& other : occurrence.tasks) {
+    bool same = &other == &task;
+    if (!same && !(gang && other.step == task.step))
+      continue;
+    state_.jobs.MarkDone(job, occurrence, other, now);
+    if (gang && !same)
+      continue;  // The members' runs end by themselves.
+    std::vector<RunNumber> copies;
+    for (const Run& run : other.runs)
+      copies.push_back(run.number);
+    for (RunNumber copy : copies)
+      RequestStop(now, {job.id, occurrence.number, other.step, other.index},
+                  copy, "copy-done", outbox);
+  }
+  if (job.state == JobState::kCompleted) {
+    outbox.Log("job-completed", {{"job", job.id.str()},
+                                 {"queue", job.spec.queue.str()},
+                                 {"took_ms", ToMillis(now - job.arrived)},
+                                 {"late_ms", ToMillis(now - job.objective)}});
+  }
+  state_.jobs.CloseIfResolved(job);
+}
+
+void RunControl::OnTaskFailed(Time now,
+                              Job& job,
+                              Task& task,
+                              const RunRef& ref,
+                              ServerState& server,
+                              Outbox& outbox) {
+  ++state_.counters.runs_failed;
+  // A task that also fails elsewhere says nothing about the server.
+  if (task.failures == 0) {
+    server.failure_score = std::min(kMaxFailureScore, server.failure_score + 1);
+    if (server.failure_score >= kFailureLimit) {
+      server.held_back_until = now + kHoldBack;
+      outbox.Log("server-held-back",
+                 {{"server", server.listing.id.str()},
+                  {"failures",
+                   static_cast<int64_t>(std::lround(server.failure_score))}});
+    }
+  }
+  ++task.failures;
+  task.failed_on.push_back(server.listing.id);
+  uint32_t limit = std::max(1u, state_.QueueOf(job).max_attempts);
+  if (job.StepOf(task).long_running || task.failures < limit ||
+      IsFinal(job.state))
+    return;
+  state_.jobs.MarkFailed(job, now);
+  outbox.Log("job-failed", {{"job", job.id.str()},
+                            {"task", FormatTask(ref.task)},
+                            {"failures", static_cast<int64_t>(task.failures)},
+                            {"limit", static_cast<int64_t>(limit)}});
+  StopJob(now, job, "job-failed", outbox);
+}
+
+void RunControl::LearnRunTime(Time now,
+                              Job& job,
+                              const Task& task,
+                              const Run& run,
+                              ServerState& server) {
+  server.failure_score = std::max(0.0, server.failure_score - 1);
+  server.last_success = now;
+  Duration expected = state_.ExpectedRunTime(job, job.StepOf(task));
+  // A run that resumed from a checkpoint did only part of the work.
+  if (expected <= Duration::zero() || !task.checkpoint.empty() ||
+      run.phase == RunPhase::kInherited)
+    return;
+  double ratio = static_cast<double>((now - run.ordered).count()) /
+                 static_cast<double>(expected.count());
+  ratio = std::clamp(ratio, 1 / kMaxRatio, kMaxRatio);
+  server.slowness *= std::pow(ratio / server.slowness, kSlownessWeight);
+  QueueStats& stats = state_.stats[job.spec.queue];
+  stats.run_time_ratio *= std::pow(ratio, kQueueRatioWeight);
+}
+
+void RunControl::ApplyRunning(Time now,
+                              ServerState& server,
+                              const ServerReply& reply,
+                              Outbox& outbox) {
+  for (const RunningTask& seen : reply.running) {
+    Task* task = state_.jobs.FindTask(seen.task);
+    Run* run = task == nullptr ? nullptr : task->FindRun(seen.run);
+    if (run == nullptr || run->server != server.listing.id) {
+      // Nothing that this owner knows of: a late start of an earlier one.
+      uint64_t tag = outbox.Order(server.listing.id, server.listing.address,
+                                  state_.token, StopRun{seen.task, seen.run});
+      orders_[tag] = {
+          OrderKind::kStop, server.listing.id, {seen.task, seen.run}, now};
+      outbox.Log("unknown-run-stopped",
+                 {{"task", FormatTask(seen.task)},
+                  {"run", static_cast<int64_t>(seen.run)},
+                  {"server", server.listing.id.str()}});
+      continue;
+    }
+    if (run->phase != RunPhase::kRunning) {
+      run->phase = RunPhase::kRunning;
+      run->since = now;
+      run->percent_changed = now;
+    }
+    if (run->percent != seen.percent) {
+      run->percent = seen.percent;
+      run->percent_changed = now;
+    }
+    run->load = seen.load;
+    if (!seen.checkpoint.empty() && seen.checkpoint != run->checkpoint) {
+      run->checkpoint = seen.checkpoint;
+      task->checkpoint = seen.checkpoint;
+    }
+    if (task->missing_since && task->at_work()) {
+      task->missing_since.reset();
+      task->displaced = false;
+    }
+  }
+}
+
+void RunControl::ResolveMissing(Time now,
+                                ServerState& server,
+                                Time look_sent,
+                                const ServerReply& reply,
+                                Outbox& outbox) {
+  if (reply.ended.size() >= kFullEndList)
+    return;
+  std::set<RunRef> running;
+  for (const RunningTask& seen : reply.running)
+    running.insert({seen.task, seen.run});
+  std::vector<RunRef> runs = server.runs;
+  for (const RunRef& ref : runs) {
+    if (running.contains(ref))
+      continue;
+    Task* task = state_.jobs.FindTask(ref.task);
+    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    if (run == nullptr)
+      continue;
+    bool stopped_before = run->stopped_at && *run->stopped_at <= look_sent;
+    switch (run->phase) {
+      case RunPhase::kPlanned:
+      case RunPhase::kOrdered:
+        break;
+      case RunPhase::kInherited:
+        // The look carried the new token: no earlier start can follow.
+        RemoveRun(now, ref, "not-inherited");
+        break;
+      case RunPhase::kRunning:
+        if (stopped_before || run->since <= look_sent)
+          RemoveRun(now, ref, "vanished");
+        break;
+      case RunPhase::kUncertain:
+        if (stopped_before)
+          RemoveRun(now, ref, "never-started");
+        else if (run->since <= look_sent && run->stop_tag == 0)
+          SendStop(now, ref, *run, outbox);
+        break;
+    }
+  }
+}
+
+void RunControl::RemoveRun(Time now,
+                           const RunRef& ref,
+                           std::string_view reason) {
+  Job* job = state_.jobs.Find(ref.task.job);
+  Task* task = state_.jobs.FindTask(ref.task);
+  Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+  if (run == nullptr)
+    return;
+  (void)reason;
+  state_.servers.RemoveRun(run->server, ref,
+                           PoolState::CountedRequest(job->StepOf(*task)));
+  if (job->StepOf(*task).long_running && !task->missing_since)
+    task->missing_since = now;
+  std::erase_if(task->runs,
+                [&ref](const Run& r) { return r.number == ref.run; });
+  task->ready_since = now;
+  state_.jobs.Touch(*job);
+  state_.jobs.CloseIfResolved(*job);
+}
+
+void RunControl::OnServerGone(Time now,
+                              ServerState& server,
+                              std::string_view reason) {
+  std::vector<RunRef> runs = server.runs;
+  for (const RunRef& ref : runs)
+    RemoveRun(now, ref, reason);
+}
+
+void RunControl::SendLook(Time now,
+                          ServerState& server,
+                          bool quick,
+                          bool extend,
+                          Outbox& outbox) {
+  if (server.listing.address.empty())
+    return;
+  uint64_t& tag = quick ? server.quick_look_tag : server.look_tag;
+  if (tag != 0)
+    return;
+  ExtendLease look;
+  if (extend && server.clock.known() && !server.runs.empty()) {
+    look.lease_until = server.clock.Latest(now) + ToMillis(state_.lease());
+    server.lease_until = std::max(server.lease_until, look.lease_until);
+  }
+  look.acknowledged = server.ended_stored;
+  server.ended_sent = server.ended_stored;
+  bool may_wait = !quick && !server.runs.empty() &&
+                  server.ended_seen == server.ended_stored &&
+                  server.contact.has_value();
+  look.wait = may_wait ? kBusyLookWait : Duration::zero();
+  (quick ? server.quick_look_sent : server.look_sent) = now;
+  if (!quick)
+    server.look_waits = may_wait;
+  ++state_.counters.looks;
+  tag = outbox.Order(server.listing.id, server.listing.address, state_.token,
+                     look);
+  orders_[tag] = {quick ? OrderKind::kQuickLook : OrderKind::kLook,
+                  server.listing.id,
+                  {},
+                  now};
+}
+
+void RunControl::Tick(Time now, bool extend, Outbox& outbox) {
+  next_wake_ = kTimeMax;
+  for (auto& [id, server] : state_.servers.all())
+    CheckServer(now, server, extend, outbox);
+}
+
+void RunControl::CheckServer(Time now,
+                             ServerState& server,
+                             bool extend,
+                             Outbox& outbox) {
+  bool needed =
+      !server.runs.empty() ||
+      (server.listed && server.listing.pool == state_.pool && !state_.standby);
+  if (!needed)
+    return;
+  if (server.look_tag == 0) {
+    bool unstored = server.ended_seen > server.ended_stored;
+    bool acknowledge = server.ended_stored > server.ended_sent;
+    Time due = server.next_look;
+    // The commit that stores the ends brings the next look.
+    if (unstored && server.failed_looks == 0)
+      due = std::max(due, server.look_sent + kBusyLookWait);
+    if (acknowledge)
+      due = std::min(due, server.look_sent + kMinLookGap);
+    if (now >= due)
+      SendLook(now, server, false, extend, outbox);
+    else
+      Wake(due);
+  }
+  if (!server.runs.empty())
+    CheckRuns(now, server, outbox);
+}
+
+void RunControl::CheckRuns(Time now, ServerState& server, Outbox& outbox) {
+  bool lapsed = server.LeasesLapsed(now);
+  std::vector<RunRef> runs = server.runs;
+  for (const RunRef& ref : runs) {
+    Task* task = state_.jobs.FindTask(ref.task);
+    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    if (run == nullptr || run->phase == RunPhase::kPlanned)
+      continue;
+    if (lapsed && HasLapsed(*run, server, now)) {
+      ++state_.counters.runs_lapsed;
+      outbox.Log("run-lapsed", {{"task", FormatTask(ref.task)},
+                                {"run", static_cast<int64_t>(ref.run)},
+                                {"server", server.listing.id.str()}});
+      RemoveRun(now, ref, "lapsed");
+      continue;
+    }
+    bool stop = run->stop_wanted || run->phase == RunPhase::kUncertain;
+    if (!stop || run->stop_tag != 0 || run->stopped_at)
+      continue;
+    if (run->phase == RunPhase::kUncertain && !run->stop_wanted &&
+        server.quick_look_tag == 0 && now - run->since < kStopRepeat) {
+      SendLook(now, server, true, true, outbox);
+      Wake(run->since + kStopRepeat);
+      continue;
+    }
+    if (run->phase == RunPhase::kOrdered)
+      continue;  // Its answer decides.
+    SendStop(now, ref, *run, outbox);
+  }
+  Wake(now + kStopRepeat);
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/server_book.cc
@@ -0,0 +1,83 @@
+#include "radishmoor/jobs/server_book.h"
+
+#include <algorithm>
+
+#include "radishmoor/base/invariant.h"
+
+namespace radishmoor {
+namespace {
+
+// A backend server's clock may be slow by this part.
+constexpr double kMaxClockDrift = 0.02;
+// Clocks count whole milliseconds.
+constexpr ServerMillis kClockGranularity = 1;
+
+ServerMillis ToMillis(Duration d) {
+  return d.count() / 1000;
+}
+
+}  // namespace
+
+void ServerClock::Observe(Time sent, Time received, ServerMillis clock) {
+  // Answers may overtake each other; the one sent last is the best bound.
+  if (known_ && sent < sent_)
+    return;
+  known_ = true;
+  sent_ = sent;
+  received_ = received;
+  clock_ = clock;
+}
+
+ServerMillis ServerClock::Latest(Time now) const {
+  return clock_ + ToMillis(now - sent_) + kClockGranularity;
+}
+
+ServerMillis ServerClock::Earliest(Time now) const {
+  double elapsed = static_cast<double>((now - received_).count()) / 1000;
+  return clock_ + static_cast<ServerMillis>(elapsed * (1 - kMaxClockDrift));
+}
+
+bool ServerState::LeasesLapsed(Time now) const {
+  if (now < inherited_until)
+    return false;
+  if (!clock.known())
+    return lease_until == 0;
+  return clock.Earliest(now) > lease_until + kClockGranularity;
+}
+
+ServerState* ServerBook::Find(const ServerId& id) {
+  auto it = servers_.find(id);
+  return it == servers_.end() ? nullptr : &it->second;
+}
+
+ServerState& ServerBook::Ensure(const ServerId& id) {
+  ServerState& server = servers_[id];
+  server.listing.id = id;
+  return server;
+}
+
+void ServerBook::AddRun(const ServerId& server,
+                        const RunRef& run,
+                        const Resources& request) {
+  ServerState& state = Ensure(server);
+  state.runs.push_back(run);
+  state.used += request;
+}
+
+void ServerBook::RemoveRun(const ServerId& server,
+                           const RunRef& run,
+                           const Resources& request) {
+  ServerState* state = Find(server);
+  if (state == nullptr)
+    return;
+  auto it = std::find(state->runs.begin(), state->runs.end(), run);
+  RADISHMOOR_INVARIANT("jobs.run_is_on_its_server", it != state->runs.end());
+  if (it == state->runs.end())
+    return;
+  state->runs.erase(it);
+  state->used -= request;
+  RADISHMOOR_INVARIANT("jobs.room_adds_up",
+                       !state->runs.empty() || state->used == Resources{});
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/server_book.h
@@ -0,0 +1,126 @@
+// What a pool's owner knows of each backend server: its listing, its clock and
+// lease, the room on it, and how well it works.
+//
+// The clock model bounds the server's own clock from answers that carry it, so
+// that the owner can tell when every lease that it gave has surely lapsed.
+
+#ifndef RADISHMOOR_JOBS_SERVER_BOOK_H_
+#define RADISHMOOR_JOBS_SERVER_BOOK_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "radishmoor/base/time.h"
+#include "radishmoor/jobs/job.h"
+#include "radishmoor/jobs/messages.h"
+
+namespace radishmoor {
+
+// A server's clock, seen through its answers.
+class ServerClock {
+ public:
+  // An order sent at `sent` was answered at `received` with this clock.
+  void Observe(Time sent, Time received, ServerMillis clock);
+  void Reset() { known_ = false; }
+
+  bool known() const { return known_; }
+  // Not below the server's clock, as far as the answer's travel allows.
+  ServerMillis Latest(Time now) const;
+  // Not above the server's clock, which may be slow by 2%.
+  ServerMillis Earliest(Time now) const;
+
+ private:
+  bool known_ = false;
+  Time sent_;
+  Time received_;
+  ServerMillis clock_ = 0;
+};
+
+struct RunRef {
+  TaskId task;
+  RunNumber run = 0;
+
+  friend auto operator<=>(const RunRef&, const RunRef&) = default;
+};
+
+struct ServerState {
+  ServerListing listing;
+  bool listed = false;
+  Time unlisted_since;
+  // The last answer under this owner's token; without one, the server still
+  // obeys an earlier owner.
+  std::optional<Time> contact;
+  std::optional<WallMillis> born;
+  ServerClock clock;
+  ServerMillis lease_until = 0;  // Latest lease that was given.
+  // Leases of earlier owners have lapsed by then.
+  Time inherited_until;
+
+  // Of all runs that may be there, ended ones excluded.
+  Resources used;
+  std::vector<RunRef> runs;
+
+  uint64_t ended_seen = 0;    // Ends up to here have been applied,
+  uint64_t ended_stored = 0;  // and are stored,
+  uint64_t ended_sent = 0;    // and the server was told.
+
+  uint64_t look_tag = 0;  // Of the look under way; 0: none.
+  Time look_sent;
+  bool look_waits = false;  // The server may hold the answer back.
+  uint64_t quick_look_tag = 0;
+  Time quick_look_sent;
+  Time next_look;
+  uint32_t failed_looks = 0;
+
+  // Ratio of observed and expected run times, against the pool's.
+  double slowness = 1.0;
+  // Failures of first attempts, less successes; above the limit the server is
+  // held back.
+  double failure_score = 0;
+  Time held_back_until;
+  Time last_success;
+
+  Time paced;  // Latest change of a pace.
+
+  // The server is being emptied for maintenance or a move.
+  bool vacating = false;
+  Time vacate_asked;  // Latest request.
+  Time vacate_started;
+
+  bool Serves(const PoolId& pool) const {
+    return listed && listing.pool == pool && !listing.draining;
+  }
+  Resources Room() const {
+    Resources room = listing.capacity;
+    room -= used;
+    return room;
+  }
+  // Every lease that any owner gave has surely lapsed.
+  bool LeasesLapsed(Time now) const;
+};
+
+class ServerBook {
+ public:
+  ServerState* Find(const ServerId& id);
+  ServerState& Ensure(const ServerId& id);
+  void Erase(const ServerId& id) { servers_.erase(id); }
+  std::map<ServerId, ServerState>& all() { return servers_; }
+  const std::map<ServerId, ServerState>& all() const { return servers_; }
+
+  void AddRun(const ServerId& server,
+              const RunRef& run,
+              const Resources& request);
+  void RemoveRun(const ServerId& server,
+                 const RunRef& run,
+                 const Resources& request);
+
+ private:
+  std::map<ServerId, ServerState> servers_;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_SERVER_BOOK_H_
--- /dev/null
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -0,0 +1,474 @@
+#include "radishmoor/jobs/task_dispatch.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <utility>
+
+#include "radishmoor/jobs/pacing.h"
+
+namespace radishmoor {
+namespace {
+
+// A server is used while its last answer is at most this old.
+constexpr Duration kMaxContactAge = Milliseconds(2500);
+// Servers that are held free for tasks that fit nowhere, at once.
+constexpr uint32_t kMaxReservations = 2;
+// A run whose progress stands still this long does not go on.
+constexpr Duration kStandstill = Milliseconds(1500);
+// A run is moved only if that is expected to bring its end forward by this
+// factor, and its server is at least this slow.
+constexpr double kRelocationGain = 2.0;
+constexpr double kSlowServer = 2.0;
+constexpr Duration kRestartCost = Milliseconds(250);
+constexpr Duration kStandstillHoldBack = Seconds(3);
+// A copy of a straggler starts when a run has taken this many times as long as
+// expected.
+constexpr double kStraggler = 1.8;
+constexpr Duration kMinStragglerAge = Milliseconds(500);
+// An emptying server's tasks are stopped after this time, and those with
+// checkpoints at once when they need longer than the first one.
+constexpr Duration kEmptyPatience = Milliseconds(5000);
+constexpr Duration kCheckpointPatience = Milliseconds(800);
+// Successes this recent speak for a server.
+constexpr Duration kTrustAge = Seconds(10);
+// A run that takes this many times as long as expected counts against its
+// server before its end.
+constexpr double kSlowRun = 2.0;
+constexpr double kSlowRunWeight = 0.3;
+constexpr double kMaxSlowRatio = 6.0;
+// Between changes of pace on a server: the change and the tail that follows it
+// take about this long to show.
+constexpr Duration kPacePeriod = Milliseconds(350);
+
+}  // namespace
+
+std::vector<PlacementServer> TaskDispatch::CollectServers(Time now) {
+  std::vector<PlacementServer> servers;
+  server_ids_.clear();
+  for (auto& [id, server] : state_.servers.all()) {
+    bool usable = server.Serves(state_.pool) && !server.vacating &&
+                  server.contact && now - *server.contact <= kMaxContactAge &&
+                  server.failed_looks == 0 && now >= server.held_back_until;
+    if (!usable)
+      continue;
+    PlacementServer s;
+    s.position = static_cast<uint32_t>(server_ids_.size());
+    server_ids_.push_back(id);
+    s.rack = server.listing.rack;
+    s.labels = server.listing.labels;
+    s.capacity = server.listing.capacity;
+    s.room = server.Room();
+    s.slowness = server.slowness;
+    s.trusted =
+        server.failure_score < 1 || now - server.last_success <= kTrustAge;
+    for (const RunRef& ref : server.runs) {
+      const Job* job = state_.jobs.Find(ref.task.job);
+      if (job == nullptr || ref.task.step >= job->spec.steps.size())
+        continue;
+      const StepSpec& step = job->spec.steps[ref.task.step];
+      s.sensitive_runs += step.tail_limit > Duration::zero() ? 1 : 0;
+      s.spare_runs += step.uses_spare ? 1 : 0;
+    }
+    servers.push_back(std::move(s));
+  }
+  return servers;
+}
+
+Duration TaskDispatch::RemainingChain(const Job& job) const {
+  // Steps come after those they name, but not always in the order of their
+  // numbers; a few passes settle the longest path.
+  const std::vector<StepSpec>& steps = job.spec.steps;
+  std::vector<Duration> end(steps.size(), Duration::zero());
+  const Occurrence* occurrence =
+      job.occurrences.empty() ? nullptr : &job.occurrences.begin()->second;
+  Duration longest{};
+  for (size_t pass = 0; pass < steps.size(); ++pass) {
+    bool changed = false;
+    for (size_t i = 0; i < steps.size(); ++i) {
+      bool done = occurrence != nullptr &&
+                  occurrence->done_in_step[i] == steps[i].count;
+      Duration own =
+          done ? Duration::zero() : state_.ExpectedRunTime(job, steps[i]);
+      Duration before{};
+      for (uint32_t b : steps[i].after)
+        before = std::max(before, end[b]);
+      if (before + own != end[i]) {
+        end[i] = before + own;
+        changed = true;
+      }
+      longest = std::max(longest, end[i]);
+    }
+    if (!changed)
+      break;
+  }
+  return longest;
+}
+
+std::vector<Job*> TaskDispatch::OrderedJobs(Time now) {
+  std::vector<Job*> jobs;
+  std::vector<JobOrderInput> inputs;
+  for (const JobId& id : state_.jobs.open()) {
+    Job* job = state_.jobs.Find(id);
+    if (job == nullptr || IsFinal(job->state))
+      continue;
+    JobOrderInput input;
+    input.position = static_cast<uint32_t>(jobs.size());
+    input.priority = state_.QueueOf(*job).priority;
+    input.long_running = job->spec.long_running();
+    input.objective = job->objective;
+    input.arrived = job->arrived;
+    input.remaining_chain = RemainingChain(*job);
+    jobs.push_back(job);
+    inputs.push_back(input);
+  }
+  std::vector<Job*> ordered;
+  ordered.reserve(jobs.size());
+  for (uint32_t position : OrderJobs(now, inputs))
+    ordered.push_back(jobs[position]);
+  return ordered;
+}
+
+void TaskDispatch::Plan(Time now, Outbox& outbox) {
+  std::vector<PlacementServer> servers = CollectServers(now);
+  reservations_ = 0;
+  demand_cpu_ = 0;
+  waiting_work_ = 0;
+  for (Job* job : OrderedJobs(now))
+    PlanJob(now, *job, servers, outbox);
+  int64_t capacity = 0;
+  for (const PlacementServer& server : servers)
+    capacity += server.capacity.cpu_millis;
+  expected_wait_ = Duration(capacity > 0 ? waiting_work_ / capacity : 0);
+}
+
+void TaskDispatch::PlanJob(Time now,
+                           Job& job,
+                           std::vector<PlacementServer>& servers,
+                           Outbox& outbox) {
+  (void)outbox;
+  for (auto& [number, occurrence] : job.occurrences) {
+    if (occurrence.finished)
+      continue;
+    std::vector<bool> gang_tried(job.spec.steps.size(), false);
+    for (Task& task : occurrence.tasks) {
+      const StepSpec& step = job.StepOf(task);
+      if (task.done)
+        continue;
+      if (!JobTable::IsReady(job, occurrence, task))
+        continue;
+      demand_cpu_ += step.uses_spare ? 0 : step.request.cpu_millis;
+      if (!task.idle())
+        continue;
+      bool planned = false;
+      if (step.gang) {
+        if (!gang_tried[task.step])
+          planned = PlanGang(now, job, occurrence, task.step, servers);
+        gang_tried[task.step] = true;
+      } else {
+        planned = PlanTask(now, job, occurrence, task, servers);
+      }
+      if (planned)
+        continue;
+      waiting_work_ +=
+          step.request.cpu_millis * state_.ExpectedRunTime(job, step).count();
+      Reserve(job, task, servers);
+    }
+  }
+}
+
+PlacementTask TaskDispatch::DescribeTask(const Job& job,
+                                         const Task& task) const {
+  PlacementTask described;
+  described.step = &job.StepOf(task);
+  auto queue = state_.queues.find(job.spec.queue);
+  uint32_t limit =
+      queue == state_.queues.end() ? 1 : queue->second.max_attempts;
+  described.last_attempt =
+      !described.step->long_running && limit > 1 && task.failures + 1 >= limit;
+  described.far_factor = state_.bounds.far_factor;
+  return described;
+}
+
+void TaskDispatch::CountStep(const Occurrence& occurrence,
+                             const Task& task,
+                             std::vector<PlacementServer>& servers) const {
+  for (PlacementServer& server : servers) {
+    const ServerId& id = server_ids_[server.position];
+    server.same_step = 0;
+    server.failed_before =
+        std::find(task.failed_on.begin(), task.failed_on.end(), id) !=
+        task.failed_on.end();
+  }
+  for (const Task& other : occurrence.tasks) {
+    if (other.step != task.step)
+      continue;
+    for (const Run& run : other.runs) {
+      for (PlacementServer& server : servers) {
+        if (server_ids_[server.position] == run.server)
+          ++server.same_step;
+      }
+    }
+  }
+}
+
+bool TaskDispatch::PlanTask(Time now,
+                            Job& job,
+                            Occurrence& occurrence,
+                            Task& task,
+                            std::vector<PlacementServer>& servers) {
+  PlacementTask described = DescribeTask(job, task);
+  CountStep(occurrence, task, servers);
+  if (described.step->colocated) {
+    std::map<RackId, uint32_t> racks;
+    for (const PlacementServer& server : servers)
+      racks[server.rack] += server.same_step;
+    uint32_t most = 0;
+    for (const auto& [rack, count] : racks) {
+      if (count > most) {
+        most = count;
+        described.preferred_rack = rack;
+      }
+    }
+  }
+  std::optional<size_t> chosen = ChooseServer(described, servers);
+  if (!chosen)
+    return false;
+  AddRun(now, job, occurrence, task, task.last_run + 1, servers[*chosen]);
+  return true;
+}
+
+bool TaskDispatch::PlanGang(Time now,
+                            Job& job,
+                            Occurrence& occurrence,
+                            uint32_t step,
+                            std::vector<PlacementServer>& servers) {
+  std::vector<Task*> members;
+  RunNumber number = 0;
+  for (Task& task : occurrence.tasks) {
+    if (task.step != step)
+      continue;
+    if (!task.idle())
+      return false;  // Members of an earlier run have not all ended.
+    members.push_back(&task);
+    number = std::max(number, task.last_run);
+  }
+  // All or none: the choice is made on a copy.
+  std::vector<PlacementServer> trial = servers;
+  CountStep(occurrence, *members.front(), trial);
+  std::vector<size_t> choices;
+  PlacementTask described = DescribeTask(job, *members.front());
+  for (Task* member : members) {
+    (void)member;
+    std::optional<size_t> chosen = ChooseServer(described, trial);
+    if (!chosen)
+      return false;
+    PlacementServer& server = trial[*chosen];
+    server.room -= PoolState::CountedRequest(*described.step);
+    ++server.same_step;
+    if (described.step->colocated && described.preferred_rack.empty())
+      described.preferred_rack = server.rack;
+    choices.push_back(*chosen);
+  }
+  // All members carry the same checkpoint, the latest of any of them.
+  std::string checkpoint;
+  for (Task* member : members)
+    checkpoint = std::max(checkpoint, member->checkpoint);
+  for (size_t i = 0; i < members.size(); ++i) {
+    members[i]->checkpoint = checkpoint;
+    AddRun(now, job, occurrence, *members[i], number + 1, servers[choices[i]]);
+  }
+  return true;
+}
+
+void TaskDispatch::AddRun(Time now,
+                          Job& job,
+                          Occurrence& occurrence,
+                          Task& task,
+                          RunNumber number,
+                          PlacementServer& server) {
+  Resources request = PoolState::CountedRequest(job.StepOf(task));
+  Run run;
+  run.number = number;
+  run.server = server_ids_[server.position];
+  run.since = now;
+  run.ordered = now;
+  run.percent_changed = now;
+  task.last_run = number;
+  RunRef ref{{job.id, occurrence.number, task.step, task.index}, number};
+  state_.servers.AddRun(run.server, ref, request);
+  task.runs.push_back(std::move(run));
+  server.room -= request;
+  ++server.same_step;
+  state_.planned.push_back(ref);
+  state_.jobs.Touch(job);
+}
+
+void TaskDispatch::Reserve(const Job& job,
+                           const Task& task,
+                           std::vector<PlacementServer>& servers) {
+  if (reservations_ >= kMaxReservations)
+    return;
+  std::optional<size_t> chosen =
+      ChooseReservation(DescribeTask(job, task), servers);
+  if (!chosen)
+    return;
+  servers[*chosen].reserved = true;
+  ++reservations_;
+}
+
+bool TaskDispatch::MayDisplace(const Job& job,
+                               const Occurrence& occurrence,
+                               const Task& task) const {
+  const StepSpec& step = job.StepOf(task);
+  uint32_t missing = 0;
+  for (const Task& other : occurrence.tasks) {
+    if (&other != &task && other.step == task.step && !other.at_work())
+      ++missing;
+  }
+  return missing < std::max(1u, step.allowed_missing);
+}
+
+void TaskDispatch::Review(Time now, Outbox& outbox) {
+  std::vector<RunRef> refs;
+  for (auto& [id, server] : state_.servers.all()) {
+    PaceServer(now, server, outbox);
+    refs.insert(refs.end(), server.runs.begin(), server.runs.end());
+  }
+  for (const RunRef& ref : refs) {
+    Job* job = state_.jobs.Find(ref.task.job);
+    Task* task = state_.jobs.FindTask(ref.task);
+    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    if (run == nullptr || run->stop_wanted ||
+        run->phase != RunPhase::kRunning || IsFinal(job->state))
+      continue;
+    ReviewRun(now, *job, job->occurrences.at(ref.task.occurrence), *task, *run,
+              outbox);
+  }
+}
+
+void TaskDispatch::PaceServer(Time now, ServerState& server, Outbox& outbox) {
+  double worst = 0;
+  std::vector<std::pair<RunRef, uint32_t>> paced;
+  for (const RunRef& ref : server.runs) {
+    Job* job = state_.jobs.Find(ref.task.job);
+    Task* task = state_.jobs.FindTask(ref.task);
+    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    if (run == nullptr || run->phase != RunPhase::kRunning)
+      continue;
+    const StepSpec& step = job->StepOf(*task);
+    if (step.tail_limit > Duration::zero()) {
+      worst = std::max(worst, static_cast<double>(run->load) * 1000 /
+                                  static_cast<double>(step.tail_limit.count()));
+    }
+    if (step.uses_spare)
+      paced.emplace_back(ref, run->pace);
+  }
+  if (paced.empty() || now - server.paced < kPacePeriod)
+    return;
+  for (const auto& [ref, pace] : paced) {
+    uint32_t next = NextPace(pace, worst);
+    if (next == pace)
+      continue;
+    server.paced = now;
+    runs_.SetPace(now, ref, next, outbox);
+  }
+}
+
+void TaskDispatch::CountSlowRun(Duration projected,
+                                Duration expected,
+                                Run& run,
+                                ServerState& server) {
+  if (run.counted_slow || expected <= Duration::zero())
+    return;
+  double ratio = static_cast<double>(projected.count()) /
+                 static_cast<double>(expected.count());
+  if (ratio < kSlowRun)
+    return;
+  run.counted_slow = true;
+  ratio = std::min(ratio, kMaxSlowRatio);
+  server.slowness *=
+      std::pow(std::max(1.0, ratio / server.slowness), kSlowRunWeight);
+}
+
+void TaskDispatch::ReviewRun(Time now,
+                             Job& job,
+                             Occurrence& occurrence,
+                             Task& task,
+                             Run& run,
+                             Outbox& outbox) {
+  ServerState* server = state_.servers.Find(run.server);
+  if (server == nullptr)
+    return;
+  const StepSpec& step = job.StepOf(task);
+  TaskId id{job.id, occurrence.number, task.step, task.index};
+  Duration age = now - run.since;
+  Duration expected = state_.ExpectedRunTime(job, step);
+  bool fresh = server->contact && now - *server->contact < kStandstill;
+  if (step.long_running) {
+    bool leaving = server->vacating || server->listing.draining;
+    bool sound = !server->listing.draining && task.at_work();
+    if (leaving && (!sound || MayDisplace(job, occurrence, task))) {
+      task.displaced = true;
+      runs_.RequestStop(now, id, run.number, "server-leaves", outbox);
+    } else if (!task.at_work() && fresh &&
+               now - run.percent_changed > 2 * kStandstill) {
+      server->held_back_until = now + kStandstillHoldBack;
+      runs_.RequestStop(now, id, run.number, "no-progress", outbox);
+    }
+    return;
+  }
+  // What is left, as the run's own pace shows it.
+  double progress = std::max(1u, run.percent) / 100.0;
+  Duration remaining(static_cast<int64_t>(static_cast<double>(age.count()) *
+                                          (1 - progress) / progress));
+  if (server->vacating || server->listing.draining) {
+    bool saves = step.checkpointing && remaining > kCheckpointPatience;
+    bool overdue =
+        server->vacating && now - server->vacate_started > kEmptyPatience;
+    if (saves || overdue)
+      runs_.RequestStop(now, id, run.number, "server-leaves", outbox);
+    return;
+  }
+  if (step.gang || !fresh || task.runs.size() > 1)
+    return;
+  if (run.percent < 100 && now - run.percent_changed > kStandstill &&
+      age > kStandstill) {
+    server->held_back_until = now + kStandstillHoldBack;
+    ++state_.counters.relocations;
+    runs_.RequestStop(now, id, run.number, "no-progress", outbox);
+    return;
+  }
+  if (age > expected)
+    CountSlowRun(age + remaining, expected, run, *server);
+  Duration elsewhere = step.checkpointing ? remaining : expected;
+  bool slow = server->slowness > kSlowServer && age > expected &&
+              remaining > Duration::zero();
+  if (slow &&
+      static_cast<double>(remaining.count()) >
+          kRelocationGain *
+              static_cast<double>((elsewhere / 2 + kRestartCost).count())) {
+    ++state_.counters.relocations;
+    runs_.RequestStop(now, id, run.number, "slow-server", outbox);
+    return;
+  }
+  bool straggles = step.speculative && age > kMinStragglerAge &&
+                   static_cast<double>(age.count()) >
+                       kStraggler * static_cast<double>(expected.count()) &&
+                   remaining > expected;
+  if (!straggles)
+    return;
+  std::vector<PlacementServer> servers = CollectServers(now);
+  std::erase_if(servers, [&](const PlacementServer& s) {
+    return server_ids_[s.position] == run.server ||
+           s.room.cpu_millis * 4 < s.capacity.cpu_millis;
+  });
+  if (PlanTask(now, job, occurrence, task, servers)) {
+    ++state_.counters.copies;
+    outbox.Log("copy-started", {{"task", FormatTask(id)},
+                                {"age_ms", age.count() / 1000},
+                                {"expected_ms", expected.count() / 1000}});
+  }
+}
+
+}  // namespace radishmoor
--- /dev/null
+++ b/radishmoor/jobs/task_dispatch.h
@@ -0,0 +1,96 @@
+// Plans the next starts of one pool and moves tasks that make no progress where
+// they are.
+//
+// Load that it answers: queues that ask for more than the pool holds for some
+// seconds; servers that are slow, stand still or fail what they start; servers
+// that are about to leave.
+
+#ifndef RADISHMOOR_JOBS_TASK_DISPATCH_H_
+#define RADISHMOOR_JOBS_TASK_DISPATCH_H_
+
+#include <vector>
+
+#include "radishmoor/jobs/placement.h"
+#include "radishmoor/jobs/pool_state.h"
+#include "radishmoor/jobs/run_control.h"
+
+namespace radishmoor {
+
+class TaskDispatch {
+ public:
+  TaskDispatch(PoolState& state, RunControl& runs)
+      : state_(state), runs_(runs) {}
+
+  // Plans runs for ready tasks as far as there is room.
+  void Plan(Time now, Outbox& outbox);
+
+  // Stops runs that would end sooner elsewhere, empties servers that leave, and
+  // starts copies of stragglers where the step allows them.
+  void Review(Time now, Outbox& outbox);
+
+  // Cores that ready and running tasks ask for, in thousandths.
+  int64_t demand_cpu() const { return demand_cpu_; }
+  // How long a job that arrives now waits for its first start.
+  Duration expected_wait() const { return expected_wait_; }
+
+ private:
+  std::vector<PlacementServer> CollectServers(Time now);
+  std::vector<Job*> OrderedJobs(Time now);
+  Duration RemainingChain(const Job& job) const;
+  void PlanJob(Time now,
+               Job& job,
+               std::vector<PlacementServer>& servers,
+               Outbox& outbox);
+  bool PlanTask(Time now,
+                Job& job,
+                Occurrence& occurrence,
+                Task& task,
+                std::vector<PlacementServer>& servers);
+  bool PlanGang(Time now,
+                Job& job,
+                Occurrence& occurrence,
+                uint32_t step,
+                std::vector<PlacementServer>& servers);
+  void Reserve(const Job& job,
+               const Task& task,
+               std::vector<PlacementServer>& servers);
+  PlacementTask DescribeTask(const Job& job, const Task& task) const;
+  // Fills in what depends on the step: runs of it on each server.
+  void CountStep(const Occurrence& occurrence,
+                 const Task& task,
+                 std::vector<PlacementServer>& servers) const;
+  void AddRun(Time now,
+              Job& job,
+              Occurrence& occurrence,
+              Task& task,
+              RunNumber number,
+              PlacementServer& server);
+  void ReviewRun(Time now,
+                 Job& job,
+                 Occurrence& occurrence,
+                 Task& task,
+                 Run& run,
+                 Outbox& outbox);
+  // Holds a run that takes far longer than expected against its server, once.
+  void CountSlowRun(Duration projected,
+                    Duration expected,
+                    Run& run,
+                    ServerState& server);
+  // Adjusts the pace of tasks that use spare room beside serving ones.
+  void PaceServer(Time now, ServerState& server, Outbox& outbox);
+  bool MayDisplace(const Job& job,
+                   const Occurrence& occurrence,
+                   const Task& task) const;
+
+  PoolState& state_;
+  RunControl& runs_;
+  std::vector<ServerId> server_ids_;  // By PlacementServer::position.
+  int64_t demand_cpu_ = 0;
+  int64_t waiting_work_ = 0;  // Core-microseconds of tasks that found no room.
+  Duration expected_wait_{};
+  uint32_t reservations_ = 0;
+};
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_TASK_DISPATCH_H_
--- /dev/null
+++ b/radishmoor/jobs/thrift_bytes.h
@@ -0,0 +1,49 @@
+// Thrift's compact encoding of a generated struct to and from bytes. Only for
+// the .cc files of this slice.
+
+#ifndef RADISHMOOR_JOBS_THRIFT_BYTES_H_
+#define RADISHMOOR_JOBS_THRIFT_BYTES_H_
+
+#include <thrift/TConfiguration.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace radishmoor {
+
+template <typename Struct>
+std::string ToBytes(const Struct& value) {
+  using apache::thrift::transport::TMemoryBuffer;
+  auto buffer = std::make_shared<TMemoryBuffer>(256);
+  apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+  value.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+// False for bytes that are no such struct. Allocates at most a small multiple
+// of the size of `bytes`.
+template <typename Struct>
+bool FromBytes(std::string_view bytes, Struct& value) {
+  using apache::thrift::transport::TMemoryBuffer;
+  try {
+    auto limits = std::make_shared<apache::thrift::TConfiguration>(
+        static_cast<int>(std::max<size_t>(bytes.size(), 16)));
+    auto buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data())),
+        static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, limits);
+    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    value.read(&protocol);
+    return true;
+  } catch (const std::exception&) {
+    // The caller counts and reports what cannot be read.
+    return false;
+  }
+}
+
+}  // namespace radishmoor
+
+#endif  // RADISHMOOR_JOBS_THRIFT_BYTES_H_
--- a/radishmoor/net/http_client.cc
+++ b/radishmoor/net/http_client.cc
@@ -293,6 +293,15 @@
     client.Send(id, it->second.request);
   }
 
+  // What made one connection silent may have struck the others as well.
+  void DropIdle(const Endpoint& endpoint) {
+    auto node = idle.extract(endpoint);
+    if (node.empty())
+      return;
+    for (ConnectionId id : node.mapped())
+      client.Close(id);
+  }
+
   void Finish(ConnectionId id, Result result) {
     auto node = exchanges.extract(id);
     if (node.empty())
@@ -333,6 +342,7 @@
   exchange.timer = impl_->loop.RunAfter(timeout, [impl = impl_.get(), id] {
     bool sent = impl->exchanges.at(id).sent;
     impl->client.Close(id);
+    impl->DropIdle(impl->exchanges.at(id).endpoint);
     impl->Finish(id, Failure{sent, "timed out"});
   });
   if (reuse) {
--- a/radishmoor/net/peer_transport.cc
+++ b/radishmoor/net/peer_transport.cc
@@ -1,235 +1,53 @@
 #include "radishmoor/net/peer_transport.h"
 
-#include <array>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
-#include <deque>
 #include <map>
-#include <string>
-#include <unordered_set>
 #include <utility>
 
 #include "radishmoor/net/event_loop.h"
+#include "radishmoor/net/frame_transport.h"
 
 namespace radishmoor {
-
-namespace asio = boost::asio;
-using tcp = asio::ip::tcp;
-using boost::system::error_code;
-
 namespace {
 
-class Incoming;
-class Outgoing;
-
-std::string Frame(const std::string& payload) {
-  auto size = static_cast<uint32_t>(payload.size());
-  std::string frame;
-  frame.reserve(payload.size() + 4);
-  for (int shift = 24; shift >= 0; shift -= 8)
-    frame.push_back(static_cast<char>((size >> shift) & 0xff));
-  return frame + payload;
+// The address that the sender of a message announces as its own.
+std::optional<Endpoint> AnnouncedAddress(const PeerMessage& message) {
+  if (auto* hello = std::get_if<PeerHello>(&message))
+    return ParseEndpoint(hello->address);
+  if (auto* heartbeat = std::get_if<Heartbeat>(&message))
+    return ParseEndpoint(heartbeat->address);
+  return std::nullopt;
 }
 
 }  // namespace
 
-struct PeerTransport::Impl : std::enable_shared_from_this<PeerTransport::Impl> {
+struct PeerTransport::Impl {
   Impl(EventLoop& event_loop, std::function<void(PeerEnvelope)> handler)
       : loop(event_loop),
         on_message(std::move(handler)),
-        acceptor(event_loop.io_context()) {}
+        frames(event_loop,
+               [this](std::string_view payload) { Receive(payload); }) {}
 
-  void Accept();
-  void Receive(std::string_view bytes);
+  void Receive(std::string_view payload);
+  // The peer sent nothing for kSilence while the connection to it was open.
+  bool IsSilent(const Endpoint& endpoint);
 
   EventLoop& loop;
   std::function<void(PeerEnvelope)> on_message;
-  tcp::acceptor acceptor;
-  std::unordered_set<std::shared_ptr<Incoming>> incoming;
-  std::map<Endpoint, std::shared_ptr<Outgoing>> outgoing;
+  FrameTransport frames;
   std::map<MemberId, Time> last_received;
   std::map<Endpoint, MemberId> member_at;  // From the peers' own messages.
+  uint64_t received = 0;
+  uint64_t malformed = 0;
   Counters counters;
 };
 
-namespace {
-
-class Incoming : public std::enable_shared_from_this<Incoming> {
- public:
-  Incoming(tcp::socket socket, std::shared_ptr<PeerTransport::Impl> transport)
-      : socket_(std::move(socket)), transport_(std::move(transport)) {}
-
-  void ReadLength() {
-    asio::async_read(socket_, asio::buffer(header_),
-                     [self = shared_from_this()](error_code error, size_t) {
-                       if (error) {
-                         self->Close();
-                         return;
-                       }
-                       self->ReadPayload();
-                     });
-  }
-
-  void Close() {
-    error_code ignored;
-    socket_.close(ignored);
-    transport_->incoming.erase(shared_from_this());
-  }
-
- private:
-  void ReadPayload() {
-    uint32_t size = 0;
-    for (unsigned char byte : header_)
-      size = (size << 8) | byte;
-    if (size == 0 || size > PeerTransport::kMaxFrame) {
-      ++transport_->counters.malformed;
-      Close();
-      return;
-    }
-    payload_.resize(size);
-    asio::async_read(socket_, asio::buffer(payload_),
-                     [self = shared_from_this()](error_code error, size_t) {
-                       if (error) {
-                         self->Close();
-                         return;
-                       }
-                       self->transport_->Receive(self->payload_);
-                       self->ReadLength();
-                     });
-  }
-
-  tcp::socket socket_;
-  std::shared_ptr<PeerTransport::Impl> transport_;
-  std::array<unsigned char, 4> header_{};
-  std::string payload_;
-};
-
-class Outgoing : public std::enable_shared_from_this<Outgoing> {
- public:
-  Outgoing(const Endpoint& endpoint,
-           std::shared_ptr<PeerTransport::Impl> transport)
-      : endpoint_(endpoint),
-        transport_(std::move(transport)),
-        socket_(transport_->loop.io_context()),
-        opened_(transport_->loop.now()) {}
-
-  void Connect() {
-    tcp::endpoint address(asio::ip::make_address(endpoint_.ip), endpoint_.port);
-    socket_.async_connect(address,
-                          [self = shared_from_this()](error_code error) {
-                            self->OnConnected(error);
-                          });
-  }
-
-  void Send(std::string frame) {
-    if (queued_ + frame.size() > PeerTransport::kMaxQueued) {
-      ++transport_->counters.dropped;
-      return;
-    }
-    queued_ += frame.size();
-    queue_.push_back(std::move(frame));
-    if (connected_ && queue_.size() == 1)
-      Write();
-  }
-
-  void Close() {
-    closed_ = true;
-    error_code ignored;
-    socket_.close(ignored);
-  }
-
-  Time opened() const { return opened_; }
-
- private:
-  void OnConnected(error_code error) {
-    if (closed_)
-      return;
-    if (error) {
-      Forget();
-      return;
-    }
-    error_code ignored;
-    socket_.set_option(tcp::no_delay(true), ignored);
-    connected_ = true;
-    if (!queue_.empty())
-      Write();
-  }
-
-  void Write() {
-    asio::async_write(
-        socket_, asio::buffer(queue_.front()),
-        [self = shared_from_this()](error_code error, size_t bytes) {
-          self->OnWritten(error, bytes);
-        });
-  }
-
-  void OnWritten(error_code error, size_t bytes) {
-    if (closed_)
-      return;
-    if (error) {
-      Forget();
-      return;
-    }
-    transport_->counters.bytes_sent += bytes;
-    queued_ -= queue_.front().size();
-    queue_.pop_front();
-    if (!queue_.empty())
-      Write();
-  }
-
-  void Forget() {
-    transport_->counters.dropped += queue_.size();
-    auto self = shared_from_this();
-    Close();
-    auto it = transport_->outgoing.find(endpoint_);
-    if (it != transport_->outgoing.end() && it->second == self)
-      transport_->outgoing.erase(it);
-  }
-
-  Endpoint endpoint_;
-  std::shared_ptr<PeerTransport::Impl> transport_;
-  tcp::socket socket_;
-  std::deque<std::string> queue_;
-  size_t queued_ = 0;
-  Time opened_;
-  bool connected_ = false;
-  bool closed_ = false;
-};
-
-// The address that the sender of a message announces as its own.
-std::optional<Endpoint> AnnouncedAddress(const PeerMessage& message) {
-  if (auto* hello = std::get_if<PeerHello>(&message))
-    return ParseEndpoint(hello->address);
-  if (auto* heartbeat = std::get_if<Heartbeat>(&message))
-    return ParseEndpoint(heartbeat->address);
-  return std::nullopt;
-}
-
-}  // namespace
-
-void PeerTransport::Impl::Accept() {
-  acceptor.async_accept(
-      [self = shared_from_this()](error_code error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted)
-          return;
-        if (!error && self->incoming.size() < kMaxConnections) {
-          auto link = std::make_shared<Incoming>(std::move(socket), self);
-          self->incoming.insert(link);
-          link->ReadLength();
-        }
-        self->Accept();
-      });
-}
-
-void PeerTransport::Impl::Receive(std::string_view bytes) {
-  counters.bytes_received += bytes.size() + 4;
-  auto envelope = DecodePeerEnvelope(bytes);
+void PeerTransport::Impl::Receive(std::string_view payload) {
+  auto envelope = DecodePeerEnvelope(payload);
   if (!envelope) {
-    ++counters.malformed;
+    ++malformed;
     return;
   }
-  ++counters.received;
+  ++received;
   if (last_received.size() < kMaxConnections ||
       last_received.contains(envelope->sender)) {
     last_received[envelope->sender] = loop.now();
@@ -239,56 +57,42 @@
   on_message(std::move(*envelope));
 }
 
+bool PeerTransport::Impl::IsSilent(const Endpoint& endpoint) {
+  Time now = loop.now();
+  std::optional<Time> opened = frames.opened(endpoint);
+  if (!opened || now - *opened <= kSilence)
+    return false;
+  auto member = member_at.find(endpoint);
+  return member != member_at.end() &&
+         now - last_received[member->second] > kSilence;
+}
+
 PeerTransport::PeerTransport(EventLoop& loop,
                              std::function<void(PeerEnvelope)> on_message)
     : impl_(std::make_shared<Impl>(loop, std::move(on_message))) {}
 
-PeerTransport::~PeerTransport() {
-  error_code ignored;
-  impl_->acceptor.close(ignored);
-  auto incoming = impl_->incoming;
-  for (const auto& link : incoming)
-    link->Close();
-  for (const auto& [endpoint, link] : impl_->outgoing)
-    link->Close();
-  impl_->outgoing.clear();
-}
+PeerTransport::~PeerTransport() = default;
 
 Endpoint PeerTransport::Listen(const Endpoint& endpoint) {
-  tcp::endpoint address(asio::ip::make_address(endpoint.ip), endpoint.port);
-  impl_->acceptor.open(address.protocol());
-  impl_->acceptor.set_option(tcp::acceptor::reuse_address(true));
-  impl_->acceptor.bind(address);
-  impl_->acceptor.listen(256);
-  impl_->Accept();
-  return {endpoint.ip, impl_->acceptor.local_endpoint().port()};
+  return impl_->frames.Listen(endpoint);
 }
 
 void PeerTransport::Send(const Endpoint& endpoint,
                          const PeerEnvelope& envelope) {
-  ++impl_->counters.sent;
-  Time now = impl_->loop.now();
-  auto it = impl_->outgoing.find(endpoint);
-  if (it != impl_->outgoing.end() && now - it->second->opened() > kSilence) {
-    auto member = impl_->member_at.find(endpoint);
-    bool silent = member != impl_->member_at.end() &&
-                  now - impl_->last_received[member->second] > kSilence;
-    if (silent) {
-      ++impl_->counters.reopened;
-      it->second->Close();
-      impl_->outgoing.erase(it);
-      it = impl_->outgoing.end();
-    }
-  }
-  if (it == impl_->outgoing.end()) {
-    auto link = std::make_shared<Outgoing>(endpoint, impl_);
-    it = impl_->outgoing.emplace(endpoint, link).first;
-    link->Connect();
-  }
-  it->second->Send(Frame(EncodePeerEnvelope(envelope)));
+  if (impl_->IsSilent(endpoint))
+    impl_->frames.Drop(endpoint);
+  impl_->frames.Send(endpoint, EncodePeerEnvelope(envelope));
 }
 
 const PeerTransport::Counters& PeerTransport::counters() const {
+  const FrameTransport::Counters& frames = impl_->frames.counters();
+  impl_->counters = {.sent = frames.sent,
+                     .received = impl_->received,
+                     .dropped = frames.dropped,
+                     .malformed = frames.malformed + impl_->malformed,
+                     .reopened = frames.reopened,
+                     .bytes_sent = frames.bytes_sent,
+                     .bytes_received = frames.bytes_received};
   return impl_->counters;
 }
 
--- a/radishmoor/net/peer_transport.h
+++ b/radishmoor/net/peer_transport.h
@@ -1,5 +1,5 @@
-// Messages between radishmoor's processes over TCP: frames of a 4-byte length
-// (big-endian) and an encoded envelope (peer_codec.h).
+// Messages between radishmoor's processes: frames (frame_transport.h) that hold
+// an encoded envelope (peer_codec.h).
 //
 //   PeerTransport transport(loop, self, zone, on_message);
 //   Endpoint bound = transport.Listen({"127.0.0.1", 0});
@@ -10,8 +10,7 @@
 // its own. A connection whose peer sent nothing for kSilence while messages
 // went out is opened anew, since something between the ends may have lost it.
 //
-// Limits: frames of kMaxFrame, kMaxQueued bytes waiting for each peer (further
-// messages are dropped), kMaxConnections incoming.
+// Limits: those of frame_transport.h, and kMaxConnections known peers.
 
 #ifndef RADISHMOOR_NET_PEER_TRANSPORT_H_
 #define RADISHMOOR_NET_PEER_TRANSPORT_H_
@@ -31,8 +30,6 @@
 
 class PeerTransport {
  public:
-  static constexpr uint32_t kMaxFrame = 1024 * 1024;
-  static constexpr size_t kMaxQueued = 256 * 1024;
   static constexpr size_t kMaxConnections = 1024;
   static constexpr Duration kSilence = Seconds(5);
 
--- a/radishmoor/net/store_json.cc
+++ b/radishmoor/net/store_json.cc
@@ -182,7 +182,10 @@
   }
   if (std::holds_alternative<ReadHostList>(request))
     return HostListFromJson(body);
-  return RowsReply{RowsFromJson(body)};
+  RowsReply reply{RowsFromJson(body)};
+  const auto* scan = std::get_if<ScanRows>(&request);
+  reply.more = scan != nullptr && reply.rows.size() >= scan->limit;
+  return reply;
 }
 
 StoreReply DecodeReply(const StoreRequest& request,
