--- a/radishmoor/ops/log.cc
+++ b/radishmoor/ops/log.cc
@@ -1,5 +1,8 @@
 #include "radishmoor/ops/log.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time.hpp>
@@ -15,6 +18,8 @@
 #include <boost/make_shared.hpp>
 #include <iostream>
 #include <mutex>
+#include <span>
+#include <streambuf>
 #include <vector>
 
 namespace radishmoor {
@@ -66,7 +71,7 @@
 
 std::string KeyValueLine(LogLevel level,
                          std::string_view event,
-                         std::initializer_list<LogField> fields) {
+                         std::span<const LogField> fields) {
   std::string line = "time=" + UtcNow() +
                      " level=" + kLevelNames[static_cast<int>(level)] +
                      " event=" + std::string(event);
@@ -77,7 +82,7 @@
 
 std::string JsonLine(LogLevel level,
                      std::string_view event,
-                     std::initializer_list<LogField> fields) {
+                     std::span<const LogField> fields) {
   json::object line{{"time", UtcNow()},
                     {"level", kLevelNames[static_cast<int>(level)]},
                     {"event", event}};
@@ -88,6 +93,61 @@
 
 std::atomic<LogFormat> line_format{LogFormat::kKeyValue};
 
+// Holds lines until they are written. A line that does not fit is dropped
+// whole.
+class LineBuffer : public std::streambuf {
+ public:
+  static constexpr size_t kMaxBytes = 512 * 1024;
+
+  // Writes what the descriptor takes without waiting.
+  void Flush(int descriptor) {
+    size_t written = 0;
+    while (written < bytes_.size()) {
+      ssize_t n =
+          ::write(descriptor, bytes_.data() + written, bytes_.size() - written);
+      if (n <= 0)
+        break;
+      written += static_cast<size_t>(n);
+    }
+    bytes_.erase(0, written);
+  }
+
+  uint64_t dropped() const { return dropped_; }
+
+ protected:
+  std::streamsize xsputn(const char* text, std::streamsize size) override {
+    // The backend writes a line's text, then its end.
+    bool line_end = size == 1 && *text == '\n';
+    if (line_end && dropping_) {
+      dropping_ = false;
+      return size;
+    }
+    if (!line_end && bytes_.size() + static_cast<size_t>(size) > kMaxBytes) {
+      dropping_ = true;
+      ++dropped_;
+      return size;
+    }
+    bytes_.append(text, static_cast<size_t>(size));
+    return size;
+  }
+
+  int_type overflow(int_type c) override {
+    char byte = traits_type::to_char_type(c);
+    xsputn(&byte, 1);
+    return c;
+  }
+
+ private:
+  std::string bytes_;
+  uint64_t dropped_ = 0;
+  bool dropping_ = false;
+};
+
+LineBuffer& Lines() {
+  static LineBuffer lines;
+  return lines;
+}
+
 std::mutex& SinkMutex() {
   static std::mutex mutex;
   return mutex;
@@ -122,9 +182,32 @@
   least_level = static_cast<int>(options.level);
 }
 
+void StartBufferedLog(const LogOptions& options) {
+  int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  LogOptions buffered = options;
+  buffered.stream = std::make_shared<std::ostream>(&Lines());
+  StartLog(buffered);
+}
+
+void FlushLog() {
+  Lines().Flush(STDOUT_FILENO);
+}
+
+uint64_t DroppedLogLines() {
+  return Lines().dropped();
+}
+
 void Log(LogLevel level,
          std::string_view event,
          std::initializer_list<LogField> fields) {
+  LogFields(level, event, {fields.begin(), fields.size()});
+}
+
+void LogFields(LogLevel level,
+               std::string_view event,
+               std::span<const LogField> fields) {
   if (static_cast<int>(level) < least_level.load(std::memory_order_relaxed))
     return;
   log::sources::logger_mt logger;
--- a/radishmoor/ops/log.h
+++ b/radishmoor/ops/log.h
@@ -1,4 +1,5 @@
-// Structured log lines on standard error, as key=value or JSON.
+// Structured log lines on standard error or, buffered, on standard output, as
+// key=value or JSON.
 //
 //   StartLog({.format = LogFormat::kJson, .level = LogLevel::kInfo});
 //   LogInfo("lease-acquired", {{"pool", pool.str()}, {"token", token}});
@@ -15,6 +16,7 @@
 #include <initializer_list>
 #include <iosfwd>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -64,12 +66,24 @@
 // Replaces the sink of an earlier call.
 void StartLog(const LogOptions& options);
 
+// As StartLog(), but lines are kept in a buffer of bounded size and written to
+// standard output by FlushLog(), in blocks and without waiting for the reader.
+// A line that finds no room is dropped and counted. For one thread.
+void StartBufferedLog(const LogOptions& options);
+void FlushLog();
+uint64_t DroppedLogLines();
+
 // Writes one line with the time (UTC), the level, the event and the fields.
 // `event` and the keys are fixed lower-case words joined by '-' or '_'.
 void Log(LogLevel level,
          std::string_view event,
          std::initializer_list<LogField> fields = {});
 
+// The same with a list of fields that is built at run time.
+void LogFields(LogLevel level,
+               std::string_view event,
+               std::span<const LogField> fields);
+
 inline void LogInfo(std::string_view event,
                     std::initializer_list<LogField> fields = {}) {
   Log(LogLevel::kInfo, event, fields);
--- a/radishmoor/store/memory_table.cc
+++ b/radishmoor/store/memory_table.cc
@@ -52,6 +52,7 @@
       break;
     reply.rows.push_back(it->second);
   }
+  reply.more = reply.rows.size() >= request.limit;
   return reply;
 }
 
--- a/radishmoor/store/table.h
+++ b/radishmoor/store/table.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "radishmoor/base/ids.h"
+#include "radishmoor/base/time.h"
 
 namespace radishmoor {
 
@@ -98,6 +99,7 @@
 // Answers ReadRows (one row for each key, absent rows included) and ScanRows.
 struct RowsReply {
   std::vector<Row> rows;
+  bool more = false;  // A scan ended at its limit, not at the last row.
 };
 
 // The transaction took effect. `versions` are those of the written rows, in the
@@ -160,6 +162,8 @@
 struct StoreCall {
   uint64_t tag = 0;
   StoreRequest request;
+  // Without an answer by then the outcome is unknown. 0: the client's default.
+  Duration timeout{};
 };
 
 struct StoreAnswer {
