--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -153,7 +153,7 @@
   }
   for (const RunRef& ref : refs)
     RequestStop(now, ref.task, ref.run, reason, outbox);
-  state_.jobs.CloseIfResolved(job);
+  to_close_.insert(job.id);
 }
 
 void RunControl::SetPace(Time now,
@@ -228,6 +228,7 @@
     case OrderKind::kPace:
       break;
   }
+  CloseResolved();
   return true;
 }
 
@@ -398,6 +399,8 @@
     LearnRunTime(now, *job, *task, *run, server);
   state_.jobs.Touch(*job);
   RemoveRun(now, ref, EndName(ended.end));
+  if (IsFinal(job->state))
+    return;
   switch (ended.end) {
     case RunEnd::kDone:
       OnTaskDone(now, *job, *task, ref, outbox);
@@ -448,7 +451,7 @@
                                  {"took_ms", ToMillis(now - job.arrived)},
                                  {"late_ms", ToMillis(now - job.objective)}});
   }
-  state_.jobs.CloseIfResolved(job);
+  to_close_.insert(job.id);
 }
 
 void RunControl::OnTaskFailed(Time now,
@@ -601,7 +604,15 @@
                 [&ref](const Run& r) { return r.number == ref.run; });
   task->ready_since = now;
   state_.jobs.Touch(*job);
-  state_.jobs.CloseIfResolved(*job);
+  to_close_.insert(job->id);
+}
+
+void RunControl::CloseResolved() {
+  for (const JobId& id : std::exchange(to_close_, {})) {
+    Job* job = state_.jobs.Find(id);
+    if (job != nullptr)
+      state_.jobs.CloseIfResolved(*job);
+  }
 }
 
 void RunControl::OnServerGone(Time now,
@@ -649,6 +660,7 @@
   next_wake_ = kTimeMax;
   for (auto& [id, server] : state_.servers.all())
     CheckServer(now, server, extend, outbox);
+  CloseResolved();
 }
 
 void RunControl::CheckServer(Time now,
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "radishmoor/jobs/pool_state.h"
@@ -94,8 +95,10 @@
                     const RunRef& ref,
                     ServerState& server,
                     Outbox& outbox);
-  // The run is over and never starts.
+  // The run is over and never starts. The job stays until CloseResolved().
   void RemoveRun(Time now, const RunRef& ref, std::string_view reason);
+  // Closes the jobs that have ended and lost their last run.
+  void CloseResolved();
   void OnServerGone(Time now, ServerState& server, std::string_view reason);
 
   void SendStop(Time now, const RunRef& ref, Run& run, Outbox& outbox);
@@ -115,6 +118,7 @@
 
   PoolState& state_;
   std::map<uint64_t, PendingOrder> orders_;
+  std::set<JobId> to_close_;
   Time next_wake_ = kTimeMax;
 };
 
