Do not extend the leases of a server that does not answer

Ruled out: a wrong clock model; the lapse came 3.1 s after the last look.

Change: after a look without an answer, looks carry no lease until one is answered.

--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -634,7 +634,10 @@
   if (tag != 0)
     return;
   ExtendLease look;
-  if (extend && server.clock.known() && !server.runs.empty()) {
+  // Each look that a lost server may still receive would put off the time from
+  // which its tasks can start elsewhere.
+  bool answers = server.failed_looks == 0;
+  if (extend && answers && server.clock.known() && !server.runs.empty()) {
     look.lease_until = server.clock.Latest(now) + ToMillis(state_.lease());
     server.lease_until = std::max(server.lease_until, look.lease_until);
   }
