--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -105,6 +105,7 @@
   2: string job
   3: Job definition
   4: i64 age_ms
+  5: i64 request
 }
 
 struct JobQuery {
--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -17,7 +17,7 @@
 constexpr size_t kMaxBytes = 600 * 1024;
 // A commit without an answer after a multiple of the usual latency is lost.
 constexpr int64_t kTimeoutFactor = 5;
-constexpr Duration kMinTimeout = Milliseconds(150);
+constexpr Duration kMinTimeout = Milliseconds(400);
 constexpr Duration kMaxTimeout = Milliseconds(2500);
 constexpr Duration kUnavailableDelay = Milliseconds(100);
 
@@ -87,11 +87,17 @@
     bytes += value.size();
     transaction.writes.push_back(
         {ProgressKey(state_.pool, id), std::move(value)});
-    InFlight::JobPart part{id, job.state, false};
+    InFlight::JobPart part{id, job.state};
     if (IsFinal(job.state) && !job.HasRuns() && !job.definition_dropped) {
       transaction.writes.push_back(
           {JobKey(state_.pool, id), std::string(kEndedJobMark)});
       part.definition_dropped = true;
+    } else if (!job.definition_stored) {
+      std::string definition = EncodeJob(job.spec);
+      bytes += definition.size();
+      transaction.writes.push_back(
+          {JobKey(state_.pool, id), std::move(definition)});
+      part.definition_stored = true;
     }
     commit.jobs.push_back(std::move(part));
     state_.jobs.ClearDirty(id);
@@ -168,6 +174,8 @@
     if (job == nullptr)
       continue;
     job->shown = part.state;
+    job->definition_stored = job->definition_stored || part.definition_stored ||
+                             part.definition_dropped;
     job->definition_dropped =
         job->definition_dropped || part.definition_dropped;
   }
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -76,6 +76,7 @@
     struct JobPart {
       JobId job;
       JobState state = JobState::kQueued;
+      bool definition_stored = false;
       bool definition_dropped = false;
     };
     std::vector<JobPart> jobs;
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -7,7 +7,6 @@
 namespace radishmoor {
 namespace {
 
-constexpr Duration kListPeriod = Milliseconds(600);
 constexpr Duration kTickPeriod = Milliseconds(100);
 constexpr Duration kVacateRepeat = Milliseconds(250);
 // A host that cannot be emptied in this time makes room for others.
@@ -151,12 +150,6 @@
 }
 
 bool FleetKeeper::OnHostReply(Time now, const HostReply& reply, Outbox& out) {
-  if (list_tag_ != 0 && reply.tag == list_tag_) {
-    list_tag_ = 0;
-    if (reply.outcome == HostOutcome::kDone)
-      OnHosts(now, reply.hosts, out);
-    return true;
-  }
   for (auto& [host, duty] : duties_) {
     if (duty.call_tag == 0 || duty.call_tag != reply.tag)
       continue;
@@ -168,22 +161,33 @@
   return false;
 }
 
-void FleetKeeper::OnHosts(Time now,
-                          const std::vector<HostListing>& hosts,
+bool FleetKeeper::wants_hosts() const {
+  return loaded_ && (HasOpenWave() || !duties_.empty());
+}
+
+void FleetKeeper::OnHosts(Time sent,
+                          std::span<const HostListing> hosts,
                           Outbox& outbox) {
-  hosts_.clear();
-  for (const HostListing& host : hosts)
+  std::map<HostId, HostListing> before = std::exchange(hosts_, {});
+  for (const HostListing& host : hosts) {
+    auto old = before.find(host.host);
+    if (old != before.end() && (old->second.state != host.state ||
+                                old->second.server != host.server)) {
+      outbox.Log("host-changed",
+                 {{"host", host.host.str()},
+                  {"pool", host.pool.str()},
+                  {"state", static_cast<int64_t>(host.state)},
+                  {"server", host.server.str()}});
+    }
     hosts_[host.host] = host;
-  hosts_read_ = now;
+  }
   std::vector<HostId> back;
   for (auto& [id, duty] : duties_) {
     auto it = hosts_.find(id);
     if (duty.stage != Stage::kReturning || it == hosts_.end())
       continue;
-    bool returned =
-        it->second.state == HostState::kUp && it->second.server != duty.server;
-    bool long_ago = now - duty.since > kGoneAfter;
-    if (returned || (long_ago && it->second.state != HostState::kMaintenance))
+    // The list shows the maintenance from the answer to the call on.
+    if (sent > duty.since && it->second.state != HostState::kMaintenance)
       back.push_back(id);
   }
   for (const HostId& id : back) {
@@ -284,18 +288,6 @@
   chain_.Write({DutyKey(state_.pool, host), EncodeDuty(row)});
 }
 
-void FleetKeeper::ListHostsIfDue(Time now, Outbox& outbox) {
-  bool needed = HasOpenWave() || !duties_.empty();
-  if (!needed || list_tag_ != 0)
-    return;
-  if (now < next_list_) {
-    Wake(next_list_);
-    return;
-  }
-  next_list_ = now + kListPeriod;
-  list_tag_ = outbox.Host(state_.token, ListHosts{});
-}
-
 void FleetKeeper::ReportWaves(Time now, Outbox& outbox) {
   for (auto& [number, wave] : waves_) {
     bool due = wave.completed ? !wave.reported_end : !wave.reported_start;
@@ -409,7 +401,6 @@
   }
   if (!loaded_ || lost() || released())
     return;
-  ListHostsIfDue(now, outbox);
   ReportWaves(now, outbox);
   // Two holders of the duties must be this far apart.
   bool may_act = options_.first_owner ||
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -56,6 +56,11 @@
   void OnVacateAnswer(Time now, const VacateAnswer& answer, Outbox& outbox);
   bool OnStoreAnswer(Time now, const StoreAnswer& answer, Outbox& outbox);
   bool OnHostReply(Time now, const HostReply& reply, Outbox& outbox);
+  // The platform's list of hosts, asked for at `sent`.
+  void OnHosts(Time sent,
+               std::span<const HostListing> hosts,
+               Outbox& outbox);
+  bool wants_hosts() const;
   // `contacts`: the owners of pools, as far as they are known.
   void Tick(Time now,
             const std::map<PoolId, PoolContact>& contacts,
@@ -99,8 +104,6 @@
 
   void SendLoad(Outbox& outbox);
   void OnLoadRow(Time now, const Row& row);
-  void OnHosts(Time now, const std::vector<HostListing>& hosts, Outbox& out);
-  void ListHostsIfDue(Time now, Outbox& outbox);
   void ReportWaves(Time now, Outbox& outbox);
   void StartDuties(Time now,
                    const std::map<PoolId, PoolContact>& contacts,
@@ -133,9 +136,6 @@
   Time load_retry_ = kTimeMax;
 
   std::map<HostId, HostListing> hosts_;
-  Time hosts_read_;
-  uint64_t list_tag_ = 0;
-  Time next_list_;
   std::map<uint64_t, Wave> waves_;
   std::map<HostId, Duty> duties_;
   std::map<HostId, std::set<uint64_t>> stored_done_;
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -2386,6 +2386,10 @@
 void JobNotice::__set_age_ms(const int64_t val) {
   this->age_ms = val;
 }
+
+void JobNotice::__set_request(const int64_t val) {
+  this->request = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobNotice& obj)
 {
   obj.printTo(out);
@@ -2446,6 +2450,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2479,6 +2491,10 @@
   xfer += oprot->writeI64(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2490,6 +2506,7 @@
   swap(a.job, b.job);
   swap(a.definition, b.definition);
   swap(a.age_ms, b.age_ms);
+  swap(a.request, b.request);
   swap(a.__isset, b.__isset);
 }
 
@@ -2498,6 +2515,7 @@
   job = other80.job;
   definition = other80.definition;
   age_ms = other80.age_ms;
+  request = other80.request;
   __isset = other80.__isset;
 }
 JobNotice::JobNotice(JobNotice&& other81) noexcept {
@@ -2505,6 +2523,7 @@
   job = std::move(other81.job);
   definition = std::move(other81.definition);
   age_ms = other81.age_ms;
+  request = other81.request;
   __isset = other81.__isset;
 }
 JobNotice& JobNotice::operator=(const JobNotice& other82) {
@@ -2512,6 +2531,7 @@
   job = other82.job;
   definition = other82.definition;
   age_ms = other82.age_ms;
+  request = other82.request;
   __isset = other82.__isset;
   return *this;
 }
@@ -2520,6 +2540,7 @@
   job = std::move(other83.job);
   definition = std::move(other83.definition);
   age_ms = other83.age_ms;
+  request = other83.request;
   __isset = other83.__isset;
   return *this;
 }
@@ -2530,6 +2551,7 @@
   out << ", " << "job=" << to_string(job);
   out << ", " << "definition=" << to_string(definition);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "request=" << to_string(request);
   out << ")";
 }
 
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -9,17 +9,17 @@
 
 #include <iosfwd>
 
+#include <thrift/Thrift.h>
 #include <thrift/TApplicationException.h>
 #include <thrift/TBase.h>
-#include <thrift/Thrift.h>
 #include <thrift/protocol/TProtocol.h>
 #include <thrift/transport/TTransport.h>
 
 #include <functional>
 #include <memory>
 
-namespace radishmoor {
-namespace jobs_wire {
+
+namespace radishmoor { namespace jobs_wire {
 
 class Step;
 
@@ -56,54 +56,43 @@
 class Envelope;
 
 typedef struct _Step__isset {
-  _Step__isset()
-      : count(false),
-        cpu_millis(false),
-        memory_mb(false),
-        gpus(false),
-        estimate_ms(false),
-        after(false),
-        flags(false),
-        requirement(false),
-        data_rack(false),
-        max_per_server(false),
-        image(false),
-        tail_limit_ms(false),
-        allowed_missing(false) {}
-  bool count : 1;
-  bool cpu_millis : 1;
-  bool memory_mb : 1;
-  bool gpus : 1;
-  bool estimate_ms : 1;
-  bool after : 1;
-  bool flags : 1;
-  bool requirement : 1;
-  bool data_rack : 1;
-  bool max_per_server : 1;
-  bool image : 1;
-  bool tail_limit_ms : 1;
-  bool allowed_missing : 1;
+  _Step__isset() : count(false), cpu_millis(false), memory_mb(false), gpus(false), estimate_ms(false), after(false), flags(false), requirement(false), data_rack(false), max_per_server(false), image(false), tail_limit_ms(false), allowed_missing(false) {}
+  bool count :1;
+  bool cpu_millis :1;
+  bool memory_mb :1;
+  bool gpus :1;
+  bool estimate_ms :1;
+  bool after :1;
+  bool flags :1;
+  bool requirement :1;
+  bool data_rack :1;
+  bool max_per_server :1;
+  bool image :1;
+  bool tail_limit_ms :1;
+  bool allowed_missing :1;
 } _Step__isset;
 
 class Step : public virtual ::apache::thrift::TBase {
  public:
+
   Step(const Step&);
   Step(Step&&) noexcept;
   Step& operator=(const Step&);
   Step& operator=(Step&&) noexcept;
   Step() noexcept
-      : count(0),
-        cpu_millis(0),
-        memory_mb(0),
-        gpus(0),
-        estimate_ms(0),
-        flags(0),
-        requirement(),
-        data_rack(),
-        max_per_server(0),
-        image(),
-        tail_limit_ms(0),
-        allowed_missing(0) {}
+       : count(0),
+         cpu_millis(0),
+         memory_mb(0),
+         gpus(0),
+         estimate_ms(0),
+         flags(0),
+         requirement(),
+         data_rack(),
+         max_per_server(0),
+         image(),
+         tail_limit_ms(0),
+         allowed_missing(0) {
+  }
 
   virtual ~Step() noexcept;
   int32_t count;
@@ -111,7 +100,7 @@
   int32_t memory_mb;
   int32_t gpus;
   int64_t estimate_ms;
-  std::vector<int32_t> after;
+  std::vector<int32_t>  after;
   int32_t flags;
   std::string requirement;
   std::string data_rack;
@@ -132,7 +121,7 @@
 
   void __set_estimate_ms(const int64_t val);
 
-  void __set_after(const std::vector<int32_t>& val);
+  void __set_after(const std::vector<int32_t> & val);
 
   void __set_flags(const int32_t val);
 
@@ -148,7 +137,8 @@
 
   void __set_allowed_missing(const int32_t val);
 
-  bool operator==(const Step& rhs) const {
+  bool operator == (const Step & rhs) const
+  {
     if (!(count == rhs.count))
       return false;
     if (!(cpu_millis == rhs.cpu_millis))
@@ -177,9 +167,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Step& rhs) const { return !(*this == rhs); }
+  bool operator != (const Step &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Step&) const;
+  bool operator < (const Step & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -187,30 +179,24 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Step& a, Step& b);
+void swap(Step &a, Step &b);
 
 std::ostream& operator<<(std::ostream& out, const Step& obj);
 
 typedef struct _Job__isset {
-  _Job__isset()
-      : queue(false),
-        spec(false),
-        steps(false),
-        repeat_count(false),
-        start_at_ms(false),
-        interval_ms(false),
-        submitted_wall_ms(false) {}
-  bool queue : 1;
-  bool spec : 1;
-  bool steps : 1;
-  bool repeat_count : 1;
-  bool start_at_ms : 1;
-  bool interval_ms : 1;
-  bool submitted_wall_ms : 1;
+  _Job__isset() : queue(false), spec(false), steps(false), repeat_count(false), start_at_ms(false), interval_ms(false), submitted_wall_ms(false) {}
+  bool queue :1;
+  bool spec :1;
+  bool steps :1;
+  bool repeat_count :1;
+  bool start_at_ms :1;
+  bool interval_ms :1;
+  bool submitted_wall_ms :1;
 } _Job__isset;
 
 class Job : public virtual ::apache::thrift::TBase {
  public:
+
   Job(const Job&);
   Job(Job&&) noexcept;
   Job& operator=(const Job&);
@@ -221,12 +207,13 @@
         repeat_count(0),
         start_at_ms(0),
         interval_ms(0),
-        submitted_wall_ms(0) {}
+        submitted_wall_ms(0) {
+  }
 
   virtual ~Job() noexcept;
   std::string queue;
   std::string spec;
-  std::vector<Step> steps;
+  std::vector<Step>  steps;
   int32_t repeat_count;
   int64_t start_at_ms;
   int64_t interval_ms;
@@ -238,7 +225,7 @@
 
   void __set_spec(const std::string& val);
 
-  void __set_steps(const std::vector<Step>& val);
+  void __set_steps(const std::vector<Step> & val);
 
   void __set_repeat_count(const int32_t val);
 
@@ -248,7 +235,8 @@
 
   void __set_submitted_wall_ms(const int64_t val);
 
-  bool operator==(const Job& rhs) const {
+  bool operator == (const Job & rhs) const
+  {
     if (!(queue == rhs.queue))
       return false;
     if (!(spec == rhs.spec))
@@ -265,9 +253,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Job& rhs) const { return !(*this == rhs); }
+  bool operator != (const Job &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Job&) const;
+  bool operator < (const Job & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -275,23 +265,27 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Job& a, Job& b);
+void swap(Job &a, Job &b);
 
 std::ostream& operator<<(std::ostream& out, const Job& obj);
 
 typedef struct _Run__isset {
   _Run__isset() : number(false), server(false) {}
-  bool number : 1;
-  bool server : 1;
+  bool number :1;
+  bool server :1;
 } _Run__isset;
 
 class Run : public virtual ::apache::thrift::TBase {
  public:
+
   Run(const Run&);
   Run(Run&&) noexcept;
   Run& operator=(const Run&);
   Run& operator=(Run&&) noexcept;
-  Run() noexcept : number(0), server() {}
+  Run() noexcept
+      : number(0),
+        server() {
+  }
 
   virtual ~Run() noexcept;
   int32_t number;
@@ -303,16 +297,19 @@
 
   void __set_server(const std::string& val);
 
-  bool operator==(const Run& rhs) const {
+  bool operator == (const Run & rhs) const
+  {
     if (!(number == rhs.number))
       return false;
     if (!(server == rhs.server))
       return false;
     return true;
   }
-  bool operator!=(const Run& rhs) const { return !(*this == rhs); }
+  bool operator != (const Run &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Run&) const;
+  bool operator < (const Run & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -320,34 +317,34 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Run& a, Run& b);
+void swap(Run &a, Run &b);
 
 std::ostream& operator<<(std::ostream& out, const Run& obj);
 
 typedef struct _Task__isset {
-  _Task__isset()
-      : position(false),
-        state(false),
-        failures(false),
-        last_run(false),
-        checkpoint(false),
-        runs(false) {}
-  bool position : 1;
-  bool state : 1;
-  bool failures : 1;
-  bool last_run : 1;
-  bool checkpoint : 1;
-  bool runs : 1;
+  _Task__isset() : position(false), state(false), failures(false), last_run(false), checkpoint(false), runs(false) {}
+  bool position :1;
+  bool state :1;
+  bool failures :1;
+  bool last_run :1;
+  bool checkpoint :1;
+  bool runs :1;
 } _Task__isset;
 
 class Task : public virtual ::apache::thrift::TBase {
  public:
+
   Task(const Task&);
   Task(Task&&) noexcept;
   Task& operator=(const Task&);
   Task& operator=(Task&&) noexcept;
   Task() noexcept
-      : position(0), state(0), failures(0), last_run(0), checkpoint() {}
+       : position(0),
+         state(0),
+         failures(0),
+         last_run(0),
+         checkpoint() {
+  }
 
   virtual ~Task() noexcept;
   int32_t position;
@@ -355,7 +352,7 @@
   int32_t failures;
   int32_t last_run;
   std::string checkpoint;
-  std::vector<Run> runs;
+  std::vector<Run>  runs;
 
   _Task__isset __isset;
 
@@ -369,9 +366,10 @@
 
   void __set_checkpoint(const std::string& val);
 
-  void __set_runs(const std::vector<Run>& val);
+  void __set_runs(const std::vector<Run> & val);
 
-  bool operator==(const Task& rhs) const {
+  bool operator == (const Task & rhs) const
+  {
     if (!(position == rhs.position))
       return false;
     if (!(state == rhs.state))
@@ -386,9 +384,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Task& rhs) const { return !(*this == rhs); }
+  bool operator != (const Task &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Task&) const;
+  bool operator < (const Task & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -396,44 +396,50 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Task& a, Task& b);
+void swap(Task &a, Task &b);
 
 std::ostream& operator<<(std::ostream& out, const Task& obj);
 
 typedef struct _Occurrence__isset {
   _Occurrence__isset() : number(false), tasks(false) {}
-  bool number : 1;
-  bool tasks : 1;
+  bool number :1;
+  bool tasks :1;
 } _Occurrence__isset;
 
 class Occurrence : public virtual ::apache::thrift::TBase {
  public:
+
   Occurrence(const Occurrence&);
   Occurrence(Occurrence&&) noexcept;
   Occurrence& operator=(const Occurrence&);
   Occurrence& operator=(Occurrence&&) noexcept;
-  Occurrence() noexcept : number(0) {}
+  Occurrence() noexcept
+             : number(0) {
+  }
 
   virtual ~Occurrence() noexcept;
   int32_t number;
-  std::vector<Task> tasks;
+  std::vector<Task>  tasks;
 
   _Occurrence__isset __isset;
 
   void __set_number(const int32_t val);
 
-  void __set_tasks(const std::vector<Task>& val);
+  void __set_tasks(const std::vector<Task> & val);
 
-  bool operator==(const Occurrence& rhs) const {
+  bool operator == (const Occurrence & rhs) const
+  {
     if (!(number == rhs.number))
       return false;
     if (!(tasks == rhs.tasks))
       return false;
     return true;
   }
-  bool operator!=(const Occurrence& rhs) const { return !(*this == rhs); }
+  bool operator != (const Occurrence &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Occurrence&) const;
+  bool operator < (const Occurrence & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -441,32 +447,36 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Occurrence& a, Occurrence& b);
+void swap(Occurrence &a, Occurrence &b);
 
 std::ostream& operator<<(std::ostream& out, const Occurrence& obj);
 
 typedef struct _Progress__isset {
-  _Progress__isset()
-      : state(false), begun(false), finished_below(false), occurrences(false) {}
-  bool state : 1;
-  bool begun : 1;
-  bool finished_below : 1;
-  bool occurrences : 1;
+  _Progress__isset() : state(false), begun(false), finished_below(false), occurrences(false) {}
+  bool state :1;
+  bool begun :1;
+  bool finished_below :1;
+  bool occurrences :1;
 } _Progress__isset;
 
 class Progress : public virtual ::apache::thrift::TBase {
  public:
+
   Progress(const Progress&);
   Progress(Progress&&) noexcept;
   Progress& operator=(const Progress&);
   Progress& operator=(Progress&&) noexcept;
-  Progress() noexcept : state(0), begun(0), finished_below(0) {}
+  Progress() noexcept
+           : state(0),
+             begun(0),
+             finished_below(0) {
+  }
 
   virtual ~Progress() noexcept;
   int32_t state;
   bool begun;
   int32_t finished_below;
-  std::vector<Occurrence> occurrences;
+  std::vector<Occurrence>  occurrences;
 
   _Progress__isset __isset;
 
@@ -476,9 +486,10 @@
 
   void __set_finished_below(const int32_t val);
 
-  void __set_occurrences(const std::vector<Occurrence>& val);
+  void __set_occurrences(const std::vector<Occurrence> & val);
 
-  bool operator==(const Progress& rhs) const {
+  bool operator == (const Progress & rhs) const
+  {
     if (!(state == rhs.state))
       return false;
     if (!(begun == rhs.begun))
@@ -489,9 +500,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Progress& rhs) const { return !(*this == rhs); }
+  bool operator != (const Progress &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Progress&) const;
+  bool operator < (const Progress & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -499,34 +512,35 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Progress& a, Progress& b);
+void swap(Progress &a, Progress &b);
 
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _Lease__isset {
-  _Lease__isset()
-      : holder(false),
-        address(false),
-        token(false),
-        sequence(false),
-        released(false),
-        successor(false) {}
-  bool holder : 1;
-  bool address : 1;
-  bool token : 1;
-  bool sequence : 1;
-  bool released : 1;
-  bool successor : 1;
+  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false) {}
+  bool holder :1;
+  bool address :1;
+  bool token :1;
+  bool sequence :1;
+  bool released :1;
+  bool successor :1;
 } _Lease__isset;
 
 class Lease : public virtual ::apache::thrift::TBase {
  public:
+
   Lease(const Lease&);
   Lease(Lease&&) noexcept;
   Lease& operator=(const Lease&);
   Lease& operator=(Lease&&) noexcept;
   Lease() noexcept
-      : holder(), address(), token(0), sequence(0), released(0), successor() {}
+        : holder(),
+          address(),
+          token(0),
+          sequence(0),
+          released(0),
+          successor() {
+  }
 
   virtual ~Lease() noexcept;
   std::string holder;
@@ -550,7 +564,8 @@
 
   void __set_successor(const std::string& val);
 
-  bool operator==(const Lease& rhs) const {
+  bool operator == (const Lease & rhs) const
+  {
     if (!(holder == rhs.holder))
       return false;
     if (!(address == rhs.address))
@@ -565,9 +580,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Lease& rhs) const { return !(*this == rhs); }
+  bool operator != (const Lease &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Lease&) const;
+  bool operator < (const Lease & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -575,31 +592,33 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Lease& a, Lease& b);
+void swap(Lease &a, Lease &b);
 
 std::ostream& operator<<(std::ostream& out, const Lease& obj);
 
 typedef struct _Node__isset {
-  _Node__isset()
-      : name(false),
-        address(false),
-        zone(false),
-        incarnation(false),
-        leaving(false) {}
-  bool name : 1;
-  bool address : 1;
-  bool zone : 1;
-  bool incarnation : 1;
-  bool leaving : 1;
+  _Node__isset() : name(false), address(false), zone(false), incarnation(false), leaving(false) {}
+  bool name :1;
+  bool address :1;
+  bool zone :1;
+  bool incarnation :1;
+  bool leaving :1;
 } _Node__isset;
 
 class Node : public virtual ::apache::thrift::TBase {
  public:
+
   Node(const Node&);
   Node(Node&&) noexcept;
   Node& operator=(const Node&);
   Node& operator=(Node&&) noexcept;
-  Node() noexcept : name(), address(), zone(), incarnation(0), leaving(0) {}
+  Node() noexcept
+       : name(),
+         address(),
+         zone(),
+         incarnation(0),
+         leaving(0) {
+  }
 
   virtual ~Node() noexcept;
   std::string name;
@@ -620,7 +639,8 @@
 
   void __set_leaving(const bool val);
 
-  bool operator==(const Node& rhs) const {
+  bool operator == (const Node & rhs) const
+  {
     if (!(name == rhs.name))
       return false;
     if (!(address == rhs.address))
@@ -633,9 +653,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Node& rhs) const { return !(*this == rhs); }
+  bool operator != (const Node &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Node&) const;
+  bool operator < (const Node & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -643,27 +665,33 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Node& a, Node& b);
+void swap(Node &a, Node &b);
 
 std::ostream& operator<<(std::ostream& out, const Node& obj);
 
 typedef struct _Duty__isset {
-  _Duty__isset()
-      : host(false), kind(false), pool(false), wave(false), server(false) {}
-  bool host : 1;
-  bool kind : 1;
-  bool pool : 1;
-  bool wave : 1;
-  bool server : 1;
+  _Duty__isset() : host(false), kind(false), pool(false), wave(false), server(false) {}
+  bool host :1;
+  bool kind :1;
+  bool pool :1;
+  bool wave :1;
+  bool server :1;
 } _Duty__isset;
 
 class Duty : public virtual ::apache::thrift::TBase {
  public:
+
   Duty(const Duty&);
   Duty(Duty&&) noexcept;
   Duty& operator=(const Duty&);
   Duty& operator=(Duty&&) noexcept;
-  Duty() noexcept : host(), kind(0), pool(), wave(0), server() {}
+  Duty() noexcept
+       : host(),
+         kind(0),
+         pool(),
+         wave(0),
+         server() {
+  }
 
   virtual ~Duty() noexcept;
   std::string host;
@@ -684,7 +712,8 @@
 
   void __set_server(const std::string& val);
 
-  bool operator==(const Duty& rhs) const {
+  bool operator == (const Duty & rhs) const
+  {
     if (!(host == rhs.host))
       return false;
     if (!(kind == rhs.kind))
@@ -697,9 +726,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Duty& rhs) const { return !(*this == rhs); }
+  bool operator != (const Duty &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Duty&) const;
+  bool operator < (const Duty & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -707,24 +738,29 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Duty& a, Duty& b);
+void swap(Duty &a, Duty &b);
 
 std::ostream& operator<<(std::ostream& out, const Duty& obj);
 
 typedef struct _QueueLoad__isset {
   _QueueLoad__isset() : queue(false), pending(false), wait_ms(false) {}
-  bool queue : 1;
-  bool pending : 1;
-  bool wait_ms : 1;
+  bool queue :1;
+  bool pending :1;
+  bool wait_ms :1;
 } _QueueLoad__isset;
 
 class QueueLoad : public virtual ::apache::thrift::TBase {
  public:
+
   QueueLoad(const QueueLoad&);
   QueueLoad(QueueLoad&&) noexcept;
   QueueLoad& operator=(const QueueLoad&);
   QueueLoad& operator=(QueueLoad&&) noexcept;
-  QueueLoad() noexcept : queue(), pending(0), wait_ms(0) {}
+  QueueLoad() noexcept
+            : queue(),
+              pending(0),
+              wait_ms(0) {
+  }
 
   virtual ~QueueLoad() noexcept;
   std::string queue;
@@ -739,7 +775,8 @@
 
   void __set_wait_ms(const int64_t val);
 
-  bool operator==(const QueueLoad& rhs) const {
+  bool operator == (const QueueLoad & rhs) const
+  {
     if (!(queue == rhs.queue))
       return false;
     if (!(pending == rhs.pending))
@@ -748,9 +785,11 @@
       return false;
     return true;
   }
-  bool operator!=(const QueueLoad& rhs) const { return !(*this == rhs); }
+  bool operator != (const QueueLoad &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const QueueLoad&) const;
+  bool operator < (const QueueLoad & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -758,54 +797,47 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(QueueLoad& a, QueueLoad& b);
+void swap(QueueLoad &a, QueueLoad &b);
 
 std::ostream& operator<<(std::ostream& out, const QueueLoad& obj);
 
 typedef struct _OwnerBeat__isset {
-  _OwnerBeat__isset()
-      : pool(false),
-        token(false),
-        lease_version(false),
-        renewed_age_ms(false),
-        queues(false),
-        released(false),
-        successor(false),
-        demand_cores(false),
-        capacity_cores(false) {}
-  bool pool : 1;
-  bool token : 1;
-  bool lease_version : 1;
-  bool renewed_age_ms : 1;
-  bool queues : 1;
-  bool released : 1;
-  bool successor : 1;
-  bool demand_cores : 1;
-  bool capacity_cores : 1;
+  _OwnerBeat__isset() : pool(false), token(false), lease_version(false), renewed_age_ms(false), queues(false), released(false), successor(false), demand_cores(false), capacity_cores(false) {}
+  bool pool :1;
+  bool token :1;
+  bool lease_version :1;
+  bool renewed_age_ms :1;
+  bool queues :1;
+  bool released :1;
+  bool successor :1;
+  bool demand_cores :1;
+  bool capacity_cores :1;
 } _OwnerBeat__isset;
 
 class OwnerBeat : public virtual ::apache::thrift::TBase {
  public:
+
   OwnerBeat(const OwnerBeat&);
   OwnerBeat(OwnerBeat&&) noexcept;
   OwnerBeat& operator=(const OwnerBeat&);
   OwnerBeat& operator=(OwnerBeat&&) noexcept;
   OwnerBeat() noexcept
-      : pool(),
-        token(0),
-        lease_version(0),
-        renewed_age_ms(0),
-        released(0),
-        successor(),
-        demand_cores(0),
-        capacity_cores(0) {}
+            : pool(),
+              token(0),
+              lease_version(0),
+              renewed_age_ms(0),
+              released(0),
+              successor(),
+              demand_cores(0),
+              capacity_cores(0) {
+  }
 
   virtual ~OwnerBeat() noexcept;
   std::string pool;
   int64_t token;
   int64_t lease_version;
   int64_t renewed_age_ms;
-  std::vector<QueueLoad> queues;
+  std::vector<QueueLoad>  queues;
   bool released;
   std::string successor;
   double demand_cores;
@@ -821,7 +853,7 @@
 
   void __set_renewed_age_ms(const int64_t val);
 
-  void __set_queues(const std::vector<QueueLoad>& val);
+  void __set_queues(const std::vector<QueueLoad> & val);
 
   void __set_released(const bool val);
 
@@ -831,7 +863,8 @@
 
   void __set_capacity_cores(const double val);
 
-  bool operator==(const OwnerBeat& rhs) const {
+  bool operator == (const OwnerBeat & rhs) const
+  {
     if (!(pool == rhs.pool))
       return false;
     if (!(token == rhs.token))
@@ -852,9 +885,11 @@
       return false;
     return true;
   }
-  bool operator!=(const OwnerBeat& rhs) const { return !(*this == rhs); }
+  bool operator != (const OwnerBeat &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const OwnerBeat&) const;
+  bool operator < (const OwnerBeat & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -862,32 +897,39 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(OwnerBeat& a, OwnerBeat& b);
+void swap(OwnerBeat &a, OwnerBeat &b);
 
 std::ostream& operator<<(std::ostream& out, const OwnerBeat& obj);
 
 typedef struct _JobNotice__isset {
-  _JobNotice__isset()
-      : pool(false), job(false), definition(false), age_ms(false) {}
-  bool pool : 1;
-  bool job : 1;
-  bool definition : 1;
-  bool age_ms : 1;
+  _JobNotice__isset() : pool(false), job(false), definition(false), age_ms(false), request(false) {}
+  bool pool :1;
+  bool job :1;
+  bool definition :1;
+  bool age_ms :1;
+  bool request :1;
 } _JobNotice__isset;
 
 class JobNotice : public virtual ::apache::thrift::TBase {
  public:
+
   JobNotice(const JobNotice&);
   JobNotice(JobNotice&&) noexcept;
   JobNotice& operator=(const JobNotice&);
   JobNotice& operator=(JobNotice&&) noexcept;
-  JobNotice() noexcept : pool(), job(), age_ms(0) {}
+  JobNotice() noexcept
+            : pool(),
+              job(),
+              age_ms(0),
+              request(0) {
+  }
 
   virtual ~JobNotice() noexcept;
   std::string pool;
   std::string job;
   Job definition;
   int64_t age_ms;
+  int64_t request;
 
   _JobNotice__isset __isset;
 
@@ -899,7 +941,10 @@
 
   void __set_age_ms(const int64_t val);
 
-  bool operator==(const JobNotice& rhs) const {
+  void __set_request(const int64_t val);
+
+  bool operator == (const JobNotice & rhs) const
+  {
     if (!(pool == rhs.pool))
       return false;
     if (!(job == rhs.job))
@@ -908,11 +953,15 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (!(request == rhs.request))
+      return false;
     return true;
   }
-  bool operator!=(const JobNotice& rhs) const { return !(*this == rhs); }
+  bool operator != (const JobNotice &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const JobNotice&) const;
+  bool operator < (const JobNotice & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -920,25 +969,31 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(JobNotice& a, JobNotice& b);
+void swap(JobNotice &a, JobNotice &b);
 
 std::ostream& operator<<(std::ostream& out, const JobNotice& obj);
 
 typedef struct _JobQuery__isset {
   _JobQuery__isset() : request(false), pool(false), job(false), cancel(false) {}
-  bool request : 1;
-  bool pool : 1;
-  bool job : 1;
-  bool cancel : 1;
+  bool request :1;
+  bool pool :1;
+  bool job :1;
+  bool cancel :1;
 } _JobQuery__isset;
 
 class JobQuery : public virtual ::apache::thrift::TBase {
  public:
+
   JobQuery(const JobQuery&);
   JobQuery(JobQuery&&) noexcept;
   JobQuery& operator=(const JobQuery&);
   JobQuery& operator=(JobQuery&&) noexcept;
-  JobQuery() noexcept : request(0), pool(), job(), cancel(0) {}
+  JobQuery() noexcept
+           : request(0),
+             pool(),
+             job(),
+             cancel(0) {
+  }
 
   virtual ~JobQuery() noexcept;
   int64_t request;
@@ -956,7 +1011,8 @@
 
   void __set_cancel(const bool val);
 
-  bool operator==(const JobQuery& rhs) const {
+  bool operator == (const JobQuery & rhs) const
+  {
     if (!(request == rhs.request))
       return false;
     if (!(pool == rhs.pool))
@@ -967,9 +1023,11 @@
       return false;
     return true;
   }
-  bool operator!=(const JobQuery& rhs) const { return !(*this == rhs); }
+  bool operator != (const JobQuery &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const JobQuery&) const;
+  bool operator < (const JobQuery & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -977,23 +1035,27 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(JobQuery& a, JobQuery& b);
+void swap(JobQuery &a, JobQuery &b);
 
 std::ostream& operator<<(std::ostream& out, const JobQuery& obj);
 
 typedef struct _JobAnswer__isset {
   _JobAnswer__isset() : request(false), state(false) {}
-  bool request : 1;
-  bool state : 1;
+  bool request :1;
+  bool state :1;
 } _JobAnswer__isset;
 
 class JobAnswer : public virtual ::apache::thrift::TBase {
  public:
+
   JobAnswer(const JobAnswer&) noexcept;
   JobAnswer(JobAnswer&&) noexcept;
   JobAnswer& operator=(const JobAnswer&) noexcept;
   JobAnswer& operator=(JobAnswer&&) noexcept;
-  JobAnswer() noexcept : request(0), state(0) {}
+  JobAnswer() noexcept
+            : request(0),
+              state(0) {
+  }
 
   virtual ~JobAnswer() noexcept;
   int64_t request;
@@ -1005,16 +1067,19 @@
 
   void __set_state(const int32_t val);
 
-  bool operator==(const JobAnswer& rhs) const {
+  bool operator == (const JobAnswer & rhs) const
+  {
     if (!(request == rhs.request))
       return false;
     if (!(state == rhs.state))
       return false;
     return true;
   }
-  bool operator!=(const JobAnswer& rhs) const { return !(*this == rhs); }
+  bool operator != (const JobAnswer &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const JobAnswer&) const;
+  bool operator < (const JobAnswer & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1022,24 +1087,29 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(JobAnswer& a, JobAnswer& b);
+void swap(JobAnswer &a, JobAnswer &b);
 
 std::ostream& operator<<(std::ostream& out, const JobAnswer& obj);
 
 typedef struct _VacateRequest__isset {
   _VacateRequest__isset() : pool(false), server(false), withdraw(false) {}
-  bool pool : 1;
-  bool server : 1;
-  bool withdraw : 1;
+  bool pool :1;
+  bool server :1;
+  bool withdraw :1;
 } _VacateRequest__isset;
 
 class VacateRequest : public virtual ::apache::thrift::TBase {
  public:
+
   VacateRequest(const VacateRequest&);
   VacateRequest(VacateRequest&&) noexcept;
   VacateRequest& operator=(const VacateRequest&);
   VacateRequest& operator=(VacateRequest&&) noexcept;
-  VacateRequest() noexcept : pool(), server(), withdraw(0) {}
+  VacateRequest() noexcept
+                : pool(),
+                  server(),
+                  withdraw(0) {
+  }
 
   virtual ~VacateRequest() noexcept;
   std::string pool;
@@ -1054,7 +1124,8 @@
 
   void __set_withdraw(const bool val);
 
-  bool operator==(const VacateRequest& rhs) const {
+  bool operator == (const VacateRequest & rhs) const
+  {
     if (!(pool == rhs.pool))
       return false;
     if (!(server == rhs.server))
@@ -1063,9 +1134,11 @@
       return false;
     return true;
   }
-  bool operator!=(const VacateRequest& rhs) const { return !(*this == rhs); }
+  bool operator != (const VacateRequest &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const VacateRequest&) const;
+  bool operator < (const VacateRequest & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1073,26 +1146,31 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(VacateRequest& a, VacateRequest& b);
+void swap(VacateRequest &a, VacateRequest &b);
 
 std::ostream& operator<<(std::ostream& out, const VacateRequest& obj);
 
 typedef struct _VacateAnswer__isset {
-  _VacateAnswer__isset()
-      : pool(false), server(false), state(false), token(false) {}
-  bool pool : 1;
-  bool server : 1;
-  bool state : 1;
-  bool token : 1;
+  _VacateAnswer__isset() : pool(false), server(false), state(false), token(false) {}
+  bool pool :1;
+  bool server :1;
+  bool state :1;
+  bool token :1;
 } _VacateAnswer__isset;
 
 class VacateAnswer : public virtual ::apache::thrift::TBase {
  public:
+
   VacateAnswer(const VacateAnswer&);
   VacateAnswer(VacateAnswer&&) noexcept;
   VacateAnswer& operator=(const VacateAnswer&);
   VacateAnswer& operator=(VacateAnswer&&) noexcept;
-  VacateAnswer() noexcept : pool(), server(), state(0), token(0) {}
+  VacateAnswer() noexcept
+               : pool(),
+                 server(),
+                 state(0),
+                 token(0) {
+  }
 
   virtual ~VacateAnswer() noexcept;
   std::string pool;
@@ -1110,7 +1188,8 @@
 
   void __set_token(const int64_t val);
 
-  bool operator==(const VacateAnswer& rhs) const {
+  bool operator == (const VacateAnswer & rhs) const
+  {
     if (!(pool == rhs.pool))
       return false;
     if (!(server == rhs.server))
@@ -1121,9 +1200,11 @@
       return false;
     return true;
   }
-  bool operator!=(const VacateAnswer& rhs) const { return !(*this == rhs); }
+  bool operator != (const VacateAnswer &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const VacateAnswer&) const;
+  bool operator < (const VacateAnswer & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1131,37 +1212,33 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(VacateAnswer& a, VacateAnswer& b);
+void swap(VacateAnswer &a, VacateAnswer &b);
 
 std::ostream& operator<<(std::ostream& out, const VacateAnswer& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset()
-      : sender(false),
-        address(false),
-        owner_beat(false),
-        job_notice(false),
-        job_query(false),
-        job_answer(false),
-        vacate_request(false),
-        vacate_answer(false) {}
-  bool sender : 1;
-  bool address : 1;
-  bool owner_beat : 1;
-  bool job_notice : 1;
-  bool job_query : 1;
-  bool job_answer : 1;
-  bool vacate_request : 1;
-  bool vacate_answer : 1;
+  _Envelope__isset() : sender(false), address(false), owner_beat(false), job_notice(false), job_query(false), job_answer(false), vacate_request(false), vacate_answer(false) {}
+  bool sender :1;
+  bool address :1;
+  bool owner_beat :1;
+  bool job_notice :1;
+  bool job_query :1;
+  bool job_answer :1;
+  bool vacate_request :1;
+  bool vacate_answer :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
  public:
+
   Envelope(const Envelope&);
   Envelope(Envelope&&) noexcept;
   Envelope& operator=(const Envelope&);
   Envelope& operator=(Envelope&&) noexcept;
-  Envelope() noexcept : sender(), address() {}
+  Envelope() noexcept
+           : sender(),
+             address() {
+  }
 
   virtual ~Envelope() noexcept;
   std::string sender;
@@ -1191,7 +1268,8 @@
 
   void __set_vacate_answer(const VacateAnswer& val);
 
-  bool operator==(const Envelope& rhs) const {
+  bool operator == (const Envelope & rhs) const
+  {
     if (!(sender == rhs.sender))
       return false;
     if (!(address == rhs.address))
@@ -1222,9 +1300,11 @@
       return false;
     return true;
   }
-  bool operator!=(const Envelope& rhs) const { return !(*this == rhs); }
+  bool operator != (const Envelope &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Envelope&) const;
+  bool operator < (const Envelope & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1232,11 +1312,10 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(Envelope& a, Envelope& b);
+void swap(Envelope &a, Envelope &b);
 
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
-}  // namespace jobs_wire
-}  // namespace radishmoor
+}} // namespace
 
 #endif
--- a/radishmoor/jobs/intake.cc
+++ b/radishmoor/jobs/intake.cc
@@ -11,6 +11,11 @@
 // Left of a time limit for the answer to reach the caller.
 constexpr Duration kAnswerMargin = Milliseconds(150);
 constexpr Duration kOwnerTimeout = Milliseconds(150);
+// An owner stores a job with its next commit; a slow store delays that.
+constexpr Duration kHandOverTimeout = Milliseconds(900);
+// An owner that was heard of, and renewed its lease, this lately.
+constexpr Duration kFreshBeat = Milliseconds(800);
+constexpr Duration kHealthyOwner = Milliseconds(1200);
 constexpr Duration kStoreTimeout = Milliseconds(500);
 constexpr Duration kStoreRetry = Milliseconds(60);
 // Queue lengths are answered from an announcement of at most this age.
@@ -103,7 +108,8 @@
 
 void Intake::Start(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
   if (call.kind == Kind::kSubmit) {
-    Store(now, id, call, outbox);
+    if (!HandOver(now, id, call, outbox))
+      Store(now, id, call, outbox);
     return;
   }
   const PoolOwner* owner = leases_.OwnerOf(call.pool);
@@ -124,6 +130,29 @@
     outbox.Send(owner->node, owner->address, query);
 }
 
+bool Intake::HandOver(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
+  auto local = local_beats_.find(call.pool);
+  const PoolOwner* owner = leases_.OwnerOf(call.pool);
+  Duration unrenewed = kTimeMax - kTimeZero;
+  if (local != local_beats_.end())
+    unrenewed = local->second.first.renewed_age;
+  else if (owner != nullptr && !owner->beat.released &&
+           now - owner->heard < kFreshBeat)
+    unrenewed = now - owner->heard + owner->beat.renewed_age;
+  if (unrenewed > kHealthyOwner)
+    return false;
+  call.stage = Stage::kAskingOwner;
+  call.timeout = now + kHandOverTimeout;
+  uint64_t request = next_request_++;
+  owner_calls_[request] = id;
+  JobNotice notice{call.pool, call.job, call.spec, now - call.arrived, request};
+  if (local != local_beats_.end())
+    outbox.Send(node_, "", std::move(notice));
+  else
+    outbox.Send(owner->node, owner->address, std::move(notice));
+  return true;
+}
+
 void Intake::Store(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
   call.stage = Stage::kStoring;
   call.retry_at = kTimeMax;
@@ -147,22 +176,13 @@
   OpenCall& call = calls_.at(id);
   bool conflict = std::holds_alternative<ConflictReply>(reply);
   if (conflict || std::holds_alternative<CommittedReply>(reply)) {
-    ++(conflict ? counters_.repeated : counters_.accepted);
-    JobNotice notice{call.pool, call.job, std::move(call.spec),
-                     now - call.arrived};
-    outbox.Log("job-stored",
-               {{"job", call.job.str()},
-                {"queue", call.queue.str()},
-                {"pool", call.pool.str()},
-                {"repeat", conflict ? 1 : 0},
-                {"took_ms", (now - call.arrived).count() / 1000},
-                {"config", static_cast<int64_t>(config_.version)}});
+    JobNotice notice{call.pool, call.job, call.spec, now - call.arrived, 0};
     const PoolOwner* owner = leases_.OwnerOf(call.pool);
     if (local_beats_.contains(call.pool))
       outbox.Send(node_, "", std::move(notice));
     else if (owner != nullptr)
       outbox.Send(owner->node, owner->address, std::move(notice));
-    Finish(id, {.outcome = CallOutcome::kAccepted}, outbox);
+    OnAccepted(now, id, conflict, outbox);
     return;
   }
   bool unknown = std::holds_alternative<UnknownReply>(reply);
@@ -180,6 +200,20 @@
   }
 }
 
+void Intake::OnAccepted(Time now, JobCallId id, bool repeat, Outbox& outbox) {
+  const OpenCall& call = calls_.at(id);
+  ++(repeat ? counters_.repeated : counters_.accepted);
+  outbox.Log("job-stored",
+             {{"job", call.job.str()},
+              {"queue", call.queue.str()},
+              {"pool", call.pool.str()},
+              {"repeat", repeat ? 1 : 0},
+              {"by_owner", call.stage == Stage::kAskingOwner ? 1 : 0},
+              {"took_ms", (now - call.arrived).count() / 1000},
+              {"config", static_cast<int64_t>(config_.version)}});
+  Finish(id, {.outcome = CallOutcome::kAccepted}, outbox);
+}
+
 void Intake::Read(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
   (void)now;
   call.stage = Stage::kReading;
@@ -303,8 +337,16 @@
   auto it = calls_.find(node.mapped());
   if (it == calls_.end() || it->second.stage != Stage::kAskingOwner)
     return;
+  bool submits = it->second.kind == Kind::kSubmit;
   if (answer.state == JobAnswerState::kUnknown) {
-    Read(now, it->first, it->second, outbox);
+    if (submits)
+      Store(now, it->first, it->second, outbox);
+    else
+      Read(now, it->first, it->second, outbox);
+    return;
+  }
+  if (submits) {
+    OnAccepted(now, it->first, false, outbox);
     return;
   }
   AnswerState(it->first, static_cast<JobState>(answer.state), outbox);
@@ -403,6 +445,14 @@
         Store(now, id, call, outbox);
         break;
       case Stage::kAskingOwner:
+        if (call.kind == Kind::kSubmit) {
+          // The owner may still store it.
+          call.uncertain = true;
+          Store(now, id, call, outbox);
+          break;
+        }
+        Read(now, id, call, outbox);
+        break;
       case Stage::kReading:
         Read(now, id, call, outbox);
         break;
--- a/radishmoor/jobs/intake.h
+++ b/radishmoor/jobs/intake.h
@@ -82,7 +82,10 @@
 
   Route FindRoute(std::string_view host, std::string_view path) const;
   void Start(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
+  // Hands a submission to the pool's owner; false if none is known to be well.
+  bool HandOver(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void Store(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
+  void OnAccepted(Time now, JobCallId id, bool repeat, Outbox& outbox);
   void Read(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void Mark(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void OnStored(Time now, JobCallId id, const StoreReply& reply, Outbox& out);
--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -96,6 +96,7 @@
   std::map<uint32_t, Occurrence> occurrences;  // Unfinished or unresolved ones.
   // Counts changes; the stored progress lags behind.
   uint64_t changes = 0;
+  bool definition_stored = true;
   bool definition_dropped = false;
 
   const StepSpec& StepOf(const Task& task) const {
--- a/radishmoor/jobs/messages.h
+++ b/radishmoor/jobs/messages.h
@@ -253,16 +253,19 @@
   double capacity_cores = 0;
 };
 
-// A job was stored. Repeats what the inbox row says, so a lost one costs time
-// only.
+// Hands a job to the pool's owner. With a request, the owner stores it and
+// answers; a lost answer is found out by inserting the job. Without one, the job
+// is stored already and the notice repeats what the inbox says.
 struct JobNotice {
   PoolId pool;
   JobId job;
   JobSpec spec;
   Duration age{};  // Since the caller's request arrived.
+  uint64_t request = 0;
 };
 
-// Asks the owner for a job's state, or to cancel it.
+// Asks the owner for a job's state, or to cancel it. Carried out late, it
+// cancels a job whose caller was told that the outcome is uncertain.
 struct JobQuery {
   uint64_t request = 0;
   PoolId pool;
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -18,12 +18,26 @@
 // Rows of processes that have not been renewed for this long are passed over.
 constexpr Duration kNodeExpiry = Seconds(40);
 constexpr Duration kServersPeriod = Milliseconds(900);
+constexpr Duration kHostsPeriod = Milliseconds(500);
 constexpr Duration kServersRetry = Milliseconds(200);
 // After the signal to stop, callers with open connections are served this long.
 constexpr Duration kServeAfterStop = Milliseconds(3500);
+// The store counts as lost, for the log, when no call succeeds for this long.
+constexpr Duration kStoreLost = Milliseconds(500);
 // Before the end of the grace period.
 constexpr Duration kEndMargin = Milliseconds(800);
 
+// When the last lease has lapsed that an earlier owner of the pool may have given
+// to a server.
+Time EarlierLeasesUntil(const AcquiredLease& lease) {
+  Duration length = PoolState::kLease + PoolState::kLeaseSlack;
+  if (lease.first_owner)
+    return kTimeZero;
+  if (lease.released)
+    return lease.sent + length;
+  return lease.renewed_before + kUnrenewedExtension + length;
+}
+
 }  // namespace
 
 NodeCore::NodeCore(const NodeOptions& options)
@@ -55,10 +69,7 @@
                              const StoreAnswer& answer) {
   bool failed = std::holds_alternative<UnavailableReply>(answer.reply) ||
                 std::holds_alternative<UnknownReply>(answer.reply);
-  if (failed == store_reached_) {
-    store_reached_ = !failed;
-    outbox_.Log(failed ? "store-lost" : "store-regained", {});
-  }
+  NoteStore(now, !failed);
   if (register_tag_ != 0 && answer.tag == register_tag_) {
     register_tag_ = 0;
     next_register_ = now + (failed ? kRegisterRetry : kRegisterPeriod);
@@ -136,8 +147,17 @@
 }
 
 void NodeCore::OnHostReply(Time now, WallMillis wall, const HostReply& reply) {
-  if (fleet_ != nullptr)
+  if (hosts_tag_ != 0 && reply.tag == hosts_tag_) {
+    hosts_tag_ = 0;
+    if (reply.outcome == HostOutcome::kDone) {
+      for (auto& [pool, scheduler] : schedulers_)
+        scheduler->OnHosts(now, hosts_sent_, reply.hosts, outbox_);
+      if (fleet_ != nullptr)
+        fleet_->OnHosts(hosts_sent_, reply.hosts, outbox_);
+    }
+  } else if (fleet_ != nullptr) {
     fleet_->OnHostReply(now, reply, outbox_);
+  }
   Settle(now, wall);
 }
 
@@ -191,7 +211,9 @@
     leases_.OnBeat(now, from, address, *beat);
   } else if (const auto* notice = std::get_if<JobNotice>(&message)) {
     if (PoolScheduler* scheduler = find(notice->pool))
-      scheduler->OnJobNotice(now, *notice, outbox_);
+      scheduler->OnJobNotice(now, from, address, *notice, outbox_);
+    else if (notice->request != 0)
+      outbox_.Send(from, address, JobAnswer{notice->request});
   } else if (const auto* query = std::get_if<JobQuery>(&message)) {
     if (PoolScheduler* scheduler = find(query->pool))
       scheduler->OnJobQuery(now, from, address, *query, outbox_);
@@ -260,7 +282,7 @@
       options.token = lease.token;
       options.lease_version = lease.version;
       options.lease_taken = lease.sent;
-      options.first_owner = lease.first_owner;
+      options.earlier_leases_until = EarlierLeasesUntil(lease);
       schedulers_[lease.pool] =
           std::make_unique<PoolScheduler>(options, config_, outbox_);
       next_servers_ = now;
@@ -416,6 +438,40 @@
   servers_tag_ = outbox_.Servers();
 }
 
+void NodeCore::NoteStore(Time now, bool answered) {
+  if (answered) {
+    if (store_lost_logged_) {
+      outbox_.Log("store-regained",
+                  {{"silent_ms",
+                    (now - *store_silent_since_).count() / 1000}});
+    }
+    store_silent_since_.reset();
+    store_lost_logged_ = false;
+    return;
+  }
+  if (!store_silent_since_)
+    store_silent_since_ = now;
+  if (!store_lost_logged_ && now - *store_silent_since_ > kStoreLost) {
+    store_lost_logged_ = true;
+    outbox_.Log("store-lost", {});
+  }
+}
+
+void NodeCore::ListHosts(Time now) {
+  bool wanted = fleet_ != nullptr && fleet_->wants_hosts();
+  for (const auto& [pool, scheduler] : schedulers_)
+    wanted = wanted || scheduler->wants_hosts(now);
+  if (!wanted || hosts_tag_ != 0)
+    return;
+  if (now < next_hosts_) {
+    Wake(next_hosts_);
+    return;
+  }
+  next_hosts_ = now + kHostsPeriod;
+  hosts_sent_ = now;
+  hosts_tag_ = outbox_.Host(0, radishmoor::ListHosts{});
+}
+
 void NodeCore::TickShutdown(Time now) {
   if (!shutdown_ || ended_)
     return;
@@ -446,6 +502,7 @@
   RegisterNode(now);
   ScanNodes(now);
   ReadServers(now);
+  ListHosts(now);
   TickShutdown(now);
   Wake(leases_.next_wake());
   Wake(intake_.next_wake());
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -92,6 +92,8 @@
   void ScanNodes(Time now);
   void OnNodes(Time now, const std::vector<Row>& rows);
   void ReadServers(Time now);
+  void ListHosts(Time now);
+  void NoteStore(Time now, bool answered);
   void TickShutdown(Time now);
   std::map<PoolId, PoolContact> Contacts(Time now) const;
   std::vector<PoolId> WatchedPools() const;
@@ -118,10 +120,15 @@
   uint64_t servers_tag_ = 0;
   Time next_servers_;
   std::vector<ServerListing> servers_;
+  uint64_t hosts_tag_ = 0;
+  Time hosts_sent_;
+  Time next_hosts_;
   Time next_beat_;
   std::optional<Time> shutdown_;
   bool ended_ = false;
-  bool store_reached_ = true;
+  // Since when the store has not answered, and whether that was logged.
+  std::optional<Time> store_silent_since_;
+  bool store_lost_logged_ = false;
   Time next_wake_ = kTimeMax;
 };
 
--- a/radishmoor/jobs/peer_frames.cc
+++ b/radishmoor/jobs/peer_frames.cc
@@ -40,6 +40,7 @@
   w.job = m.job.str();
   w.definition = JobToWire(m.spec);
   w.age_ms = ToMillis(m.age);
+  w.request = static_cast<int64_t>(m.request);
   envelope.__set_job_notice(w);
 }
 
@@ -101,7 +102,7 @@
   if (e.__isset.job_notice) {
     const jobs_wire::JobNotice& w = e.job_notice;
     return JobNotice{PoolId(w.pool), JobId(w.job), JobFromWire(w.definition),
-                     Milliseconds(w.age_ms)};
+                     Milliseconds(w.age_ms), static_cast<uint64_t>(w.request)};
   }
   if (e.__isset.job_query) {
     const jobs_wire::JobQuery& w = e.job_query;
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -80,11 +80,11 @@
       continue;
     watched.take_tag = 0;
     if (const auto* done = std::get_if<CommittedReply>(&answer.reply)) {
-      OnTaken(now, pool, watched,
-              done->versions.empty() ? 0 : done->versions.front());
       outbox.Log("pool-taken",
                  {{"pool", pool.str()},
                   {"token", static_cast<int64_t>(watched.take_token)}});
+      OnTaken(now, pool, watched,
+              done->versions.empty() ? 0 : done->versions.front());
     } else {
       // The next read tells who has it.
       watched.next_read = now;
@@ -126,7 +126,8 @@
   watched.version = version;
   watched.unchanged_since = now;
   acquired_.push_back({pool, watched.take_token, version, watched.take_sent,
-                       watched.take_first});
+                       watched.take_first, watched.take_released,
+                       watched.take_renewed_before});
   SetOwned(now, pool, true);
 }
 
@@ -235,6 +236,8 @@
   lease.token = (watched.row ? watched.row->token : 0) + 1;
   watched.take_token = lease.token;
   watched.take_first = watched.version == 0;
+  watched.take_released = watched.row && watched.row->released;
+  watched.take_renewed_before = watched.unchanged_since;
   watched.take_sent = now;
   Transaction transaction;
   transaction.expects.push_back({LeaseKey(pool), watched.version});
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -36,6 +36,9 @@
   RowVersion version = 0;
   Time sent;
   bool first_owner = false;
+  bool released = false;  // The earlier owner gave it up.
+  // The earlier owner sent its last renewal before.
+  Time renewed_before;
 };
 
 class PoolLeases {
@@ -83,6 +86,8 @@
     Time take_sent;
     FencingToken take_token = 0;
     bool take_first = false;
+    bool take_released = false;
+    Time take_renewed_before;
     Time take_after;  // Stands back until then.
   };
 
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -23,6 +23,8 @@
 // Without a renewal for this long nothing new is planned: it could not be
 // stored.
 constexpr Duration kPlanningLease = Seconds(3);
+// A new owner has looked at all servers by then.
+constexpr Duration kFirstLook = Milliseconds(400);
 // A request to empty a server holds this long.
 constexpr Duration kVacateHold = Seconds(3);
 constexpr Duration kPurgePeriod = Seconds(10);
@@ -159,8 +161,7 @@
                               {{id, number, task.step, task.index}, run.number},
                               PoolState::CountedRequest(job.StepOf(task)));
         state_.servers.Find(run.server)->inherited_until =
-            options_.lease_taken + kUnrenewedExtension +
-            state_.bounds.max_lease;
+            options_.earlier_leases_until;
       }
     }
   }
@@ -226,13 +227,30 @@
 }
 
 void PoolScheduler::OnJobNotice(Time now,
+                                const MemberId& from,
+                                const std::string& address,
                                 const JobNotice& notice,
                                 Outbox& outbox) {
-  if (!loaded() || CheckJob(notice.spec))
+  bool store = notice.request != 0;
+  if (!loaded() || CheckJob(notice.spec)) {
+    if (store)
+      outbox.Send(from, address, JobAnswer{notice.request});
     return;
-  if (state_.jobs.Find(notice.job) == nullptr)
-    RemoveRow(InboxKey(state_.pool, kInboxSubmitted, notice.job));
-  TakeUp(now, notice.job, notice.spec, notice.age, outbox);
+  }
+  if (state_.jobs.Find(notice.job) == nullptr) {
+    TakeUp(now, notice.job, notice.spec, notice.age, outbox);
+    Job& job = *state_.jobs.Find(notice.job);
+    if (store) {
+      job.definition_stored = false;
+      state_.jobs.Touch(job);
+    } else {
+      RemoveRow(InboxKey(state_.pool, kInboxSubmitted, notice.job));
+    }
+  }
+  if (!store)
+    return;
+  submit_waiters_[notice.job].push_back({from, address, notice.request});
+  AnswerWaiters(outbox);
 }
 
 bool PoolScheduler::Cancel(Time now, const JobId& id, Outbox& outbox) {
@@ -256,7 +274,7 @@
   const Job* job = loaded() ? state_.jobs.Find(query.job) : nullptr;
   if (job != nullptr && query.cancel && !IsFinal(job->shown)) {
     Cancel(now, query.job, outbox);
-    waiters_[query.job].push_back({from, address, query.request});
+    cancel_waiters_[query.job].push_back({from, address, query.request});
     return;
   }
   if (job != nullptr)
@@ -265,20 +283,25 @@
 }
 
 void PoolScheduler::AnswerWaiters(Outbox& outbox) {
-  for (auto it = waiters_.begin(); it != waiters_.end();) {
-    const Job* job = state_.jobs.Find(it->first);
-    if (job != nullptr && !IsFinal(job->shown)) {
-      ++it;
-      continue;
-    }
-    for (const Waiter& waiter : it->second) {
-      outbox.Send(
-          waiter.node, waiter.address,
-          JobAnswer{waiter.request, job == nullptr ? JobAnswerState::kUnknown
-                                                   : AnswerOf(job->shown)});
+  auto answer = [&](std::map<JobId, std::vector<Waiter>>& waiters,
+                    auto&& is_stored) {
+    for (auto it = waiters.begin(); it != waiters.end();) {
+      const Job* job = state_.jobs.Find(it->first);
+      if (job != nullptr && !is_stored(*job)) {
+        ++it;
+        continue;
+      }
+      JobAnswerState state =
+          job == nullptr ? JobAnswerState::kUnknown : AnswerOf(job->shown);
+      for (const Waiter& waiter : it->second)
+        outbox.Send(waiter.node, waiter.address,
+                    JobAnswer{waiter.request, state});
+      it = waiters.erase(it);
     }
-    it = waiters_.erase(it);
-  }
+  };
+  answer(submit_waiters_,
+         [](const Job& job) { return job.definition_stored; });
+  answer(cancel_waiters_, [](const Job& job) { return IsFinal(job.shown); });
 }
 
 void PoolScheduler::PollInbox(Time now, Outbox& outbox) {
@@ -382,6 +405,34 @@
   plan_needed_ = true;
 }
 
+bool PoolScheduler::wants_hosts(Time now) const {
+  if (!loaded())
+    return false;
+  for (const auto& [id, server] : state_.servers.all()) {
+    bool silent = server.failed_looks > 0 ||
+                  (!server.contact && now - options_.lease_taken > kFirstLook);
+    if (silent && !server.runs.empty())
+      return true;
+  }
+  return false;
+}
+
+void PoolScheduler::OnHosts(Time now,
+                            Time sent,
+                            std::span<const HostListing> hosts,
+                            Outbox& outbox) {
+  std::set<ServerId> alive;
+  for (const HostListing& host : hosts)
+    alive.insert(host.server);
+  for (auto& [id, server] : state_.servers.all()) {
+    bool silent = server.failed_looks > 0 || !server.contact;
+    bool heard_later = server.contact && *server.contact >= sent;
+    if (!server.runs.empty() && silent && !heard_later && !alive.contains(id))
+      runs_.OnServerDead(now, server, outbox);
+  }
+  plan_needed_ = true;
+}
+
 bool PoolScheduler::OnServerReply(Time now,
                                   const ServerReply& reply,
                                   Outbox& outbox) {
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -40,8 +40,8 @@
   RowVersion lease_version = 0;
   uint64_t sequence = 0;
   Time lease_taken;
-  // No earlier owner existed, so nothing can be running.
-  bool first_owner = false;
+  // Leases that earlier owners gave have lapsed by then.
+  Time earlier_leases_until;
 };
 
 class PoolScheduler {
@@ -51,6 +51,13 @@
                 Outbox& outbox);
 
   void OnConfig(const JobConfig& config);
+  // The platform's list of hosts, asked for at `sent`.
+  void OnHosts(Time now,
+               Time sent,
+               std::span<const HostListing> hosts,
+               Outbox& outbox);
+  // A server with runs does not answer; the list of hosts may tell why.
+  bool wants_hosts(Time now) const;
   void OnServers(Time now,
                  std::span<const ServerListing> listings,
                  Outbox& outbox);
@@ -61,7 +68,11 @@
                      Outbox& outbox);
   bool OnServerReply(Time now, const ServerReply& reply, Outbox& outbox);
 
-  void OnJobNotice(Time now, const JobNotice& notice, Outbox& outbox);
+  void OnJobNotice(Time now,
+                   const MemberId& from,
+                   const std::string& address,
+                   const JobNotice& notice,
+                   Outbox& outbox);
   void OnJobQuery(Time now,
                   const MemberId& from,
                   const std::string& address,
@@ -141,7 +152,8 @@
   Time next_inbox_;
   std::map<uint64_t, JobId> job_reads_;  // Definitions that are being read.
   std::set<JobId> reading_;
-  std::map<JobId, std::vector<Waiter>> waiters_;  // For a stored cancellation.
+  std::map<JobId, std::vector<Waiter>> submit_waiters_;  // For its storing.
+  std::map<JobId, std::vector<Waiter>> cancel_waiters_;
   std::set<JobId> scheduled_;                     // Jobs with times.
   bool plan_needed_ = false;
   Time last_plan_;
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -42,7 +42,7 @@
 // How long an owner whose lease is not renewed goes on extending leases of
 // running tasks. A successor waits for it, and for the last lease, before it
 // starts tasks anew that an unreachable server may still run.
-inline constexpr Duration kUnrenewedExtension = Seconds(8);
+inline constexpr Duration kUnrenewedExtension = Seconds(5);
 
 // Observed run times of a queue, as a ratio to their estimates.
 struct QueueStats {
@@ -87,8 +87,10 @@
   bool fenced = false;
 
   // Long enough to survive a change of the owner, short enough that the tasks
-  // of a crashed server start again soon.
+  // of a lost server start again soon.
   static constexpr Duration kLease = Milliseconds(3000);
+  // A server's clock may be slow by 2%, and an order takes its time.
+  static constexpr Duration kLeaseSlack = Milliseconds(260);
 
   const QueueConfig& QueueOf(const Job& job) {
     QueueConfig& queue = queues[job.spec.queue];
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -249,24 +249,42 @@
   server->lease_until = 0;
   server->ended_seen = server->ended_stored = server->ended_sent = 0;
   server->next_look = now;
-  // A start without an answer may reach the new life: it has to be stopped
-  // there before its run counts as gone.
-  std::vector<RunRef> runs = server->runs;
+  EndLife(now, *server, "server-restarted");
+}
+
+void RunControl::EndLife(Time now,
+                         ServerState& server,
+                         std::string_view reason) {
+  std::vector<RunRef> runs = server.runs;
   for (const RunRef& ref : runs) {
     Task* task = state_.jobs.FindTask(ref.task);
     Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
     if (run == nullptr || run->phase == RunPhase::kPlanned)
       continue;
-    if (run->phase == RunPhase::kRunning) {
-      RemoveRun(now, ref, "server-restarted");
+    if (run->phase == RunPhase::kRunning ||
+        run->phase == RunPhase::kInherited) {
+      RemoveRun(now, ref, reason);
       continue;
     }
+    if (run->phase == RunPhase::kOrdered)
+      continue;  // Its answer decides.
     run->phase = RunPhase::kUncertain;
     run->since = now;
     run->stopped_at.reset();
   }
 }
 
+void RunControl::OnServerDead(Time now, ServerState& server, Outbox& outbox) {
+  size_t runs = server.runs.size();
+  EndLife(now, server, "server-dead");
+  CloseResolved();
+  if (runs == server.runs.size())
+    return;
+  outbox.Log("server-dead",
+             {{"server", server.listing.id.str()},
+              {"runs", static_cast<int64_t>(runs - server.runs.size())}});
+}
+
 void RunControl::OnStartReply(Time now,
                               const PendingOrder& order,
                               const ServerReply& reply,
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -46,6 +46,9 @@
   // A server's life as its listing shows it.
   void OnBorn(Time now, const ServerId& server, WallMillis born, Outbox& out);
 
+  // The platform says that this life of the server is over.
+  void OnServerDead(Time now, ServerState& server, Outbox& outbox);
+
   // Sends the looks and repeated stops that are due; gives up runs whose
   // leases have lapsed. `extend` is false when leases must not grow.
   void Tick(Time now, bool extend, Outbox& outbox);
@@ -99,6 +102,9 @@
   void RemoveRun(Time now, const RunRef& ref, std::string_view reason);
   // Closes the jobs that have ended and lost their last run.
   void CloseResolved();
+  // Ends the runs of a life of the server that is over. Starts without an answer
+  // may reach a later life: they have to be stopped there, or to lapse.
+  void EndLife(Time now, ServerState& server, std::string_view reason);
   void OnServerGone(Time now, ServerState& server, std::string_view reason);
 
   void SendStop(Time now, const RunRef& ref, Run& run, Outbox& outbox);
