Keep the bound of earlier owners' leases over changes of the owner

Change: each commit writes how long earlier leases may last; nothing is extended or started while the release is under way.

--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -63,6 +63,7 @@
   4: i64 sequence
   5: bool released
   6: string successor
+  7: i64 earlier_leases_ms
 }
 
 struct Node {
--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -47,7 +47,7 @@
   commit_.sent = now;
   commit_.sequence = options_.sequence + 1;
   Transaction transaction;
-  AddLease(commit_, transaction);
+  AddLease(now, commit_, transaction);
   AddJobs(commit_, transaction);
   AddRows(commit_, transaction);
   last_sent_ = now;
@@ -57,7 +57,9 @@
   commit_.tag = outbox.Store(CommitRows{std::move(transaction)}, timeout);
 }
 
-void CommitChain::AddLease(InFlight& commit, Transaction& transaction) {
+void CommitChain::AddLease(Time now,
+                           InFlight& commit,
+                           Transaction& transaction) {
   LeaseRow lease;
   lease.holder = options_.node;
   lease.address = options_.address;
@@ -67,6 +69,10 @@
   commit.released = releasing_ && state_.jobs.dirty().size() < kMaxEntries / 2;
   lease.released = commit.released;
   lease.successor = successor_;
+  // Whole milliseconds, rounded up.
+  lease.earlier_leases =
+      std::max(Duration::zero(), options_.earlier_leases_until - now) +
+      Milliseconds(1);
   std::string key = LeaseKey(state_.pool);
   transaction.expects.push_back({key, options_.lease_version});
   transaction.writes.push_back({std::move(key), EncodeLease(lease)});
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -32,6 +32,8 @@
     std::string address;
     RowVersion lease_version = 0;
     uint64_t sequence = 0;
+    // Leases that earlier owners gave have lapsed by then.
+    Time earlier_leases_until;
   };
 
   // What a stored commit allows.
@@ -60,6 +62,8 @@
   // The next commit gives the lease up.
   void Release(const MemberId& successor);
   bool released() const { return released_; }
+  // The lease may have been given up already: nothing may be ordered.
+  bool release_sent() const { return commit_.released; }
   // Another process has the lease.
   bool lost() const { return lost_; }
 
@@ -92,7 +96,7 @@
   };
 
   void Send(Time now, Outbox& outbox);
-  void AddLease(InFlight& commit, Transaction& transaction);
+  void AddLease(Time now, InFlight& commit, Transaction& transaction);
   void AddJobs(InFlight& commit, Transaction& transaction);
   void AddRows(InFlight& commit, Transaction& transaction);
   void OnStored(Time now, RowVersion version, Stored* stored);
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -30,7 +30,8 @@
     : options_(options),
       state_(PoolId(kFleetPool), options.bounds),
       chain_(state_,
-             {options.node, options.address, options.lease_version, 0}) {
+             {options.node, options.address, options.lease_version, 0,
+              kTimeZero}) {
   state_.token = options.token;
   chain_.set_renewed(options.lease_taken);
   SendLoad(outbox);
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -1363,6 +1363,10 @@
 void Lease::__set_successor(const std::string& val) {
   this->successor = val;
 }
+
+void Lease::__set_earlier_leases_ms(const int64_t val) {
+  this->earlier_leases_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Lease& obj)
 {
   obj.printTo(out);
@@ -1439,6 +1443,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->earlier_leases_ms);
+          this->__isset.earlier_leases_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1480,6 +1492,10 @@
   xfer += oprot->writeString(this->successor);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("earlier_leases_ms", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->earlier_leases_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1493,6 +1509,7 @@
   swap(a.sequence, b.sequence);
   swap(a.released, b.released);
   swap(a.successor, b.successor);
+  swap(a.earlier_leases_ms, b.earlier_leases_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1503,6 +1520,7 @@
   sequence = other54.sequence;
   released = other54.released;
   successor = other54.successor;
+  earlier_leases_ms = other54.earlier_leases_ms;
   __isset = other54.__isset;
 }
 Lease::Lease(Lease&& other55) noexcept {
@@ -1512,6 +1530,7 @@
   sequence = other55.sequence;
   released = other55.released;
   successor = std::move(other55.successor);
+  earlier_leases_ms = other55.earlier_leases_ms;
   __isset = other55.__isset;
 }
 Lease& Lease::operator=(const Lease& other56) {
@@ -1521,6 +1540,7 @@
   sequence = other56.sequence;
   released = other56.released;
   successor = other56.successor;
+  earlier_leases_ms = other56.earlier_leases_ms;
   __isset = other56.__isset;
   return *this;
 }
@@ -1531,6 +1551,7 @@
   sequence = other57.sequence;
   released = other57.released;
   successor = std::move(other57.successor);
+  earlier_leases_ms = other57.earlier_leases_ms;
   __isset = other57.__isset;
   return *this;
 }
@@ -1543,6 +1564,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "released=" << to_string(released);
   out << ", " << "successor=" << to_string(successor);
+  out << ", " << "earlier_leases_ms=" << to_string(earlier_leases_ms);
   out << ")";
 }
 
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -517,13 +517,14 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _Lease__isset {
-  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false) {}
+  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false), earlier_leases_ms(false) {}
   bool holder :1;
   bool address :1;
   bool token :1;
   bool sequence :1;
   bool released :1;
   bool successor :1;
+  bool earlier_leases_ms :1;
 } _Lease__isset;
 
 class Lease : public virtual ::apache::thrift::TBase {
@@ -539,7 +540,8 @@
           token(0),
           sequence(0),
           released(0),
-          successor() {
+          successor(),
+          earlier_leases_ms(0) {
   }
 
   virtual ~Lease() noexcept;
@@ -549,6 +551,7 @@
   int64_t sequence;
   bool released;
   std::string successor;
+  int64_t earlier_leases_ms;
 
   _Lease__isset __isset;
 
@@ -564,6 +567,8 @@
 
   void __set_successor(const std::string& val);
 
+  void __set_earlier_leases_ms(const int64_t val);
+
   bool operator == (const Lease & rhs) const
   {
     if (!(holder == rhs.holder))
@@ -578,6 +583,8 @@
       return false;
     if (!(successor == rhs.successor))
       return false;
+    if (!(earlier_leases_ms == rhs.earlier_leases_ms))
+      return false;
     return true;
   }
   bool operator != (const Lease &rhs) const {
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -216,6 +216,7 @@
   wire.sequence = static_cast<int64_t>(lease.sequence);
   wire.released = lease.released;
   wire.successor = lease.successor.str();
+  wire.earlier_leases_ms = lease.earlier_leases.count() / 1000;
   return ToBytes(wire);
 }
 
@@ -228,7 +229,8 @@
                   static_cast<FencingToken>(wire.token),
                   static_cast<uint64_t>(wire.sequence),
                   wire.released,
-                  MemberId(wire.successor)};
+                  MemberId(wire.successor),
+                  Milliseconds(wire.earlier_leases_ms)};
 }
 
 std::string EncodeNode(const NodeRow& node) {
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -73,6 +73,9 @@
   uint64_t sequence = 0;  // Of the holder's commits.
   bool released = false;
   MemberId successor;  // With `released`: who should take it.
+  // How long after this row was written leases may last that owners before the
+  // holder gave to backend servers.
+  Duration earlier_leases{};
 };
 
 struct NodeRow {
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -33,9 +33,11 @@
   Duration length = PoolState::kLease + PoolState::kLeaseSlack;
   if (lease.first_owner)
     return kTimeZero;
+  Time earlier = lease.renewed_before + lease.earlier_leases;
   if (lease.released)
-    return lease.sent + length;
-  return lease.renewed_before + kUnrenewedExtension + length;
+    return std::max(earlier, lease.sent + length);
+  return std::max(earlier,
+                  lease.renewed_before + kUnrenewedExtension + length);
 }
 
 }  // namespace
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -127,7 +127,8 @@
   watched.unchanged_since = now;
   acquired_.push_back({pool, watched.take_token, version, watched.take_sent,
                        watched.take_first, watched.take_released,
-                       watched.take_renewed_before});
+                       watched.take_renewed_before,
+                       watched.take_earlier_leases});
   SetOwned(now, pool, true);
 }
 
@@ -238,6 +239,8 @@
   watched.take_first = watched.version == 0;
   watched.take_released = watched.row && watched.row->released;
   watched.take_renewed_before = watched.unchanged_since;
+  watched.take_earlier_leases =
+      watched.row ? watched.row->earlier_leases : Duration::zero();
   watched.take_sent = now;
   Transaction transaction;
   transaction.expects.push_back({LeaseKey(pool), watched.version});
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -39,6 +39,8 @@
   bool released = false;  // The earlier owner gave it up.
   // The earlier owner sent its last renewal before.
   Time renewed_before;
+  // From then on: leases that owners before it gave may last this long.
+  Duration earlier_leases{};
 };
 
 class PoolLeases {
@@ -88,6 +90,7 @@
     bool take_first = false;
     bool take_released = false;
     Time take_renewed_before;
+    Duration take_earlier_leases{};
     Time take_after;  // Stands back until then.
   };
 
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -47,7 +47,7 @@
       dispatch_(state_, runs_),
       chain_(state_,
              {options.node, options.address, options.lease_version,
-              options.sequence}) {
+              options.sequence, options.earlier_leases_until}) {
   state_.token = options.token;
   chain_.set_renewed(options.lease_taken);
   OnConfig(config);
@@ -527,14 +527,15 @@
   Wake(chain_.next_wake());
   if (!loaded() || lost())
     return;
-  runs_.Tick(now, renewed_age(now) < kUnrenewedExtension, outbox);
+  bool may_order = !chain_.release_sent() && !chain_.released();
+  runs_.Tick(now, may_order && renewed_age(now) < kUnrenewedExtension, outbox);
   PollInbox(now, outbox);
   UpdateScheduled(now, wall);
   for (auto& [id, server] : state_.servers.all()) {
     if (server.vacating && now - server.vacate_asked > kVacateHold)
       server.vacating = false;
   }
-  if (renewed_age(now) < kPlanningLease && !chain_.released()) {
+  if (may_order && renewed_age(now) < kPlanningLease) {
     if (now - last_review_ >= kReviewPeriod) {
       last_review_ = now;
       dispatch_.Review(now, outbox);
