--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -99,6 +99,9 @@
   7: string successor
   8: double demand_cores
   9: double capacity_cores
+  10: i32 servers
+  11: i32 min_servers
+  12: list<string> spare_servers
 }
 
 struct JobNotice {
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -12,11 +12,22 @@
 // A host that cannot be emptied in this time makes room for others.
 constexpr Duration kEmptyingLimit = Seconds(9);
 constexpr Duration kSetAside = Seconds(3);
+// While a call is under way, so that a new owner learns of it as well.
+constexpr Duration kKeepEmptyPeriod = Milliseconds(500);
 constexpr Duration kCallRepeat = Milliseconds(400);
 constexpr Duration kBusyRepeat = Milliseconds(500);
 constexpr Duration kReportRepeat = Milliseconds(500);
 // A host that is not in the list for this long has left the fleet.
 constexpr Duration kGoneAfter = Seconds(4);
+// A host that cannot be emptied in this time stays in its pool.
+constexpr Duration kMovePatience = Milliseconds(2500);
+constexpr Duration kSizingPeriod = Milliseconds(200);
+constexpr uint32_t kMaxMovesAtOnce = 8;
+// Pools with a larger share of their cores in use are spared by waves that have
+// time. A round of maintenance takes about kRoundTime.
+constexpr double kBusyPool = 0.5;
+constexpr Duration kRoundTime = Milliseconds(3500);
+constexpr Duration kWaveMargin = Seconds(6);
 // Hosts that are emptied ahead of their turn, beyond those that may be down.
 constexpr uint32_t kEmptiedAhead = 1;
 
@@ -29,9 +40,10 @@
 FleetKeeper::FleetKeeper(const FleetKeeperOptions& options, Outbox& outbox)
     : options_(options),
       state_(PoolId(kFleetPool), options.bounds),
-      chain_(state_,
-             {options.node, options.address, options.lease_version, 0,
-              kTimeZero}) {
+      chain_(
+          state_,
+          {options.node, options.address, options.lease_version, 0, kTimeZero}),
+      sizing_(options.first_owner) {
   state_.token = options.token;
   chain_.set_renewed(options.lease_taken);
   SendLoad(outbox);
@@ -56,6 +68,8 @@
   }
   Duty duty;
   duty.stage = Stage::kCalling;
+  duty.kind = stored->kind;
+  duty.target = stored->pool;
   duty.wave = stored->wave;
   duty.server = stored->server;
   duty.since = now;
@@ -95,7 +109,8 @@
 uint32_t FleetKeeper::DownCount(uint64_t wave) const {
   uint32_t down = 0;
   for (const auto& [host, duty] : duties_) {
-    if (duty.wave == wave && duty.stage != Stage::kEmptying)
+    if (duty.kind == DutyKind::kMaintain && duty.wave == wave &&
+        duty.stage != Stage::kEmptying)
       ++down;
   }
   // A call of an earlier keeper may have put others down.
@@ -163,7 +178,7 @@
 }
 
 bool FleetKeeper::wants_hosts() const {
-  return loaded_ && (HasOpenWave() || !duties_.empty());
+  return loaded_;
 }
 
 void FleetKeeper::OnHosts(Time sent,
@@ -174,11 +189,10 @@
     auto old = before.find(host.host);
     if (old != before.end() && (old->second.state != host.state ||
                                 old->second.server != host.server)) {
-      outbox.Log("host-changed",
-                 {{"host", host.host.str()},
-                  {"pool", host.pool.str()},
-                  {"state", static_cast<int64_t>(host.state)},
-                  {"server", host.server.str()}});
+      outbox.Log("host-changed", {{"host", host.host.str()},
+                                  {"pool", host.pool.str()},
+                                  {"state", static_cast<int64_t>(host.state)},
+                                  {"server", host.server.str()}});
     }
     hosts_[host.host] = host;
   }
@@ -188,7 +202,9 @@
     if (duty.stage != Stage::kReturning || it == hosts_.end())
       continue;
     // The list shows the maintenance from the answer to the call on.
-    if (sent > duty.since && it->second.state != HostState::kMaintenance)
+    bool away = it->second.state == HostState::kMaintenance ||
+                it->second.state == HostState::kMoving;
+    if (sent > duty.since && !away)
       back.push_back(id);
   }
   for (const HostId& id : back) {
@@ -208,18 +224,29 @@
                            {"emptied_ms", ToMillis(now - duty.started)}});
   switch (outcome) {
     case HostOutcome::kDone:
-      MarkMaintained(now, host, duty, outbox);
+      if (duty.kind == DutyKind::kMaintain) {
+        MarkMaintained(now, host, duty, outbox);
+        return;
+      }
+      duty.stage = Stage::kReturning;
+      duty.since = now;
+      chain_.Write({DutyKey(state_.pool, host), "", true});
       return;
     case HostOutcome::kFenced:
       fenced_ = true;
       return;
     case HostOutcome::kBusy:
       duty.next_try = now + kBusyRepeat;
+      if (duty.kind == DutyKind::kMaintain)
+        return;
+      // The host is not up: the move is not worth waiting for.
+      chain_.Write({DutyKey(state_.pool, host), "", true});
+      duties_.erase(host);
       return;
     case HostOutcome::kWrongWave:
     case HostOutcome::kRefused: {
       auto wave = waves_.find(duty.wave);
-      if (wave != waves_.end())
+      if (duty.kind == DutyKind::kMaintain && wave != waves_.end())
         wave->second.done.insert(host);
       chain_.Write({DutyKey(state_.pool, host), "", true});
       duties_.erase(host);
@@ -270,12 +297,7 @@
   for (auto& [host, duty] : duties_) {
     if (duty.stage != Stage::kEmptying || duty.server != answer.server)
       continue;
-    bool empty = answer.state == VacateState::kEmpty;
-    uint32_t limit = 1;
-    auto wave = waves_.find(duty.wave);
-    if (wave != waves_.end())
-      limit = std::max(1u, wave->second.plan.max_at_once);
-    if (empty && DownCount(duty.wave) < limit)
+    if (answer.state == VacateState::kEmpty && MayCall(duty))
       StoreDuty(now, host, duty);
     return;
   }
@@ -285,10 +307,19 @@
 void FleetKeeper::StoreDuty(Time now, const HostId& host, Duty& duty) {
   duty.stage = Stage::kStoring;
   duty.since = now;
-  DutyRow row{host, DutyKind::kMaintain, duty.pool, duty.wave, duty.server};
+  PoolId pool = duty.kind == DutyKind::kMove ? duty.target : duty.pool;
+  DutyRow row{host, duty.kind, pool, duty.wave, duty.server};
   chain_.Write({DutyKey(state_.pool, host), EncodeDuty(row)});
 }
 
+bool FleetKeeper::MayCall(const Duty& duty) const {
+  if (duty.kind != DutyKind::kMaintain)
+    return true;
+  auto wave = waves_.find(duty.wave);
+  return wave != waves_.end() &&
+         DownCount(duty.wave) < std::max(1u, wave->second.plan.max_at_once);
+}
+
 void FleetKeeper::ReportWaves(Time now, Outbox& outbox) {
   for (auto& [number, wave] : waves_) {
     bool due = wave.completed ? !wave.reported_end : !wave.reported_start;
@@ -310,7 +341,7 @@
       continue;
     uint32_t open = 0;
     for (const auto& [host, duty] : duties_) {
-      if (duty.wave == number)
+      if (duty.kind == DutyKind::kMaintain && duty.wave == number)
         ++open;
     }
     using Choice = std::tuple<double, HostId>;
@@ -334,7 +365,9 @@
       bool standby = IsStandby(listing->second.pool);
       if (!standby && contact == contacts.end())
         continue;
-      choices.emplace_back(standby ? -1.0 : contact->second.demand_share, host);
+      double share = standby ? -1.0 : contact->second.demand_share();
+      if (share < kBusyPool || !HasTime(now, wave))
+        choices.emplace_back(share, host);
     }
     CheckCompleted(now, wave, outbox);
     std::sort(choices.begin(), choices.end());
@@ -359,6 +392,100 @@
   }
 }
 
+bool FleetKeeper::HasTime(Time now, const Wave& wave) const {
+  size_t left = wave.plan.hosts.size() - wave.done.size();
+  size_t rounds = left / std::max(1u, wave.plan.max_at_once) + 1;
+  Duration needed = kRoundTime * static_cast<int64_t>(rounds) + kWaveMargin;
+  return now + needed < wave.seen + wave.plan.length;
+}
+
+std::vector<PoolSize> FleetKeeper::Sizes(
+    const std::map<PoolId, PoolContact>& contacts) const {
+  std::vector<PoolSize> sizes;
+  for (const PoolConfig& config : config_.pools) {
+    PoolSize size;
+    size.pool = config.id;
+    size.standby = config.standby;
+    auto contact = contacts.find(config.id);
+    size.known = contact != contacts.end();
+    for (const auto& [id, host] : hosts_) {
+      auto duty = duties_.find(id);
+      bool moves =
+          duty != duties_.end() && duty->second.kind == DutyKind::kMove;
+      const PoolId& pool = moves && duty->second.stage != Stage::kEmptying
+                               ? duty->second.target
+                               : host.pool;
+      if (pool != config.id || host.state == HostState::kDown)
+        continue;
+      ++size.hosts;
+      size.cores_per_host =
+          static_cast<double>(host.capacity.cpu_millis) / 1000;
+      size.leaving += moves && duty->second.stage == Stage::kEmptying ? 1 : 0;
+    }
+    if (size.known) {
+      size.demand_cores = contact->second.beat.demand_cores;
+      size.min_hosts = contact->second.beat.min_servers;
+    }
+    size.spare_hosts =
+        static_cast<uint32_t>(Movable(config.id, UINT32_MAX, contacts).size());
+    sizes.push_back(size);
+  }
+  return sizes;
+}
+
+std::vector<HostId> FleetKeeper::Movable(
+    const PoolId& pool,
+    uint32_t count,
+    const std::map<PoolId, PoolContact>& contacts) const {
+  std::vector<HostId> movable;
+  auto usable = [this](const HostId& id, const HostListing& host) {
+    return host.state == HostState::kUp && !duties_.contains(id);
+  };
+  if (IsStandby(pool)) {
+    for (const auto& [id, host] : hosts_) {
+      if (movable.size() < count && host.pool == pool && usable(id, host))
+        movable.push_back(id);
+    }
+    return movable;
+  }
+  auto contact = contacts.find(pool);
+  if (contact == contacts.end())
+    return movable;
+  for (const ServerId& server : contact->second.beat.spare_servers) {
+    for (const auto& [id, host] : hosts_) {
+      if (movable.size() < count && host.server == server &&
+          host.pool == pool && usable(id, host))
+        movable.push_back(id);
+    }
+  }
+  return movable;
+}
+
+void FleetKeeper::StartMoves(Time now,
+                             const std::map<PoolId, PoolContact>& contacts,
+                             Outbox& outbox) {
+  if (now < next_sizing_) {
+    Wake(next_sizing_);
+    return;
+  }
+  next_sizing_ = now + kSizingPeriod;
+  std::vector<PoolSize> sizes = Sizes(contacts);
+  for (const HostMoves& moves : sizing_.Plan(now, sizes, kMaxMovesAtOnce)) {
+    for (const HostId& host : Movable(moves.from, moves.count, contacts)) {
+      Duty duty;
+      duty.kind = DutyKind::kMove;
+      duty.pool = moves.from;
+      duty.target = moves.to;
+      duty.server = hosts_.at(host).server;
+      duty.since = duty.started = duty.next_try = now;
+      duties_[host] = duty;
+      outbox.Log("host-move", {{"host", host.str()},
+                               {"from", moves.from.str()},
+                               {"to", moves.to.str()}});
+    }
+  }
+}
+
 void FleetKeeper::AdvanceDuty(Time now,
                               const HostId& host,
                               Duty& duty,
@@ -370,16 +497,17 @@
   }
   if (duty.stage == Stage::kCalling && duty.call_tag == 0) {
     duty.next_try = now + kCallRepeat;
-    duty.call_tag = outbox.Host(state_.token, MaintainHost{host, duty.wave});
+    if (duty.kind == DutyKind::kMaintain)
+      duty.call_tag = outbox.Host(state_.token, MaintainHost{host, duty.wave});
+    else
+      duty.call_tag = outbox.Host(state_.token, MoveHost{host, duty.target});
     return;
   }
   if (duty.stage != Stage::kEmptying)
     return;
   duty.next_try = now + kVacateRepeat;
   if (IsStandby(duty.pool)) {
-    auto wave = waves_.find(duty.wave);
-    if (wave != waves_.end() &&
-        DownCount(duty.wave) < std::max(1u, wave->second.plan.max_at_once))
+    if (MayCall(duty))
       StoreDuty(now, host, duty);
     return;
   }
@@ -390,6 +518,18 @@
               VacateRequest{duty.pool, duty.server, false});
 }
 
+void FleetKeeper::KeepEmpty(Time now,
+                            Duty& duty,
+                            const std::map<PoolId, PoolContact>& contacts,
+                            Outbox& outbox) {
+  auto contact = contacts.find(duty.pool);
+  if (now < duty.next_request || contact == contacts.end())
+    return;
+  duty.next_request = now + kKeepEmptyPeriod;
+  outbox.Send(contact->second.node, contact->second.address,
+              VacateRequest{duty.pool, duty.server, false});
+}
+
 void FleetKeeper::Tick(Time now,
                        const std::map<PoolId, PoolContact>& contacts,
                        Outbox& outbox) {
@@ -410,6 +550,7 @@
   if (!may_act || !lease_fresh || hosts_.empty())
     return;
   StartDuties(now, contacts, outbox);
+  StartMoves(now, contacts, outbox);
   std::vector<HostId> ids;
   for (const auto& [host, duty] : duties_)
     ids.push_back(host);
@@ -428,11 +569,13 @@
         outbox.Send(contact->second.node, contact->second.address,
                     VacateRequest{duty.pool, duty.server, true});
       auto wave = waves_.find(duty.wave);
-      if (wave != waves_.end())
+      if (duty.kind == DutyKind::kMaintain && wave != waves_.end())
         wave->second.set_aside[host] = now + kSetAside;
       duties_.erase(host);
       continue;
     }
+    if (duty.stage != Stage::kEmptying && duty.stage != Stage::kReturning)
+      KeepEmpty(now, duty, contacts, outbox);
     AdvanceDuty(now, host, duty, contacts, outbox);
   }
   chain_.Tick(now, outbox);
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -1,5 +1,6 @@
-// Maintenance waves over hosts: empties each host of a wave through the owner
-// of its pool, then has the platform maintain it, a limited number at once.
+// Maintenance waves over hosts and moves of hosts between pools: empties each
+// host through the owner of its pool, then has the platform maintain or move
+// it, a limited number at once.
 //
 // One process keeps the fleet, by a lease of its own (kFleetPool). Each call to
 // the host API is stored before it is sent; a successor repeats calls that may
@@ -22,6 +23,7 @@
 #include <vector>
 
 #include "radishmoor/jobs/commit_chain.h"
+#include "radishmoor/jobs/fleet_sizing.h"
 #include "radishmoor/jobs/pool_leases.h"
 #include "radishmoor/jobs/pool_state.h"
 
@@ -44,7 +46,12 @@
 struct PoolContact {
   MemberId node;
   std::string address;
-  double demand_share = 0;  // Of the pool's cores, as last announced.
+  OwnerBeat beat;  // As last announced.
+
+  double demand_share() const {
+    return beat.capacity_cores > 0 ? beat.demand_cores / beat.capacity_cores
+                                   : 0;
+  }
 };
 
 class FleetKeeper {
@@ -57,9 +64,7 @@
   bool OnStoreAnswer(Time now, const StoreAnswer& answer, Outbox& outbox);
   bool OnHostReply(Time now, const HostReply& reply, Outbox& outbox);
   // The platform's list of hosts, asked for at `sent`.
-  void OnHosts(Time sent,
-               std::span<const HostListing> hosts,
-               Outbox& outbox);
+  void OnHosts(Time sent, std::span<const HostListing> hosts, Outbox& outbox);
   bool wants_hosts() const;
   // `contacts`: the owners of pools, as far as they are known.
   void Tick(Time now,
@@ -81,12 +86,15 @@
   };
   struct Duty {
     Stage stage = Stage::kEmptying;
-    uint64_t wave = 0;
-    PoolId pool;
-    ServerId server;  // That ends by the call.
-    Time since;       // Of the stage.
+    DutyKind kind = DutyKind::kMaintain;
+    uint64_t wave = 0;  // Of maintenance.
+    PoolId pool;        // That the host is in.
+    PoolId target;      // Of a move.
+    ServerId server;    // That ends by the call.
+    Time since;         // Of the stage.
     Time started;
     Time next_try;
+    Time next_request;  // To keep the server empty.
     uint64_t call_tag = 0;
   };
   struct Wave {
@@ -108,6 +116,23 @@
   void StartDuties(Time now,
                    const std::map<PoolId, PoolContact>& contacts,
                    Outbox& outbox);
+  void StartMoves(Time now,
+                  const std::map<PoolId, PoolContact>& contacts,
+                  Outbox& outbox);
+  std::vector<PoolSize> Sizes(
+      const std::map<PoolId, PoolContact>& contacts) const;
+  // Up to `count` hosts of the pool that can be moved.
+  std::vector<HostId> Movable(
+      const PoolId& pool,
+      uint32_t count,
+      const std::map<PoolId, PoolContact>& contacts) const;
+  bool MayCall(const Duty& duty) const;
+  void KeepEmpty(Time now,
+                 Duty& duty,
+                 const std::map<PoolId, PoolContact>& contacts,
+                 Outbox& outbox);
+  // A wave can wait for the pools with little demand.
+  bool HasTime(Time now, const Wave& wave) const;
   void AdvanceDuty(Time now,
                    const HostId& host,
                    Duty& duty,
@@ -138,6 +163,8 @@
   std::map<HostId, HostListing> hosts_;
   std::map<uint64_t, Wave> waves_;
   std::map<HostId, Duty> duties_;
+  FleetSizing sizing_;
+  Time next_sizing_;
   std::map<HostId, std::set<uint64_t>> stored_done_;
   bool fenced_ = false;
   Time next_wake_ = kTimeMax;
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -2131,6 +2131,18 @@
 void OwnerBeat::__set_capacity_cores(const double val) {
   this->capacity_cores = val;
 }
+
+void OwnerBeat::__set_servers(const int32_t val) {
+  this->servers = val;
+}
+
+void OwnerBeat::__set_min_servers(const int32_t val) {
+  this->min_servers = val;
+}
+
+void OwnerBeat::__set_spare_servers(const std::vector<std::string> & val) {
+  this->spare_servers = val;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerBeat& obj)
 {
   obj.printTo(out);
@@ -2243,6 +2255,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->servers);
+          this->__isset.servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->min_servers);
+          this->__isset.min_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->spare_servers.clear();
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->spare_servers.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
+            {
+              xfer += iprot->readString(this->spare_servers[_i79]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.spare_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2279,10 +2327,10 @@
   xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
-    std::vector<QueueLoad> ::const_iterator _iter75;
-    for (_iter75 = this->queues.begin(); _iter75 != this->queues.end(); ++_iter75)
+    std::vector<QueueLoad> ::const_iterator _iter80;
+    for (_iter80 = this->queues.begin(); _iter80 != this->queues.end(); ++_iter80)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2304,6 +2352,26 @@
   xfer += oprot->writeDouble(this->capacity_cores);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("min_servers", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->min_servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spare_servers", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->spare_servers.size()));
+    std::vector<std::string> ::const_iterator _iter81;
+    for (_iter81 = this->spare_servers.begin(); _iter81 != this->spare_servers.end(); ++_iter81)
+    {
+      xfer += oprot->writeString((*_iter81));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2320,57 +2388,72 @@
   swap(a.successor, b.successor);
   swap(a.demand_cores, b.demand_cores);
   swap(a.capacity_cores, b.capacity_cores);
+  swap(a.servers, b.servers);
+  swap(a.min_servers, b.min_servers);
+  swap(a.spare_servers, b.spare_servers);
   swap(a.__isset, b.__isset);
 }
 
-OwnerBeat::OwnerBeat(const OwnerBeat& other76) {
-  pool = other76.pool;
-  token = other76.token;
-  lease_version = other76.lease_version;
-  renewed_age_ms = other76.renewed_age_ms;
-  queues = other76.queues;
-  released = other76.released;
-  successor = other76.successor;
-  demand_cores = other76.demand_cores;
-  capacity_cores = other76.capacity_cores;
-  __isset = other76.__isset;
-}
-OwnerBeat::OwnerBeat(OwnerBeat&& other77) noexcept {
-  pool = std::move(other77.pool);
-  token = other77.token;
-  lease_version = other77.lease_version;
-  renewed_age_ms = other77.renewed_age_ms;
-  queues = std::move(other77.queues);
-  released = other77.released;
-  successor = std::move(other77.successor);
-  demand_cores = other77.demand_cores;
-  capacity_cores = other77.capacity_cores;
-  __isset = other77.__isset;
-}
-OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other78) {
-  pool = other78.pool;
-  token = other78.token;
-  lease_version = other78.lease_version;
-  renewed_age_ms = other78.renewed_age_ms;
-  queues = other78.queues;
-  released = other78.released;
-  successor = other78.successor;
-  demand_cores = other78.demand_cores;
-  capacity_cores = other78.capacity_cores;
-  __isset = other78.__isset;
+OwnerBeat::OwnerBeat(const OwnerBeat& other82) {
+  pool = other82.pool;
+  token = other82.token;
+  lease_version = other82.lease_version;
+  renewed_age_ms = other82.renewed_age_ms;
+  queues = other82.queues;
+  released = other82.released;
+  successor = other82.successor;
+  demand_cores = other82.demand_cores;
+  capacity_cores = other82.capacity_cores;
+  servers = other82.servers;
+  min_servers = other82.min_servers;
+  spare_servers = other82.spare_servers;
+  __isset = other82.__isset;
+}
+OwnerBeat::OwnerBeat(OwnerBeat&& other83) noexcept {
+  pool = std::move(other83.pool);
+  token = other83.token;
+  lease_version = other83.lease_version;
+  renewed_age_ms = other83.renewed_age_ms;
+  queues = std::move(other83.queues);
+  released = other83.released;
+  successor = std::move(other83.successor);
+  demand_cores = other83.demand_cores;
+  capacity_cores = other83.capacity_cores;
+  servers = other83.servers;
+  min_servers = other83.min_servers;
+  spare_servers = std::move(other83.spare_servers);
+  __isset = other83.__isset;
+}
+OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other84) {
+  pool = other84.pool;
+  token = other84.token;
+  lease_version = other84.lease_version;
+  renewed_age_ms = other84.renewed_age_ms;
+  queues = other84.queues;
+  released = other84.released;
+  successor = other84.successor;
+  demand_cores = other84.demand_cores;
+  capacity_cores = other84.capacity_cores;
+  servers = other84.servers;
+  min_servers = other84.min_servers;
+  spare_servers = other84.spare_servers;
+  __isset = other84.__isset;
   return *this;
 }
-OwnerBeat& OwnerBeat::operator=(OwnerBeat&& other79) noexcept {
-  pool = std::move(other79.pool);
-  token = other79.token;
-  lease_version = other79.lease_version;
-  renewed_age_ms = other79.renewed_age_ms;
-  queues = std::move(other79.queues);
-  released = other79.released;
-  successor = std::move(other79.successor);
-  demand_cores = other79.demand_cores;
-  capacity_cores = other79.capacity_cores;
-  __isset = other79.__isset;
+OwnerBeat& OwnerBeat::operator=(OwnerBeat&& other85) noexcept {
+  pool = std::move(other85.pool);
+  token = other85.token;
+  lease_version = other85.lease_version;
+  renewed_age_ms = other85.renewed_age_ms;
+  queues = std::move(other85.queues);
+  released = other85.released;
+  successor = std::move(other85.successor);
+  demand_cores = other85.demand_cores;
+  capacity_cores = other85.capacity_cores;
+  servers = other85.servers;
+  min_servers = other85.min_servers;
+  spare_servers = std::move(other85.spare_servers);
+  __isset = other85.__isset;
   return *this;
 }
 void OwnerBeat::printTo(std::ostream& out) const {
@@ -2385,6 +2468,9 @@
   out << ", " << "successor=" << to_string(successor);
   out << ", " << "demand_cores=" << to_string(demand_cores);
   out << ", " << "capacity_cores=" << to_string(capacity_cores);
+  out << ", " << "servers=" << to_string(servers);
+  out << ", " << "min_servers=" << to_string(min_servers);
+  out << ", " << "spare_servers=" << to_string(spare_servers);
   out << ")";
 }
 
@@ -2532,38 +2618,38 @@
   swap(a.__isset, b.__isset);
 }
 
-JobNotice::JobNotice(const JobNotice& other80) {
-  pool = other80.pool;
-  job = other80.job;
-  definition = other80.definition;
-  age_ms = other80.age_ms;
-  request = other80.request;
-  __isset = other80.__isset;
+JobNotice::JobNotice(const JobNotice& other86) {
+  pool = other86.pool;
+  job = other86.job;
+  definition = other86.definition;
+  age_ms = other86.age_ms;
+  request = other86.request;
+  __isset = other86.__isset;
 }
-JobNotice::JobNotice(JobNotice&& other81) noexcept {
-  pool = std::move(other81.pool);
-  job = std::move(other81.job);
-  definition = std::move(other81.definition);
-  age_ms = other81.age_ms;
-  request = other81.request;
-  __isset = other81.__isset;
+JobNotice::JobNotice(JobNotice&& other87) noexcept {
+  pool = std::move(other87.pool);
+  job = std::move(other87.job);
+  definition = std::move(other87.definition);
+  age_ms = other87.age_ms;
+  request = other87.request;
+  __isset = other87.__isset;
 }
-JobNotice& JobNotice::operator=(const JobNotice& other82) {
-  pool = other82.pool;
-  job = other82.job;
-  definition = other82.definition;
-  age_ms = other82.age_ms;
-  request = other82.request;
-  __isset = other82.__isset;
+JobNotice& JobNotice::operator=(const JobNotice& other88) {
+  pool = other88.pool;
+  job = other88.job;
+  definition = other88.definition;
+  age_ms = other88.age_ms;
+  request = other88.request;
+  __isset = other88.__isset;
   return *this;
 }
-JobNotice& JobNotice::operator=(JobNotice&& other83) noexcept {
-  pool = std::move(other83.pool);
-  job = std::move(other83.job);
-  definition = std::move(other83.definition);
-  age_ms = other83.age_ms;
-  request = other83.request;
-  __isset = other83.__isset;
+JobNotice& JobNotice::operator=(JobNotice&& other89) noexcept {
+  pool = std::move(other89.pool);
+  job = std::move(other89.job);
+  definition = std::move(other89.definition);
+  age_ms = other89.age_ms;
+  request = other89.request;
+  __isset = other89.__isset;
   return *this;
 }
 void JobNotice::printTo(std::ostream& out) const {
@@ -2704,34 +2790,34 @@
   swap(a.__isset, b.__isset);
 }
 
-JobQuery::JobQuery(const JobQuery& other84) {
-  request = other84.request;
-  pool = other84.pool;
-  job = other84.job;
-  cancel = other84.cancel;
-  __isset = other84.__isset;
+JobQuery::JobQuery(const JobQuery& other90) {
+  request = other90.request;
+  pool = other90.pool;
+  job = other90.job;
+  cancel = other90.cancel;
+  __isset = other90.__isset;
 }
-JobQuery::JobQuery(JobQuery&& other85) noexcept {
-  request = other85.request;
-  pool = std::move(other85.pool);
-  job = std::move(other85.job);
-  cancel = other85.cancel;
-  __isset = other85.__isset;
+JobQuery::JobQuery(JobQuery&& other91) noexcept {
+  request = other91.request;
+  pool = std::move(other91.pool);
+  job = std::move(other91.job);
+  cancel = other91.cancel;
+  __isset = other91.__isset;
 }
-JobQuery& JobQuery::operator=(const JobQuery& other86) {
-  request = other86.request;
-  pool = other86.pool;
-  job = other86.job;
-  cancel = other86.cancel;
-  __isset = other86.__isset;
+JobQuery& JobQuery::operator=(const JobQuery& other92) {
+  request = other92.request;
+  pool = other92.pool;
+  job = other92.job;
+  cancel = other92.cancel;
+  __isset = other92.__isset;
   return *this;
 }
-JobQuery& JobQuery::operator=(JobQuery&& other87) noexcept {
-  request = other87.request;
-  pool = std::move(other87.pool);
-  job = std::move(other87.job);
-  cancel = other87.cancel;
-  __isset = other87.__isset;
+JobQuery& JobQuery::operator=(JobQuery&& other93) noexcept {
+  request = other93.request;
+  pool = std::move(other93.pool);
+  job = std::move(other93.job);
+  cancel = other93.cancel;
+  __isset = other93.__isset;
   return *this;
 }
 void JobQuery::printTo(std::ostream& out) const {
@@ -2837,26 +2923,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other88) noexcept {
-  request = other88.request;
-  state = other88.state;
-  __isset = other88.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other94) noexcept {
+  request = other94.request;
+  state = other94.state;
+  __isset = other94.__isset;
 }
-JobAnswer::JobAnswer(JobAnswer&& other89) noexcept {
-  request = other89.request;
-  state = other89.state;
-  __isset = other89.__isset;
+JobAnswer::JobAnswer(JobAnswer&& other95) noexcept {
+  request = other95.request;
+  state = other95.state;
+  __isset = other95.__isset;
 }
-JobAnswer& JobAnswer::operator=(const JobAnswer& other90) noexcept {
-  request = other90.request;
-  state = other90.state;
-  __isset = other90.__isset;
+JobAnswer& JobAnswer::operator=(const JobAnswer& other96) noexcept {
+  request = other96.request;
+  state = other96.state;
+  __isset = other96.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other91) noexcept {
-  request = other91.request;
-  state = other91.state;
-  __isset = other91.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other97) noexcept {
+  request = other97.request;
+  state = other97.state;
+  __isset = other97.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -2977,30 +3063,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VacateRequest::VacateRequest(const VacateRequest& other92) {
-  pool = other92.pool;
-  server = other92.server;
-  withdraw = other92.withdraw;
-  __isset = other92.__isset;
+VacateRequest::VacateRequest(const VacateRequest& other98) {
+  pool = other98.pool;
+  server = other98.server;
+  withdraw = other98.withdraw;
+  __isset = other98.__isset;
 }
-VacateRequest::VacateRequest(VacateRequest&& other93) noexcept {
-  pool = std::move(other93.pool);
-  server = std::move(other93.server);
-  withdraw = other93.withdraw;
-  __isset = other93.__isset;
+VacateRequest::VacateRequest(VacateRequest&& other99) noexcept {
+  pool = std::move(other99.pool);
+  server = std::move(other99.server);
+  withdraw = other99.withdraw;
+  __isset = other99.__isset;
 }
-VacateRequest& VacateRequest::operator=(const VacateRequest& other94) {
-  pool = other94.pool;
-  server = other94.server;
-  withdraw = other94.withdraw;
-  __isset = other94.__isset;
+VacateRequest& VacateRequest::operator=(const VacateRequest& other100) {
+  pool = other100.pool;
+  server = other100.server;
+  withdraw = other100.withdraw;
+  __isset = other100.__isset;
   return *this;
 }
-VacateRequest& VacateRequest::operator=(VacateRequest&& other95) noexcept {
-  pool = std::move(other95.pool);
-  server = std::move(other95.server);
-  withdraw = other95.withdraw;
-  __isset = other95.__isset;
+VacateRequest& VacateRequest::operator=(VacateRequest&& other101) noexcept {
+  pool = std::move(other101.pool);
+  server = std::move(other101.server);
+  withdraw = other101.withdraw;
+  __isset = other101.__isset;
   return *this;
 }
 void VacateRequest::printTo(std::ostream& out) const {
@@ -3139,34 +3225,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VacateAnswer::VacateAnswer(const VacateAnswer& other96) {
-  pool = other96.pool;
-  server = other96.server;
-  state = other96.state;
-  token = other96.token;
-  __isset = other96.__isset;
+VacateAnswer::VacateAnswer(const VacateAnswer& other102) {
+  pool = other102.pool;
+  server = other102.server;
+  state = other102.state;
+  token = other102.token;
+  __isset = other102.__isset;
 }
-VacateAnswer::VacateAnswer(VacateAnswer&& other97) noexcept {
-  pool = std::move(other97.pool);
-  server = std::move(other97.server);
-  state = other97.state;
-  token = other97.token;
-  __isset = other97.__isset;
+VacateAnswer::VacateAnswer(VacateAnswer&& other103) noexcept {
+  pool = std::move(other103.pool);
+  server = std::move(other103.server);
+  state = other103.state;
+  token = other103.token;
+  __isset = other103.__isset;
 }
-VacateAnswer& VacateAnswer::operator=(const VacateAnswer& other98) {
-  pool = other98.pool;
-  server = other98.server;
-  state = other98.state;
-  token = other98.token;
-  __isset = other98.__isset;
+VacateAnswer& VacateAnswer::operator=(const VacateAnswer& other104) {
+  pool = other104.pool;
+  server = other104.server;
+  state = other104.state;
+  token = other104.token;
+  __isset = other104.__isset;
   return *this;
 }
-VacateAnswer& VacateAnswer::operator=(VacateAnswer&& other99) noexcept {
-  pool = std::move(other99.pool);
-  server = std::move(other99.server);
-  state = other99.state;
-  token = other99.token;
-  __isset = other99.__isset;
+VacateAnswer& VacateAnswer::operator=(VacateAnswer&& other105) noexcept {
+  pool = std::move(other105.pool);
+  server = std::move(other105.server);
+  state = other105.state;
+  token = other105.token;
+  __isset = other105.__isset;
   return *this;
 }
 void VacateAnswer::printTo(std::ostream& out) const {
@@ -3386,50 +3472,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other100) {
-  sender = other100.sender;
-  address = other100.address;
-  owner_beat = other100.owner_beat;
-  job_notice = other100.job_notice;
-  job_query = other100.job_query;
-  job_answer = other100.job_answer;
-  vacate_request = other100.vacate_request;
-  vacate_answer = other100.vacate_answer;
-  __isset = other100.__isset;
-}
-Envelope::Envelope(Envelope&& other101) noexcept {
-  sender = std::move(other101.sender);
-  address = std::move(other101.address);
-  owner_beat = std::move(other101.owner_beat);
-  job_notice = std::move(other101.job_notice);
-  job_query = std::move(other101.job_query);
-  job_answer = std::move(other101.job_answer);
-  vacate_request = std::move(other101.vacate_request);
-  vacate_answer = std::move(other101.vacate_answer);
-  __isset = other101.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other102) {
-  sender = other102.sender;
-  address = other102.address;
-  owner_beat = other102.owner_beat;
-  job_notice = other102.job_notice;
-  job_query = other102.job_query;
-  job_answer = other102.job_answer;
-  vacate_request = other102.vacate_request;
-  vacate_answer = other102.vacate_answer;
-  __isset = other102.__isset;
+Envelope::Envelope(const Envelope& other106) {
+  sender = other106.sender;
+  address = other106.address;
+  owner_beat = other106.owner_beat;
+  job_notice = other106.job_notice;
+  job_query = other106.job_query;
+  job_answer = other106.job_answer;
+  vacate_request = other106.vacate_request;
+  vacate_answer = other106.vacate_answer;
+  __isset = other106.__isset;
+}
+Envelope::Envelope(Envelope&& other107) noexcept {
+  sender = std::move(other107.sender);
+  address = std::move(other107.address);
+  owner_beat = std::move(other107.owner_beat);
+  job_notice = std::move(other107.job_notice);
+  job_query = std::move(other107.job_query);
+  job_answer = std::move(other107.job_answer);
+  vacate_request = std::move(other107.vacate_request);
+  vacate_answer = std::move(other107.vacate_answer);
+  __isset = other107.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other108) {
+  sender = other108.sender;
+  address = other108.address;
+  owner_beat = other108.owner_beat;
+  job_notice = other108.job_notice;
+  job_query = other108.job_query;
+  job_answer = other108.job_answer;
+  vacate_request = other108.vacate_request;
+  vacate_answer = other108.vacate_answer;
+  __isset = other108.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other103) noexcept {
-  sender = std::move(other103.sender);
-  address = std::move(other103.address);
-  owner_beat = std::move(other103.owner_beat);
-  job_notice = std::move(other103.job_notice);
-  job_query = std::move(other103.job_query);
-  job_answer = std::move(other103.job_answer);
-  vacate_request = std::move(other103.vacate_request);
-  vacate_answer = std::move(other103.vacate_answer);
-  __isset = other103.__isset;
+Envelope& Envelope::operator=(Envelope&& other109) noexcept {
+  sender = std::move(other109.sender);
+  address = std::move(other109.address);
+  owner_beat = std::move(other109.owner_beat);
+  job_notice = std::move(other109.job_notice);
+  job_query = std::move(other109.job_query);
+  job_answer = std::move(other109.job_answer);
+  vacate_request = std::move(other109.vacate_request);
+  vacate_answer = std::move(other109.vacate_answer);
+  __isset = other109.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -809,7 +809,7 @@
 std::ostream& operator<<(std::ostream& out, const QueueLoad& obj);
 
 typedef struct _OwnerBeat__isset {
-  _OwnerBeat__isset() : pool(false), token(false), lease_version(false), renewed_age_ms(false), queues(false), released(false), successor(false), demand_cores(false), capacity_cores(false) {}
+  _OwnerBeat__isset() : pool(false), token(false), lease_version(false), renewed_age_ms(false), queues(false), released(false), successor(false), demand_cores(false), capacity_cores(false), servers(false), min_servers(false), spare_servers(false) {}
   bool pool :1;
   bool token :1;
   bool lease_version :1;
@@ -819,6 +819,9 @@
   bool successor :1;
   bool demand_cores :1;
   bool capacity_cores :1;
+  bool servers :1;
+  bool min_servers :1;
+  bool spare_servers :1;
 } _OwnerBeat__isset;
 
 class OwnerBeat : public virtual ::apache::thrift::TBase {
@@ -836,7 +839,9 @@
               released(0),
               successor(),
               demand_cores(0),
-              capacity_cores(0) {
+              capacity_cores(0),
+              servers(0),
+              min_servers(0) {
   }
 
   virtual ~OwnerBeat() noexcept;
@@ -849,6 +854,9 @@
   std::string successor;
   double demand_cores;
   double capacity_cores;
+  int32_t servers;
+  int32_t min_servers;
+  std::vector<std::string>  spare_servers;
 
   _OwnerBeat__isset __isset;
 
@@ -870,6 +878,12 @@
 
   void __set_capacity_cores(const double val);
 
+  void __set_servers(const int32_t val);
+
+  void __set_min_servers(const int32_t val);
+
+  void __set_spare_servers(const std::vector<std::string> & val);
+
   bool operator == (const OwnerBeat & rhs) const
   {
     if (!(pool == rhs.pool))
@@ -890,6 +904,12 @@
       return false;
     if (!(capacity_cores == rhs.capacity_cores))
       return false;
+    if (!(servers == rhs.servers))
+      return false;
+    if (!(min_servers == rhs.min_servers))
+      return false;
+    if (!(spare_servers == rhs.spare_servers))
+      return false;
     return true;
   }
   bool operator != (const OwnerBeat &rhs) const {
--- a/radishmoor/jobs/intake.cc
+++ b/radishmoor/jobs/intake.cc
@@ -21,6 +21,8 @@
 // Queue lengths are answered from an announcement of at most this age.
 constexpr Duration kMaxBeatAge = Milliseconds(1800);
 constexpr Duration kUnavailableRetry = Seconds(1);
+// A store that is lost stays away for some seconds as a rule.
+constexpr Duration kStoreLostRetry = Seconds(2);
 constexpr size_t kJobIdDigits = 16;
 constexpr size_t kMaxOpenCalls = 2000;
 
@@ -107,6 +109,11 @@
 }
 
 void Intake::Start(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
+  if (call.kind == Kind::kSubmit && store_lost_) {
+    Refuse(id, CallOutcome::kUnavailable, kStoreLostRetry, "store-lost",
+           outbox);
+    return;
+  }
   if (call.kind == Kind::kSubmit) {
     if (!HandOver(now, id, call, outbox))
       Store(now, id, call, outbox);
--- a/radishmoor/jobs/intake.h
+++ b/radishmoor/jobs/intake.h
@@ -44,6 +44,9 @@
   // Announcement of a pool that this process owns itself.
   void SetLocalBeat(const OwnerBeat& beat, Time now);
 
+  // Without the store nothing can be accepted: submissions are refused at once.
+  void SetStoreLost(bool lost) { store_lost_ = lost; }
+
   size_t open_calls() const { return calls_.size(); }
 
   struct Counters {
@@ -112,6 +115,7 @@
   std::map<PoolId, std::pair<OwnerBeat, Time>> local_beats_;
   uint64_t next_request_ = 1;
   Counters counters_;
+  bool store_lost_ = false;
 };
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/messages.h
+++ b/radishmoor/jobs/messages.h
@@ -168,6 +168,7 @@
   // With false the next call must read all: the changes since `after` are not
   // known.
   bool answered = false;
+  bool history_gone = false;  // The store answered that it has dropped them.
   RowVersion version = 0;
   std::optional<JobConfig> config;
   std::vector<MaintenanceWave> waves;
@@ -251,11 +252,15 @@
   MemberId successor;     // With `released`: who should take it.
   double demand_cores = 0;
   double capacity_cores = 0;
+  uint32_t servers = 0;      // In use.
+  uint32_t min_servers = 0;  // Long-running tasks need as many.
+  // Servers that can be emptied soon, those with the least work first.
+  std::vector<ServerId> spare_servers;
 };
 
 // Hands a job to the pool's owner. With a request, the owner stores it and
-// answers; a lost answer is found out by inserting the job. Without one, the job
-// is stored already and the notice repeats what the inbox says.
+// answers; a lost answer is found out by inserting the job. Without one, the
+// job is stored already and the notice repeats what the inbox says.
 struct JobNotice {
   PoolId pool;
   JobId job;
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -8,7 +8,7 @@
 
 // The store holds an answer back this long when nothing has changed; a silent
 // connection is noticed soon after.
-constexpr Duration kOperatorsWait = Milliseconds(900);
+constexpr Duration kOperatorsWait = Milliseconds(450);
 constexpr Duration kOperatorsRetry = Milliseconds(150);
 constexpr Duration kBeatPeriod = Milliseconds(300);
 constexpr Duration kRegisterPeriod = Seconds(15);
@@ -17,7 +17,7 @@
 constexpr Duration kFirstNodesPeriod = Milliseconds(500);
 // Rows of processes that have not been renewed for this long are passed over.
 constexpr Duration kNodeExpiry = Seconds(40);
-constexpr Duration kServersPeriod = Milliseconds(900);
+constexpr Duration kServersPeriod = Milliseconds(500);
 constexpr Duration kHostsPeriod = Milliseconds(500);
 constexpr Duration kServersRetry = Milliseconds(200);
 // After the signal to stop, callers with open connections are served this long.
@@ -27,8 +27,8 @@
 // Before the end of the grace period.
 constexpr Duration kEndMargin = Milliseconds(800);
 
-// When the last lease has lapsed that an earlier owner of the pool may have given
-// to a server.
+// When the last lease has lapsed that an earlier owner of the pool may have
+// given to a server.
 Time EarlierLeasesUntil(const AcquiredLease& lease) {
   Duration length = PoolState::kLease + PoolState::kLeaseSlack;
   if (lease.first_owner)
@@ -36,8 +36,7 @@
   Time earlier = lease.renewed_before + lease.earlier_leases;
   if (lease.released)
     return std::max(earlier, lease.sent + length);
-  return std::max(earlier,
-                  lease.renewed_before + kUnrenewedExtension + length);
+  return std::max(earlier, lease.renewed_before + kUnrenewedExtension + length);
 }
 
 }  // namespace
@@ -121,6 +120,8 @@
   if (operators_tag_ != reply.tag)
     return;
   operators_tag_ = 0;
+  if (reply.answered || !reply.history_gone)
+    NoteStore(now, reply.answered);
   if (!reply.answered) {
     operators_version_ = 0;
     operators_retry_ = now + kOperatorsRetry;
@@ -195,6 +196,12 @@
   Settle(now, wall);
 }
 
+bool NodeCore::ready(Time now) const {
+  bool store_lost =
+      store_silent_since_ && now - *store_silent_since_ > kStoreLost;
+  return config_.version != 0 && !shutdown_ && !store_lost;
+}
+
 bool NodeCore::accepts_connections(Time now) const {
   return !shutdown_ || now - *shutdown_ < kServeAfterStop;
 }
@@ -363,8 +370,7 @@
     } else {
       continue;
     }
-    contact.demand_share =
-        beat.capacity_cores > 0 ? beat.demand_cores / beat.capacity_cores : 0;
+    contact.beat = std::move(beat);
     contacts[pool.id] = std::move(contact);
   }
   return contacts;
@@ -444,15 +450,16 @@
   if (answered) {
     if (store_lost_logged_) {
       outbox_.Log("store-regained",
-                  {{"silent_ms",
-                    (now - *store_silent_since_).count() / 1000}});
+                  {{"silent_ms", (now - *store_silent_since_).count() / 1000}});
     }
     store_silent_since_.reset();
+    intake_.SetStoreLost(false);
     store_lost_logged_ = false;
     return;
   }
   if (!store_silent_since_)
     store_silent_since_ = now;
+  intake_.SetStoreLost(now - *store_silent_since_ > kStoreLost);
   if (!store_lost_logged_ && now - *store_silent_since_ > kStoreLost) {
     store_lost_logged_ = true;
     outbox_.Log("store-lost", {});
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -59,8 +59,9 @@
   std::vector<JobAction> TakeActions() { return outbox_.Take(); }
   Time next_wake() const { return next_wake_; }
 
-  // New callers may come.
-  bool ready() const { return config_.version != 0 && !shutdown_; }
+  // New callers may come: without the store nothing can be accepted here, while
+  // processes elsewhere may reach it.
+  bool ready(Time now) const;
   bool accepts_connections(Time now) const;
 
   const JobConfig& config() const { return config_; }
--- a/radishmoor/jobs/peer_frames.cc
+++ b/radishmoor/jobs/peer_frames.cc
@@ -31,6 +31,10 @@
   w.successor = m.successor.str();
   w.demand_cores = m.demand_cores;
   w.capacity_cores = m.capacity_cores;
+  w.servers = static_cast<int32_t>(m.servers);
+  w.min_servers = static_cast<int32_t>(m.min_servers);
+  for (const ServerId& server : m.spare_servers)
+    w.spare_servers.push_back(server.str());
   envelope.__set_owner_beat(w);
 }
 
@@ -93,6 +97,10 @@
   m.successor = MemberId(w.successor);
   m.demand_cores = w.demand_cores;
   m.capacity_cores = w.capacity_cores;
+  m.servers = static_cast<uint32_t>(w.servers);
+  m.min_servers = static_cast<uint32_t>(w.min_servers);
+  for (const std::string& server : w.spare_servers)
+    m.spare_servers.emplace_back(server);
   return m;
 }
 
--- a/radishmoor/jobs/placement.cc
+++ b/radishmoor/jobs/placement.cc
@@ -1,6 +1,7 @@
 #include "radishmoor/jobs/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace radishmoor {
@@ -14,9 +15,13 @@
 constexpr double kFailedBeforeWeight = 3.0;
 constexpr double kSensitiveWeight = 0.6;  // For each run with a tail limit.
 constexpr double kSpareRunWeight = 0.3;   // For each run that uses spare room.
+constexpr double kGatherWeight = 0.5;     // With long-running tasks there.
 // A server slower than this gets work only when no other fits.
 constexpr double kTooSlow = 2.0;
 constexpr double kTooSlowPenalty = 10.0;
+// Of the logarithm of a job's work; two steps for each doubling.
+constexpr double kSizeSteps = 2.0;
+constexpr double kLeastWork = 0.01;  // Core-seconds.
 
 bool HasLabel(std::span<const std::string> labels, const std::string& label) {
   return label.empty() ||
@@ -60,6 +65,8 @@
     penalty += kLeavingWeight;
   if (server.failed_before)
     penalty += kFailedBeforeWeight;
+  if (step.long_running && server.long_runs > 0)
+    penalty -= kGatherWeight;
   if (step.uses_spare)
     penalty += kSensitiveWeight * server.sensitive_runs;
   if (step.tail_limit > Duration::zero())
@@ -76,12 +83,17 @@
   for (const JobOrderInput& job : jobs) {
     int64_t slack = (job.objective - now - job.remaining_chain).count();
     int64_t arrived = job.arrived.time_since_epoch().count();
+    // Sizes that differ by less than half count as the same.
+    auto size = static_cast<int64_t>(
+        kSizeSteps * std::log2(std::max(job.remaining_work, kLeastWork)));
     if (job.long_running)
       keys.emplace_back(0, job.priority, arrived, 0, job.position);
-    else if (slack >= 0)
+    else if (job.CanMeetObjective(now) && job.begun)
       keys.emplace_back(1, job.priority, slack, arrived, job.position);
+    else if (job.CanMeetObjective(now))
+      keys.emplace_back(2, job.priority, size, slack, job.position);
     else
-      keys.emplace_back(2, job.priority, job.remaining_chain.count(), arrived,
+      keys.emplace_back(3, job.priority, job.begun ? 0 : 1, arrived,
                         job.position);
   }
   std::sort(keys.begin(), keys.end());
--- a/radishmoor/jobs/placement.h
+++ b/radishmoor/jobs/placement.h
@@ -1,14 +1,18 @@
 // Which tasks start next, and on which server. Pure decisions over values.
 //
-// Order: jobs that can still meet their objective come first, by priority and
-// then by least slack; jobs that cannot come after them, shortest remaining
-// work first, so that a backlog from a peak does not make the following jobs
-// late as well. This answers the load in which a queue asks for more than its
-// pool holds for some seconds. Long-running tasks come before all, since each
-// second that they are missing counts.
+// Order, for the load in which a queue asks for more than its pool holds for
+// some seconds: jobs that have begun and can still meet their objective come
+// first, by least slack, so that the work done for them is not lost. Then those
+// that have not begun, small ones first: the room that is left completes the
+// most jobs in time that way. Jobs that can no longer meet their objective come
+// last, so that a backlog does not make the following jobs late as well; they
+// are finished when demand falls. Long-running tasks come before all, since
+// each second that they are missing counts.
 //
 // Placement: the server with the largest free share of cores among those that
-// fit, with penalties for distance from the data and for slowness. A task that
+// fit, with penalties for distance from the data and for slowness. Long-running
+// tasks gather on the servers that have some, so that the others can be given
+// up. A task that
 // fits nowhere reserves the server that comes nearest, so that smaller tasks do
 // not starve it.
 
@@ -33,7 +37,12 @@
   Time objective;
   Time arrived;
   Duration remaining_chain{};
-  // The caller's own index; kept as it is.
+  bool begun = false;
+  double remaining_work = 0;  // Core-seconds of all tasks that are left.
+
+  bool CanMeetObjective(Time now) const {
+    return now + remaining_chain <= objective;
+  }
 };
 
 // Positions in the order of start. O(n log n).
@@ -52,6 +61,7 @@
   // Runs with a tail limit, which tasks that use spare room would disturb.
   uint32_t sensitive_runs = 0;
   uint32_t spare_runs = 0;
+  uint32_t long_runs = 0;  // Of long-running steps.
   bool reserved = false;
   bool leaving_soon = false;  // Maintenance or a move comes soon.
   bool failed_before = false;
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -29,6 +29,8 @@
 constexpr Duration kVacateHold = Seconds(3);
 constexpr Duration kPurgePeriod = Seconds(10);
 constexpr size_t kPurgeBatch = 20;
+// Named in an announcement.
+constexpr size_t kMaxSpareNamed = 16;
 // A submission time that another process wrote is believed up to this age.
 constexpr Duration kMaxBelievedAge = Seconds(60);
 
@@ -299,8 +301,7 @@
       it = waiters.erase(it);
     }
   };
-  answer(submit_waiters_,
-         [](const Job& job) { return job.definition_stored; });
+  answer(submit_waiters_, [](const Job& job) { return job.definition_stored; });
   answer(cancel_waiters_, [](const Job& job) { return IsFinal(job.shown); });
 }
 
@@ -544,7 +545,7 @@
     if (plan_needed_ && now - last_plan_ >= kPlanGap) {
       plan_needed_ = false;
       last_plan_ = now;
-      dispatch_.Plan(now, outbox);
+      dispatch_.Plan(now);
     }
     if (plan_needed_)
       Wake(last_plan_ + kPlanGap);
@@ -591,12 +592,40 @@
       beat.queues.push_back({id, pending[id], dispatch_.expected_wait()});
   }
   beat.demand_cores = static_cast<double>(dispatch_.demand_cpu()) / 1000;
+  DescribeServers(beat);
+  return beat;
+}
+
+void PoolScheduler::DescribeServers(OwnerBeat& beat) const {
+  std::vector<std::pair<int64_t, ServerId>> spare;
   for (const auto& [id, server] : state_.servers.all()) {
-    if (server.Serves(state_.pool))
-      beat.capacity_cores +=
-          static_cast<double>(server.listing.capacity.cpu_millis) / 1000;
+    if (!server.Serves(state_.pool))
+      continue;
+    ++beat.servers;
+    beat.capacity_cores +=
+        static_cast<double>(server.listing.capacity.cpu_millis) / 1000;
+    bool long_running = std::any_of(
+        server.runs.begin(), server.runs.end(), [this](const RunRef& ref) {
+          const Job* job = state_.jobs.Find(ref.task.job);
+          return job != nullptr && job->spec.long_running();
+        });
+    if (!long_running && !server.vacating)
+      spare.emplace_back(server.used.cpu_millis, id);
+  }
+  std::sort(spare.begin(), spare.end());
+  for (size_t i = 0; i < spare.size() && i < kMaxSpareNamed; ++i)
+    beat.spare_servers.push_back(spare[i].second);
+  for (const JobId& id : state_.jobs.open()) {
+    const Job* job = state_.jobs.Find(id);
+    if (job == nullptr || IsFinal(job->state))
+      continue;
+    for (const StepSpec& step : job->spec.steps) {
+      if (step.long_running && step.max_per_server > 0)
+        beat.min_servers =
+            std::max(beat.min_servers, (step.count + step.max_per_server - 1) /
+                                           step.max_per_server);
+    }
   }
-  return beat;
 }
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -136,6 +136,8 @@
               Outbox& outbox);
   bool Cancel(Time now, const JobId& id, Outbox& outbox);
   void AnswerWaiters(Outbox& outbox);
+  // Servers that long-running tasks need, and those without any.
+  void DescribeServers(OwnerBeat& beat) const;
   Time ObjectiveOf(const JobSpec& spec, Time arrived) const;
   void UpdateScheduled(Time now, WallMillis wall);
   void RemoveRow(const std::string& key) { chain_.Write({key, "", true}); }
@@ -154,7 +156,7 @@
   std::set<JobId> reading_;
   std::map<JobId, std::vector<Waiter>> submit_waiters_;  // For its storing.
   std::map<JobId, std::vector<Waiter>> cancel_waiters_;
-  std::set<JobId> scheduled_;                     // Jobs with times.
+  std::set<JobId> scheduled_;  // Jobs with times.
   bool plan_needed_ = false;
   Time last_plan_;
   Time last_review_;
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -93,7 +93,7 @@
   start.task = ref.task;
   start.run = ref.run;
   start.payload = job.spec.payload;
-  start.lease_until = server->clock.Latest(now) + ToMillis(state_.lease());
+  start.lease_until = server->clock.Nominal(now) + ToMillis(state_.lease());
   start.checkpoint = task->checkpoint;
   server->lease_until = std::max(server->lease_until, start.lease_until);
   run->start_lease = start.lease_until;
@@ -656,7 +656,7 @@
   // which its tasks can start elsewhere.
   bool answers = server.failed_looks == 0;
   if (extend && answers && server.clock.known() && !server.runs.empty()) {
-    look.lease_until = server.clock.Latest(now) + ToMillis(state_.lease());
+    look.lease_until = server.clock.Nominal(now) + ToMillis(state_.lease());
     server.lease_until = std::max(server.lease_until, look.lease_until);
   }
   look.acknowledged = server.ended_stored;
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -102,8 +102,8 @@
   void RemoveRun(Time now, const RunRef& ref, std::string_view reason);
   // Closes the jobs that have ended and lost their last run.
   void CloseResolved();
-  // Ends the runs of a life of the server that is over. Starts without an answer
-  // may reach a later life: they have to be stopped there, or to lapse.
+  // Ends the runs of a life of the server that is over. Starts without an
+  // answer may reach a later life: they have to be stopped there, or to lapse.
   void EndLife(Time now, ServerState& server, std::string_view reason);
   void OnServerGone(Time now, ServerState& server, std::string_view reason);
 
--- a/radishmoor/jobs/server_book.cc
+++ b/radishmoor/jobs/server_book.cc
@@ -28,8 +28,8 @@
   clock_ = clock;
 }
 
-ServerMillis ServerClock::Latest(Time now) const {
-  return clock_ + ToMillis(now - sent_) + kClockGranularity;
+ServerMillis ServerClock::Nominal(Time now) const {
+  return clock_ + ToMillis(now - received_);
 }
 
 ServerMillis ServerClock::Earliest(Time now) const {
--- a/radishmoor/jobs/server_book.h
+++ b/radishmoor/jobs/server_book.h
@@ -27,8 +27,10 @@
   void Reset() { known_ = false; }
 
   bool known() const { return known_; }
-  // Not below the server's clock, as far as the answer's travel allows.
-  ServerMillis Latest(Time now) const;
+  // The server's clock at the last answer, plus the time since: never above the
+  // server's clock by more than its drift, however long the answer was held
+  // back.
+  ServerMillis Nominal(Time now) const;
   // Not above the server's clock, which may be slow by 2%.
   ServerMillis Earliest(Time now) const;
 
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -69,6 +69,7 @@
       const StepSpec& step = job->spec.steps[ref.task.step];
       s.sensitive_runs += step.tail_limit > Duration::zero() ? 1 : 0;
       s.spare_runs += step.uses_spare ? 1 : 0;
+      s.long_runs += step.long_running ? 1 : 0;
     }
     servers.push_back(std::move(s));
   }
@@ -105,7 +106,21 @@
   return longest;
 }
 
-std::vector<Job*> TaskDispatch::OrderedJobs(Time now) {
+double TaskDispatch::RemainingWork(const Job& job) const {
+  double work = 0;
+  const Occurrence* occurrence =
+      job.occurrences.empty() ? nullptr : &job.occurrences.begin()->second;
+  for (size_t i = 0; i < job.spec.steps.size(); ++i) {
+    const StepSpec& step = job.spec.steps[i];
+    uint32_t done = occurrence == nullptr ? 0 : occurrence->done_in_step[i];
+    work += static_cast<double>(step.count - done) *
+            static_cast<double>(step.request.cpu_millis) / 1000 *
+            ToSeconds(state_.ExpectedRunTime(job, step));
+  }
+  return work;
+}
+
+std::vector<TaskDispatch::OrderedJob> TaskDispatch::OrderedJobs(Time now) {
   std::vector<Job*> jobs;
   std::vector<JobOrderInput> inputs;
   for (const JobId& id : state_.jobs.open()) {
@@ -119,23 +134,28 @@
     input.objective = job->objective;
     input.arrived = job->arrived;
     input.remaining_chain = RemainingChain(*job);
+    input.begun = job->begun;
+    input.remaining_work = RemainingWork(*job);
     jobs.push_back(job);
     inputs.push_back(input);
   }
-  std::vector<Job*> ordered;
+  std::vector<OrderedJob> ordered;
   ordered.reserve(jobs.size());
-  for (uint32_t position : OrderJobs(now, inputs))
-    ordered.push_back(jobs[position]);
+  for (uint32_t position : OrderJobs(now, inputs)) {
+    bool in_time =
+        inputs[position].long_running || inputs[position].CanMeetObjective(now);
+    ordered.push_back({jobs[position], in_time});
+  }
   return ordered;
 }
 
-void TaskDispatch::Plan(Time now, Outbox& outbox) {
+void TaskDispatch::Plan(Time now) {
   std::vector<PlacementServer> servers = CollectServers(now);
   reservations_ = 0;
   demand_cpu_ = 0;
   waiting_work_ = 0;
-  for (Job* job : OrderedJobs(now))
-    PlanJob(now, *job, servers, outbox);
+  for (const OrderedJob& ordered : OrderedJobs(now))
+    PlanJob(now, *ordered.job, ordered.in_time, servers);
   int64_t capacity = 0;
   for (const PlacementServer& server : servers)
     capacity += server.capacity.cpu_millis;
@@ -144,9 +164,8 @@
 
 void TaskDispatch::PlanJob(Time now,
                            Job& job,
-                           std::vector<PlacementServer>& servers,
-                           Outbox& outbox) {
-  (void)outbox;
+                           bool in_time,
+                           std::vector<PlacementServer>& servers) {
   for (auto& [number, occurrence] : job.occurrences) {
     if (occurrence.finished)
       continue;
@@ -157,7 +176,8 @@
         continue;
       if (!JobTable::IsReady(job, occurrence, task))
         continue;
-      demand_cpu_ += step.uses_spare ? 0 : step.request.cpu_millis;
+      if (!step.uses_spare && (in_time || !task.runs.empty()))
+        demand_cpu_ += step.request.cpu_millis;
       if (!task.idle())
         continue;
       bool planned = false;
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -22,25 +22,31 @@
       : state_(state), runs_(runs) {}
 
   // Plans runs for ready tasks as far as there is room.
-  void Plan(Time now, Outbox& outbox);
+  void Plan(Time now);
 
   // Stops runs that would end sooner elsewhere, empties servers that leave, and
   // starts copies of stragglers where the step allows them.
   void Review(Time now, Outbox& outbox);
 
-  // Cores that ready and running tasks ask for, in thousandths.
+  // Cores of running tasks, and of ready tasks of jobs that can still meet
+  // their objective, in thousandths.
   int64_t demand_cpu() const { return demand_cpu_; }
   // How long a job that arrives now waits for its first start.
   Duration expected_wait() const { return expected_wait_; }
 
  private:
   std::vector<PlacementServer> CollectServers(Time now);
-  std::vector<Job*> OrderedJobs(Time now);
+  struct OrderedJob {
+    Job* job = nullptr;
+    bool in_time = false;  // It can still meet its objective.
+  };
+  std::vector<OrderedJob> OrderedJobs(Time now);
   Duration RemainingChain(const Job& job) const;
+  double RemainingWork(const Job& job) const;
   void PlanJob(Time now,
                Job& job,
-               std::vector<PlacementServer>& servers,
-               Outbox& outbox);
+               bool in_time,
+               std::vector<PlacementServer>& servers);
   bool PlanTask(Time now,
                 Job& job,
                 Occurrence& occurrence,
