Call the host API only on the present owner's word that a server is empty

A pool's new owner does not know that a server was emptied and may use it while the call is under way.

Change: the first call needs an answer of at most 500 ms, of the owner whose token is announced; answers of an earlier life of a server are not taken for the present one; the end of each run is logged with its reason.

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -13,7 +13,9 @@
 constexpr Duration kEmptyingLimit = Seconds(9);
 constexpr Duration kSetAside = Seconds(3);
 // While a call is under way, so that a new owner learns of it as well.
-constexpr Duration kKeepEmptyPeriod = Milliseconds(500);
+constexpr Duration kKeepEmptyPeriod = Milliseconds(200);
+// An owner's word that a server is empty is used for this long.
+constexpr Duration kEmptyValid = Milliseconds(500);
 constexpr Duration kCallRepeat = Milliseconds(400);
 constexpr Duration kBusyRepeat = Milliseconds(500);
 constexpr Duration kReportRepeat = Milliseconds(500);
@@ -75,6 +77,8 @@
   duty.since = now;
   duty.started = now;
   duty.next_try = now;
+  // The earlier keeper may have called, so the host may be gone already.
+  duty.called = true;
   duties_[stored->host] = duty;
 }
 
@@ -295,15 +299,34 @@
                                  const VacateAnswer& answer,
                                  Outbox& outbox) {
   for (auto& [host, duty] : duties_) {
-    if (duty.stage != Stage::kEmptying || duty.server != answer.server)
+    bool waits = duty.stage != Stage::kReturning && duty.call_tag == 0;
+    if (duty.server != answer.server || !waits)
       continue;
-    if (answer.state == VacateState::kEmpty && MayCall(duty))
+    if (answer.state != VacateState::kEmpty) {
+      // A new owner of the pool may have used the server again.
+      duty.empty_token = 0;
+      return;
+    }
+    duty.empty_token = answer.token;
+    duty.empty_at = now;
+    if (duty.stage == Stage::kEmptying && MayCall(duty))
       StoreDuty(now, host, duty);
     return;
   }
   (void)outbox;
 }
 
+bool FleetKeeper::IsEmpty(Time now,
+                          const Duty& duty,
+                          const std::map<PoolId, PoolContact>& contacts) const {
+  if (IsStandby(duty.pool))
+    return true;
+  auto contact = contacts.find(duty.pool);
+  return contact != contacts.end() &&
+         contact->second.beat.token == duty.empty_token &&
+         now - duty.empty_at < kEmptyValid;
+}
+
 void FleetKeeper::StoreDuty(Time now, const HostId& host, Duty& duty) {
   duty.stage = Stage::kStoring;
   duty.since = now;
@@ -496,6 +519,11 @@
     return;
   }
   if (duty.stage == Stage::kCalling && duty.call_tag == 0) {
+    if (!duty.called && !IsEmpty(now, duty, contacts)) {
+      duty.next_try = now + kTickPeriod;
+      return;
+    }
+    duty.called = true;
     duty.next_try = now + kCallRepeat;
     if (duty.kind == DutyKind::kMaintain)
       duty.call_tag = outbox.Host(state_.token, MaintainHost{host, duty.wave});
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -95,7 +95,11 @@
     Time started;
     Time next_try;
     Time next_request;  // To keep the server empty.
+    // The pool's owner that said so last, and when.
+    FencingToken empty_token = 0;
+    Time empty_at;
     uint64_t call_tag = 0;
+    bool called = false;  // The call may have been carried out.
   };
   struct Wave {
     MaintenanceWave plan;
@@ -127,6 +131,10 @@
       uint32_t count,
       const std::map<PoolId, PoolContact>& contacts) const;
   bool MayCall(const Duty& duty) const;
+  // The present owner of the pool has said lately that the server is empty.
+  bool IsEmpty(Time now,
+               const Duty& duty,
+               const std::map<PoolId, PoolContact>& contacts) const;
   void KeepEmpty(Time now,
                  Duty& duty,
                  const std::map<PoolId, PoolContact>& contacts,
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -86,7 +86,7 @@
                 server != nullptr && server->listed &&
                 !server->listing.draining && server->clock.known();
   if (!wanted) {
-    RemoveRun(now, ref, "not-wanted");
+    RemoveRun(now, ref, "not-wanted", outbox);
     return;
   }
   StartRun start;
@@ -133,7 +133,7 @@
                           {"reason", std::string(reason)}});
   RunRef ref{task_id, number};
   if (run->phase == RunPhase::kPlanned && run->commit == 0) {
-    RemoveRun(now, ref, "not-wanted");
+    RemoveRun(now, ref, "not-wanted", outbox);
     return;
   }
   if (run->phase != RunPhase::kPlanned)
@@ -202,6 +202,10 @@
   ServerState* server = state_.servers.Find(order.server);
   if (server == nullptr)
     return true;
+  if (reply.born && server->born && *reply.born < *server->born) {
+    OnStaleReply(now, order, *server, reply.tag, outbox);
+    return true;
+  }
   if (reply.born)
     OnBorn(now, order.server, *reply.born, outbox);
   if (reply.clock) {
@@ -209,7 +213,7 @@
     server->contact = now;
   }
   if (reply.outcome == OrderOutcome::kOtherLife) {
-    OnServerGone(now, *server, "other-life");
+    OnServerGone(now, *server, "other-life", outbox);
     // The listing that led to it is out of date.
     server->listed = false;
     server->unlisted_since = now;
@@ -232,6 +236,26 @@
   return true;
 }
 
+void RunControl::OnStaleReply(Time now,
+                              const PendingOrder& order,
+                              ServerState& server,
+                              uint64_t tag,
+                              Outbox& outbox) {
+  if (server.look_tag == tag)
+    server.look_tag = 0;
+  if (server.quick_look_tag == tag)
+    server.quick_look_tag = 0;
+  Task* task = state_.jobs.FindTask(order.run.task);
+  Run* run = task == nullptr ? nullptr : task->FindRun(order.run.run);
+  if (run == nullptr)
+    return;
+  if (order.kind == OrderKind::kStop)
+    run->stop_tag = 0;
+  if (order.kind == OrderKind::kStart && run->phase == RunPhase::kOrdered)
+    RemoveRun(now, order.run, "server-restarted", outbox);
+  CloseResolved();
+}
+
 void RunControl::OnBorn(Time now,
                         const ServerId& id,
                         WallMillis born,
@@ -249,12 +273,13 @@
   server->lease_until = 0;
   server->ended_seen = server->ended_stored = server->ended_sent = 0;
   server->next_look = now;
-  EndLife(now, *server, "server-restarted");
+  EndLife(now, *server, "server-restarted", outbox);
 }
 
 void RunControl::EndLife(Time now,
                          ServerState& server,
-                         std::string_view reason) {
+                         std::string_view reason,
+                         Outbox& outbox) {
   std::vector<RunRef> runs = server.runs;
   for (const RunRef& ref : runs) {
     Task* task = state_.jobs.FindTask(ref.task);
@@ -263,7 +288,7 @@
       continue;
     if (run->phase == RunPhase::kRunning ||
         run->phase == RunPhase::kInherited) {
-      RemoveRun(now, ref, reason);
+      RemoveRun(now, ref, reason, outbox);
       continue;
     }
     if (run->phase == RunPhase::kOrdered)
@@ -276,7 +301,7 @@
 
 void RunControl::OnServerDead(Time now, ServerState& server, Outbox& outbox) {
   size_t runs = server.runs.size();
-  EndLife(now, server, "server-dead");
+  EndLife(now, server, "server-dead", outbox);
   CloseResolved();
   if (runs == server.runs.size())
     return;
@@ -318,7 +343,7 @@
     case OrderOutcome::kNotSent:
       // The connection failed before the order was written.
       server.failed_looks = std::max(server.failed_looks, 1u);
-      RemoveRun(now, order.run, "not-sent");
+      RemoveRun(now, order.run, "not-sent", outbox);
       return;
     default:
       break;
@@ -331,7 +356,7 @@
               {"outcome", static_cast<int64_t>(reply.outcome)}});
   server.held_back_until =
       std::max(server.held_back_until, now + kRefusedHoldBack);
-  RemoveRun(now, order.run, "refused");
+  RemoveRun(now, order.run, "refused", outbox);
 }
 
 void RunControl::OnStopReply(Time now,
@@ -371,9 +396,6 @@
     return;
   }
   server.failed_looks = 0;
-  // A list of an earlier life says nothing about this one.
-  if (reply.born && server.born && *reply.born < *server.born)
-    return;
   ApplyEnds(now, server, reply, outbox);
   ApplyRunning(now, server, reply, outbox);
   ResolveMissing(now, server, order.sent, reply, outbox);
@@ -409,17 +431,12 @@
     OnLateEnd(now, *job, *task, ended, outbox);
   if (!known)
     return;
-  outbox.Log("run-ended", {{"task", FormatTask(ended.task)},
-                           {"run", static_cast<int64_t>(ended.run)},
-                           {"server", server.listing.id.str()},
-                           {"end", std::string(EndName(ended.end))},
-                           {"ran_ms", ToMillis(now - run->ordered)}});
   if (ended.end != RunEnd::kDone && !ended.checkpoint.empty())
     task->checkpoint = ended.checkpoint;
   if (ended.end == RunEnd::kDone)
     LearnRunTime(now, *job, *task, *run, server);
   state_.jobs.Touch(*job);
-  RemoveRun(now, ref, EndName(ended.end));
+  RemoveRun(now, ref, EndName(ended.end), outbox);
   if (IsFinal(job->state))
     return;
   switch (ended.end) {
@@ -607,15 +624,15 @@
         break;
       case RunPhase::kInherited:
         // The look carried the new token: no earlier start can follow.
-        RemoveRun(now, ref, "not-inherited");
+        RemoveRun(now, ref, "not-inherited", outbox);
         break;
       case RunPhase::kRunning:
         if (stopped_before || run->since <= look_sent)
-          RemoveRun(now, ref, "vanished");
+          RemoveRun(now, ref, "vanished", outbox);
         break;
       case RunPhase::kUncertain:
         if (stopped_before)
-          RemoveRun(now, ref, "never-started");
+          RemoveRun(now, ref, "never-started", outbox);
         else if (run->since <= look_sent && run->stop_tag == 0)
           SendStop(now, ref, *run, outbox);
         break;
@@ -625,13 +642,18 @@
 
 void RunControl::RemoveRun(Time now,
                            const RunRef& ref,
-                           std::string_view reason) {
+                           std::string_view reason,
+                           Outbox& outbox) {
   Job* job = state_.jobs.Find(ref.task.job);
   Task* task = state_.jobs.FindTask(ref.task);
   Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
   if (run == nullptr)
     return;
-  (void)reason;
+  outbox.Log("run-over", {{"task", FormatTask(ref.task)},
+                          {"run", static_cast<int64_t>(ref.run)},
+                          {"server", run->server.str()},
+                          {"reason", std::string(reason)},
+                          {"ran_ms", ToMillis(now - run->ordered)}});
   state_.servers.RemoveRun(run->server, ref,
                            PoolState::CountedRequest(job->StepOf(*task)));
   if (job->StepOf(*task).long_running && !task->missing_since)
@@ -653,10 +675,11 @@
 
 void RunControl::OnServerGone(Time now,
                               ServerState& server,
-                              std::string_view reason) {
+                              std::string_view reason,
+                              Outbox& outbox) {
   std::vector<RunRef> runs = server.runs;
   for (const RunRef& ref : runs)
-    RemoveRun(now, ref, reason);
+    RemoveRun(now, ref, reason, outbox);
 }
 
 void RunControl::SendLook(Time now,
@@ -739,10 +762,7 @@
       continue;
     if (lapsed && HasLapsed(*run, server, now)) {
       ++state_.counters.runs_lapsed;
-      outbox.Log("run-lapsed", {{"task", FormatTask(ref.task)},
-                                {"run", static_cast<int64_t>(ref.run)},
-                                {"server", server.listing.id.str()}});
-      RemoveRun(now, ref, "lapsed");
+      RemoveRun(now, ref, "lapsed", outbox);
       continue;
     }
     bool stop = run->stop_wanted || run->phase == RunPhase::kUncertain;
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -106,13 +106,28 @@
                     ServerState& server,
                     Outbox& outbox);
   // The run is over and never starts. The job stays until CloseResolved().
-  void RemoveRun(Time now, const RunRef& ref, std::string_view reason);
+  void RemoveRun(Time now,
+                 const RunRef& ref,
+                 std::string_view reason,
+                 Outbox& outbox);
   // Closes the jobs that have ended and lost their last run.
   void CloseResolved();
   // Ends the runs of a life of the server that is over. Starts without an
   // answer may reach a later life: they have to be stopped there, or to lapse.
-  void EndLife(Time now, ServerState& server, std::string_view reason);
-  void OnServerGone(Time now, ServerState& server, std::string_view reason);
+  void EndLife(Time now,
+               ServerState& server,
+               std::string_view reason,
+               Outbox& outbox);
+  void OnServerGone(Time now,
+                    ServerState& server,
+                    std::string_view reason,
+                    Outbox& outbox);
+  // An answer of a life of the server that is over.
+  void OnStaleReply(Time now,
+                    const PendingOrder& order,
+                    ServerState& server,
+                    uint64_t tag,
+                    Outbox& outbox);
 
   void SendStop(Time now, const RunRef& ref, Run& run, Outbox& outbox);
   void SendLook(Time now,
--- a/radishmoor/jobs/testing/job_world.cc
+++ b/radishmoor/jobs/testing/job_world.cc
@@ -82,6 +82,7 @@
   bool cancel_wanted = false;
   std::optional<Time> cancelled;  // Acknowledged.
   std::optional<JobState> shown;  // Last.
+  Time final_at;                  // When a final state was first shown.
   bool refused_only = true;       // No try had another outcome.
   bool started = false;
   std::map<TaskId, uint32_t> failures;
@@ -157,8 +158,8 @@
 }
 
 void JobWorld::Violation(std::string what) {
-  violations_.push_back("at " + std::to_string(now_.time_since_epoch().count() /
-                                               1000) +
+  violations_.push_back("at " +
+                        std::to_string(now_.time_since_epoch().count() / 1000) +
                         " ms: " + std::move(what));
 }
 
@@ -177,8 +178,7 @@
   node.up = true;
   node.wake_at = kTimeMax;
   uint64_t life = ++node.life;
-  OnNode(index, life,
-         [this](NodeCore& core) { core.Start(now_, wall()); });
+  OnNode(index, life, [this](NodeCore& core) { core.Start(now_, wall()); });
 }
 
 void JobWorld::OnNode(int index,
@@ -188,9 +188,10 @@
   if (!node.up || node.life != life)
     return;
   if (now_ < node.frozen_until) {
-    At(node.frozen_until, [this, index, life, step = std::move(step)]() mutable {
-      OnNode(index, life, std::move(step));
-    });
+    At(node.frozen_until,
+       [this, index, life, step = std::move(step)]() mutable {
+         OnNode(index, life, std::move(step));
+       });
     return;
   }
   step(*node.core);
@@ -462,8 +463,7 @@
       target = server.get();
   }
   bool late = look == nullptr && random_.Chance(options_.late_orders);
-  bool cut =
-      now_ < nodes_[static_cast<size_t>(index)]->servers_cut_until;
+  bool cut = now_ < nodes_[static_cast<size_t>(index)]->servers_cut_until;
   if (target == nullptr || cut) {
     answer(timeout, lost);
     return;
@@ -509,7 +509,8 @@
         return;
       *answered = true;
       OrderToServer again = order;
-      std::get<ExtendLease>(again.order).lease_until = 0;
+      // The lease and the acknowledgement took effect at the arrival.
+      std::get<ExtendLease>(again.order) = {};
       answer(Latency(), Apply(*target, again));
     };
     target->held.push_back({finish});
@@ -566,8 +567,8 @@
       double share = static_cast<double>((now_ - run.started).count()) /
                      static_cast<double>(run.length.count());
       auto caller = callers_.find(task.job);
-      bool long_running = caller != callers_.end() &&
-                          caller->second->spec.long_running();
+      bool long_running =
+          caller != callers_.end() && caller->second->spec.long_running();
       reply.running.push_back(
           {task, run.run, run.checkpoint,
            long_running ? 100
@@ -617,8 +618,7 @@
     if (!server.up || server.life != life || found == server.running.end() ||
         found->second.run != number)
       return;
-    EndRun(server, task,
-           found->second.fails ? RunEnd::kFailed : RunEnd::kDone);
+    EndRun(server, task, found->second.fails ? RunEnd::kFailed : RunEnd::kDone);
   });
 }
 
@@ -659,8 +659,8 @@
           done = done || (ended.task == earlier && ended.end == RunEnd::kDone);
       }
       auto ends = caller.failures.find(earlier);
-      done = done ||
-             (ends != caller.failures.end() && ends->second == UINT32_MAX);
+      done =
+          done || (ends != caller.failures.end() && ends->second == UINT32_MAX);
       if (!done)
         Violation(name + " starts before " + FormatTask(earlier) + " is done");
     }
@@ -720,8 +720,8 @@
 void JobWorld::SubmitJob() {
   if (!callers_on_)
     return;
-  After(random_.Exponential(Duration(
-            static_cast<int64_t>(1e6 / options_.jobs_per_second))),
+  After(random_.Exponential(
+            Duration(static_cast<int64_t>(1e6 / options_.jobs_per_second))),
         [this] { SubmitJob(); });
   auto caller = std::make_unique<Caller>();
   caller->id = JobId(Hex(random_.Next()));
@@ -738,7 +738,8 @@
     step.count = static_cast<uint32_t>(1 + random_.Below(6));
     step.request = {static_cast<int64_t>(200 + random_.Below(2500)),
                     static_cast<int64_t>(100 + random_.Below(4000)), 0};
-    step.estimate = Milliseconds(static_cast<int64_t>(100 + random_.Below(900)));
+    step.estimate =
+        Milliseconds(static_cast<int64_t>(100 + random_.Below(900)));
     if (i > 0)
       step.after = {i - 1};
     step.long_running = long_running;
@@ -754,7 +755,8 @@
   caller->cancel_wanted = long_running || random_.Chance(0.05);
   Caller& added = *caller;
   callers_[added.id] = std::move(caller);
-  SendCall(added, radishmoor::SubmitJob{"jobs.example", added.path, added.spec});
+  SendCall(added,
+           radishmoor::SubmitJob{"jobs.example", added.path, added.spec});
 }
 
 void JobWorld::SendCall(Caller& caller, JobCallRequest request) {
@@ -764,6 +766,7 @@
   call.id = next_call_++;
   call.request = std::move(request);
   calls_[call.id] = caller.id;
+  call_sent_[call.id] = now_;
   caller.last_try = now_;
   if (std::holds_alternative<radishmoor::SubmitJob>(call.request)) {
     ++caller.tries;
@@ -782,9 +785,8 @@
     return;
   After(Latency(), [this, index, life = node.life, call]() mutable {
     call.arrived = now_;
-    OnNode(index, life, [this, call](NodeCore& core) {
-      core.OnCall(now_, wall(), call);
-    });
+    OnNode(index, life,
+           [this, call](NodeCore& core) { core.OnCall(now_, wall(), call); });
   });
 }
 
@@ -803,6 +805,9 @@
       return;
     case CallOutcome::kState: {
       JobState before = caller.shown.value_or(JobState::kQueued);
+      // Answers to calls that crossed may come in another order.
+      if (IsFinal(before) && call_sent_[answer.id] < caller.final_at)
+        return;
       if (IsFinal(before) && answer.state != before)
         Violation(caller.id.str() + " changes its state after its end");
       if (answer.state == JobState::kCompleted) {
@@ -818,6 +823,7 @@
       if (answer.state == JobState::kCancelled && !caller.cancel_wanted)
         Violation(caller.id.str() + " is shown as cancelled without cause");
       if (!IsFinal(before) && IsFinal(answer.state)) {
+        caller.final_at = now_;
         counts_.completed += answer.state == JobState::kCompleted ? 1 : 0;
         counts_.failed += answer.state == JobState::kFailed ? 1 : 0;
         counts_.cancelled += answer.state == JobState::kCancelled ? 1 : 0;
@@ -910,8 +916,8 @@
     Server& s = *servers_[i];
     if (s.up || s.maintenance)
       return;
-    StartServer(i, same_id ? s.id
-                           : ServerId("s" + std::to_string(next_server_++)));
+    StartServer(
+        i, same_id ? s.id : ServerId("s" + std::to_string(next_server_++)));
   });
 }
 
--- a/radishmoor/jobs/testing/job_world.h
+++ b/radishmoor/jobs/testing/job_world.h
@@ -140,6 +140,7 @@
   std::vector<std::unique_ptr<Server>> servers_;
   std::map<JobId, std::unique_ptr<Caller>> callers_;
   std::map<JobCallId, JobId> calls_;
+  std::map<JobCallId, Time> call_sent_;
   JobCallId next_call_ = 1;
   uint64_t next_server_ = 1;
   Time store_down_until_;
