--- /dev/null
+++ b/radishmoor/jobs/testing/job_codec_test.cc
@@ -0,0 +1,143 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+#include "radishmoor/jobs/job_rows.h"
+#include "radishmoor/jobs/peer_frames.h"
+
+namespace radishmoor {
+namespace {
+
+JobSpec SampleJob() {
+  JobSpec spec;
+  spec.queue = QueueId("q");
+  spec.payload = std::string("bytes \0 \xff", 9);
+  StepSpec first;
+  first.count = 3;
+  first.request = {500, 256, 1};
+  first.estimate = Milliseconds(900);
+  first.checkpointing = true;
+  first.requirement = "b";
+  first.data_rack = RackId("r1-3");
+  StepSpec second;
+  second.after = {0};
+  second.long_running = true;
+  second.max_per_server = 1;
+  second.tail_limit = Milliseconds(40);
+  second.allowed_missing = 2;
+  spec.steps = {first, second};
+  spec.submitted_at = 1'800'000'000'123;
+  return spec;
+}
+
+TEST_CASE("a job survives its encoding", "[codec]") {
+  JobSpec spec = SampleJob();
+  std::optional<JobSpec> decoded = DecodeJob(EncodeJob(spec));
+  REQUIRE(decoded);
+  REQUIRE(decoded->payload == spec.payload);
+  REQUIRE(decoded->steps.size() == 2);
+  REQUIRE(decoded->steps[0].request == spec.steps[0].request);
+  REQUIRE(decoded->steps[0].checkpointing);
+  REQUIRE_FALSE(decoded->steps[0].gang);
+  REQUIRE(decoded->steps[0].data_rack == RackId("r1-3"));
+  REQUIRE(decoded->steps[1].after == std::vector<uint32_t>{0});
+  REQUIRE(decoded->steps[1].long_running);
+  REQUIRE(decoded->steps[1].tail_limit == Milliseconds(40));
+  REQUIRE(decoded->submitted_at == spec.submitted_at);
+}
+
+TEST_CASE("progress and lease rows survive their encoding", "[codec]") {
+  StoredProgress progress;
+  progress.state = JobState::kInProgress;
+  progress.begun = true;
+  progress.finished_below = 2;
+  progress.occurrences.push_back(
+      {2, {{1, true, 1, 3, "", {}}, {4, false, 0, 1, "c", {{1, ServerId("s")}}}}});
+  std::optional<StoredProgress> decoded =
+      DecodeProgress(EncodeProgress(progress));
+  REQUIRE(decoded);
+  REQUIRE(decoded->finished_below == 2);
+  REQUIRE(decoded->occurrences.size() == 1);
+  REQUIRE(decoded->occurrences[0].tasks[0].done);
+  REQUIRE(decoded->occurrences[0].tasks[1].runs[0].server == ServerId("s"));
+
+  LeaseRow lease{MemberId("n"), "10.0.0.1:1", 7, 9, true, MemberId("m"),
+                 Milliseconds(1234)};
+  std::optional<LeaseRow> row = DecodeLease(EncodeLease(lease));
+  REQUIRE(row);
+  REQUIRE(row->token == 7);
+  REQUIRE(row->earlier_leases == Milliseconds(1234));
+  REQUIRE(row->released);
+}
+
+TEST_CASE("messages survive their encoding", "[codec]") {
+  OwnerBeat beat;
+  beat.pool = PoolId("p");
+  beat.token = 4;
+  beat.queues = {{QueueId("q"), 12, Milliseconds(700)}};
+  beat.spare_servers = {ServerId("s1"), ServerId("s2")};
+  beat.min_servers = 5;
+  std::optional<JobPeerEnvelope> envelope =
+      DecodeJobPeer(EncodeJobPeer({MemberId("n"), "10.0.0.1:1", beat}));
+  REQUIRE(envelope);
+  const auto& decoded = std::get<OwnerBeat>(envelope->message);
+  REQUIRE(decoded.queues[0].pending == 12);
+  REQUIRE(decoded.spare_servers == beat.spare_servers);
+  REQUIRE(decoded.min_servers == 5);
+
+  JobNotice notice{PoolId("p"), JobId("j"), SampleJob(), Milliseconds(5), 77};
+  envelope = DecodeJobPeer(EncodeJobPeer({MemberId("n"), "", notice}));
+  REQUIRE(envelope);
+  REQUIRE(std::get<JobNotice>(envelope->message).request == 77);
+  REQUIRE(std::get<JobNotice>(envelope->message).spec.payload ==
+          notice.spec.payload);
+}
+
+// Guards against rows and messages of other writers that end the process.
+TEST_CASE("arbitrary bytes are refused, not followed", "[codec]") {
+  rc::prop("decoders never throw", [](const std::string& bytes) {
+    DecodeJob(bytes);
+    DecodeProgress(bytes);
+    DecodeLease(bytes);
+    DecodeNode(bytes);
+    DecodeDuty(bytes);
+    DecodeJobPeer(bytes);
+  });
+  rc::prop("cut rows never throw", [] {
+    std::string bytes = EncodeJob(SampleJob());
+    auto size = *rc::gen::inRange<size_t>(0, bytes.size());
+    DecodeJob(std::string_view(bytes).substr(0, size));
+  });
+}
+
+TEST_CASE("task names are parsed as they are formatted", "[codec]") {
+  TaskId task{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
+  REQUIRE(FormatTask(task) == "5c0e7a21d94b36f8.3.1.17");
+  REQUIRE(ParseTask(FormatTask(task)) == task);
+  REQUIRE_FALSE(ParseTask("a.b.c.d"));
+  REQUIRE_FALSE(ParseTask("1.2.3"));
+  REQUIRE_FALSE(ParseTask(""));
+}
+
+// Guards against jobs that could never be ended, or that need unbounded memory.
+TEST_CASE("jobs that cannot run are refused", "[codec]") {
+  JobSpec spec = SampleJob();
+  REQUIRE_FALSE(CheckJob(spec));
+  spec.steps[0].after = {1};
+  REQUIRE(CheckJob(spec) == "the steps wait for each other");
+  spec.steps[0].after = {5};
+  REQUIRE(CheckJob(spec));
+  spec = SampleJob();
+  spec.payload.assign(kMaxPayloadBytes + 1, 'x');
+  REQUIRE(CheckJob(spec));
+  spec = SampleJob();
+  spec.steps[0].count = 0;
+  REQUIRE(CheckJob(spec));
+  spec.steps[0].count = kMaxTasksPerJob + 1;
+  REQUIRE(CheckJob(spec));
+  spec.steps.clear();
+  REQUIRE(CheckJob(spec));
+}
+
+}  // namespace
+}  // namespace radishmoor
