Recognise repeated submissions after a queue has moved to another pool

Cause: a queue whose route goes to another service stores jobs in another partition; a repeat whose first answer was lost would be stored twice.

Change: for 20 s after such a change submissions look in the earlier pool first.

--- a/radishmoor/jobs/intake.cc
+++ b/radishmoor/jobs/intake.cc
@@ -23,6 +23,8 @@
 constexpr Duration kUnavailableRetry = Seconds(1);
 // A store that is lost stays away for some seconds as a rule.
 constexpr Duration kStoreLostRetry = Seconds(2);
+// Callers repeat a submission within this time.
+constexpr Duration kMovedQueueTime = Seconds(20);
 constexpr size_t kJobIdDigits = 16;
 constexpr size_t kMaxOpenCalls = 2000;
 
@@ -34,9 +36,15 @@
 
 }  // namespace
 
-void Intake::OnConfig(const JobConfig& config) {
-  if (config.version >= config_.version)
-    config_ = config;
+void Intake::OnConfig(Time now, const JobConfig& config) {
+  if (config.version < config_.version)
+    return;
+  for (const QueueConfig& queue : config.queues) {
+    const QueueConfig* before = config_.FindQueue(queue.id);
+    if (before != nullptr && before->pool != queue.pool)
+      moved_[queue.id] = {before->pool, now};
+  }
+  config_ = config;
 }
 
 Intake::Route Intake::FindRoute(std::string_view host,
@@ -115,8 +123,12 @@
     return;
   }
   if (call.kind == Kind::kSubmit) {
-    if (!HandOver(now, id, call, outbox))
-      Store(now, id, call, outbox);
+    auto moved = moved_.find(call.queue);
+    if (moved != moved_.end() && now - moved->second.at < kMovedQueueTime) {
+      ReadPool(id, call, moved->second.earlier, outbox);
+      return;
+    }
+    Submit(now, id, call, outbox);
     return;
   }
   const PoolOwner* owner = leases_.OwnerOf(call.pool);
@@ -137,6 +149,11 @@
     outbox.Send(owner->node, owner->address, query);
 }
 
+void Intake::Submit(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
+  if (!HandOver(now, id, call, outbox))
+    Store(now, id, call, outbox);
+}
+
 bool Intake::HandOver(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
   auto local = local_beats_.find(call.pool);
   const PoolOwner* owner = leases_.OwnerOf(call.pool);
@@ -223,7 +240,6 @@
 
 void Intake::Read(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
   (void)now;
-  call.stage = Stage::kReading;
   call.pools_to_read.clear();
   for (const QueueConfig& queue : config_.queues) {
     if (queue.pool != call.pool &&
@@ -231,8 +247,16 @@
                   queue.pool) == call.pools_to_read.end())
       call.pools_to_read.push_back(queue.pool);
   }
+  ReadPool(id, call, call.pool, outbox);
+}
+
+void Intake::ReadPool(JobCallId id,
+                      OpenCall& call,
+                      const PoolId& pool,
+                      Outbox& outbox) {
+  call.stage = Stage::kReading;
   uint64_t tag = outbox.Store(
-      ReadRows{{ProgressKey(call.pool, call.job), JobKey(call.pool, call.job)}},
+      ReadRows{{ProgressKey(pool, call.job), JobKey(pool, call.job)}},
       kStoreTimeout);
   store_calls_[tag] = id;
 }
@@ -252,6 +276,13 @@
   }
   const Row& progress = rows->rows[0];
   const Row& definition = rows->rows[1];
+  if (call.kind == Kind::kSubmit) {
+    if (definition.version != 0)
+      OnAccepted(now, id, true, outbox);
+    else
+      Submit(now, id, call, outbox);
+    return;
+  }
   if (progress.version == 0 && definition.version == 0) {
     // The queue may have belonged to another pool when the job was accepted.
     if (call.pools_to_read.empty()) {
@@ -260,10 +291,7 @@
     }
     call.pool = call.pools_to_read.back();
     call.pools_to_read.pop_back();
-    uint64_t tag = outbox.Store(ReadRows{{ProgressKey(call.pool, call.job),
-                                          JobKey(call.pool, call.job)}},
-                                kStoreTimeout);
-    store_calls_[tag] = id;
+    ReadPool(id, call, call.pool, outbox);
     return;
   }
   ++counters_.states_from_store;
@@ -461,7 +489,10 @@
         Read(now, id, call, outbox);
         break;
       case Stage::kReading:
-        Read(now, id, call, outbox);
+        if (call.kind == Kind::kSubmit)
+          Start(now, id, call, outbox);
+        else
+          Read(now, id, call, outbox);
         break;
       case Stage::kMarking:
         Mark(now, id, call, outbox);
--- a/radishmoor/jobs/intake.h
+++ b/radishmoor/jobs/intake.h
@@ -31,7 +31,7 @@
       : node_(std::move(node)), leases_(leases) {}
 
   // The newest configuration; versions only grow.
-  void OnConfig(const JobConfig& config);
+  void OnConfig(Time now, const JobConfig& config);
   void OnCall(Time now, WallMillis wall, JobCall call, Outbox& outbox);
   // The caller has gone: nothing is answered any more. A submission under way
   // may still be stored.
@@ -86,9 +86,14 @@
   Route FindRoute(std::string_view host, std::string_view path) const;
   void Start(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   // Hands a submission to the pool's owner; false if none is known to be well.
+  void Submit(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   bool HandOver(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void Store(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void OnAccepted(Time now, JobCallId id, bool repeat, Outbox& outbox);
+  void ReadPool(JobCallId id,
+                OpenCall& call,
+                const PoolId& pool,
+                Outbox& outbox);
   void Read(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void Mark(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void OnStored(Time now, JobCallId id, const StoreReply& reply, Outbox& out);
@@ -108,7 +113,15 @@
 
   MemberId node_;
   const PoolLeases& leases_;
+  // Queues that went to another pool lately: a repeated submission may have been
+  // stored for the earlier one.
+  struct MovedQueue {
+    PoolId earlier;
+    Time at;
+  };
+
   JobConfig config_;
+  std::map<QueueId, MovedQueue> moved_;
   std::map<JobCallId, OpenCall> calls_;
   std::map<uint64_t, JobCallId> store_calls_;
   std::map<uint64_t, JobCallId> owner_calls_;
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -135,7 +135,7 @@
                 {{"version", static_cast<int64_t>(config_.version)},
                  {"queues", static_cast<int64_t>(config_.queues.size())},
                  {"pools", static_cast<int64_t>(config_.pools.size())}});
-    intake_.OnConfig(config_);
+    intake_.OnConfig(now, config_);
     for (auto& [pool, scheduler] : schedulers_)
       scheduler->OnConfig(config_);
     if (fleet_ != nullptr)
