Make an owner's work grow with what is due, not with all it knows

Ruled out: the store (60 commits a second, renewals 30 ms old); room (a sixth of the cores used).

Change: ticks only when due; plan just before a commit; ends are acknowledged server by server; changes are stored in their order; larger hosts take pools first; a new site keeps its pools until it is used; waves leave a pool that gets busy; a line each second on how full a pool is.

--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -72,6 +72,7 @@
   3: string zone
   4: i64 incarnation
   5: bool leaving
+  6: i32 capacity
 }
 
 // The intent of a call to the platform's host API, written before the call.
--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -8,7 +8,8 @@
 namespace {
 
 // Commits are at least this far apart, so that changes gather; each call to
-// the store is paid for and a partition carries 200 a second.
+// the store is paid for and a partition carries 200 a second. Changes that fill
+// a commit do not wait.
 constexpr Duration kMinGap = Milliseconds(15);
 // Without changes the lease is renewed this often.
 constexpr Duration kRenewPeriod = Milliseconds(500);
@@ -33,7 +34,7 @@
   if (commit_.tag != 0 || lost_ || released_)
     return;
   bool changed = !state_.jobs.dirty().empty() || !rows_.empty() || releasing_;
-  Time due = changed ? last_sent_ + kMinGap : renewed_ + kRenewPeriod;
+  Time due = changed ? last_sent_ + Gap() : renewed_ + kRenewPeriod;
   due = std::max(due, not_before_);
   if (now < due) {
     next_wake_ = due;
@@ -42,6 +43,17 @@
   Send(now, outbox);
 }
 
+Duration CommitChain::Gap() const {
+  bool full = state_.jobs.dirty().size() >= kMaxEntries / 2;
+  return full ? Duration::zero() : kMinGap;
+}
+
+Time CommitChain::ready_at() const {
+  if (commit_.tag != 0 || lost_ || released_)
+    return kTimeMax;
+  return std::max(last_sent_ + Gap(), not_before_);
+}
+
 void CommitChain::Send(Time now, Outbox& outbox) {
   commit_ = InFlight{};
   commit_.sent = now;
@@ -80,20 +92,21 @@
 
 void CommitChain::AddJobs(InFlight& commit, Transaction& transaction) {
   size_t bytes = 0;
-  std::vector<JobId> dirty(state_.jobs.dirty().begin(),
-                           state_.jobs.dirty().end());
-  bool all = true;
+  std::vector<JobId> dirty;
+  for (const auto& [number, id] : state_.jobs.dirty()) {
+    dirty.push_back(id);
+    if (dirty.size() == kMaxEntries)
+      break;
+  }
   for (const JobId& id : dirty) {
-    if (transaction.writes.size() + 2 > kMaxEntries || bytes > kMaxBytes) {
-      all = false;
+    if (transaction.writes.size() + 2 > kMaxEntries || bytes > kMaxBytes)
       break;
-    }
     Job& job = *state_.jobs.Find(id);
     std::string value = EncodeProgress(state_.jobs.ProgressOf(job));
     bytes += value.size();
     transaction.writes.push_back(
         {ProgressKey(state_.pool, id), std::move(value)});
-    InFlight::JobPart part{id, job.state};
+    InFlight::JobPart part{id, job.state, job.changes};
     if (IsFinal(job.state) && !job.HasRuns() && !job.definition_dropped) {
       transaction.writes.push_back(
           {JobKey(state_.pool, id), std::string(kEndedJobMark)});
@@ -106,31 +119,23 @@
       part.definition_stored = true;
     }
     commit.jobs.push_back(std::move(part));
-    state_.jobs.ClearDirty(id);
+    state_.jobs.ClearDirty(job);
+    AddStarts(id, commit);
   }
-  std::vector<RunRef> later;
-  for (const RunRef& ref : state_.planned) {
-    bool included = std::any_of(
-        commit.jobs.begin(), commit.jobs.end(),
-        [&ref](const InFlight::JobPart& p) { return p.job == ref.task.job; });
+}
+
+void CommitChain::AddStarts(const JobId& job, InFlight& commit) {
+  auto planned = state_.planned.extract(job);
+  if (planned.empty())
+    return;
+  for (const RunRef& ref : planned.mapped()) {
     Task* task = state_.jobs.FindTask(ref.task);
     Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
     if (run == nullptr || run->phase != RunPhase::kPlanned)
       continue;
-    if (!included) {
-      later.push_back(ref);
-      continue;
-    }
     run->commit = commit.sequence;
     commit.starts.push_back(ref);
   }
-  state_.planned = std::move(later);
-  if (!all)
-    return;
-  for (const auto& [id, server] : state_.servers.all()) {
-    if (server.ended_seen > server.ended_stored)
-      commit.ends.push_back({id, server.ended_seen, server.born});
-  }
 }
 
 void CommitChain::Write(RowWrite write) {
@@ -156,7 +161,7 @@
     OnStored(now, done->versions.empty() ? 0 : done->versions.front(), stored);
     return true;
   }
-  Revert(now);
+  Revert();
   if (const auto* conflict = std::get_if<ConflictReply>(&answer.reply)) {
     OnConflict(now, conflict->rows);
   } else if (std::holds_alternative<UnknownReply>(answer.reply)) {
@@ -180,16 +185,12 @@
     if (job == nullptr)
       continue;
     job->shown = part.state;
+    job->stored_changes = std::max(job->stored_changes, part.changes);
     job->definition_stored = job->definition_stored || part.definition_stored ||
                              part.definition_dropped;
     job->definition_dropped =
         job->definition_dropped || part.definition_dropped;
   }
-  for (const InFlight::EndsPart& part : commit_.ends) {
-    ServerState* server = state_.servers.Find(part.server);
-    if (server != nullptr && server->born == part.born)
-      server->ended_stored = std::max(server->ended_stored, part.sequence);
-  }
   for (const auto& [key, change] : commit_.rows) {
     auto it = rows_.find(key);
     if (it == rows_.end() || it->second.change != change)
@@ -203,15 +204,14 @@
   commit_ = InFlight{};
 }
 
-void CommitChain::Revert(Time now) {
-  (void)now;
+void CommitChain::Revert() {
   for (const InFlight::JobPart& part : commit_.jobs) {
     Job* job = state_.jobs.Find(part.job);
     if (job != nullptr)
       state_.jobs.Touch(*job);
   }
   for (const RunRef& ref : commit_.starts)
-    state_.planned.push_back(ref);
+    state_.planned[ref.task.job].push_back(ref);
   commit_.tag = 0;
 }
 
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -16,7 +16,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,6 +49,8 @@
   // renewed. One commit is in flight at a time.
   void Tick(Time now, Outbox& outbox);
   Time next_wake() const { return next_wake_; }
+  // When a commit with changes could be sent; kTimeMax while one is in flight.
+  Time ready_at() const;
 
   // True if the answer belonged to this chain. `stored` is filled when a commit
   // was stored.
@@ -80,29 +81,26 @@
     struct JobPart {
       JobId job;
       JobState state = JobState::kQueued;
+      uint64_t changes = 0;
       bool definition_stored = false;
       bool definition_dropped = false;
     };
     std::vector<JobPart> jobs;
     std::vector<RunRef> starts;
-    struct EndsPart {
-      ServerId server;
-      uint64_t sequence = 0;
-      std::optional<WallMillis> born;  // The life that listed them.
-    };
-    std::vector<EndsPart> ends;
     std::vector<std::pair<std::string, uint64_t>> rows;  // Key, change.
     bool released = false;
   };
 
+  Duration Gap() const;
   void Send(Time now, Outbox& outbox);
   void AddLease(Time now, InFlight& commit, Transaction& transaction);
   void AddJobs(InFlight& commit, Transaction& transaction);
+  void AddStarts(const JobId& job, InFlight& commit);
   void AddRows(InFlight& commit, Transaction& transaction);
   void OnStored(Time now, RowVersion version, Stored* stored);
   void OnConflict(Time now, const std::vector<Row>& rows);
   // Takes the content of the commit in flight back.
-  void Revert(Time now);
+  void Revert();
 
   PoolState& state_;
   Options options_;
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -24,7 +24,8 @@
 // A host that cannot be emptied in this time stays in its pool.
 constexpr Duration kMovePatience = Milliseconds(2500);
 constexpr Duration kSizingPeriod = Milliseconds(200);
-constexpr uint32_t kMaxMovesAtOnce = 8;
+// Of the rate at which the platform takes calls; waves need the rest.
+constexpr double kMoveShare = 0.8;
 // Pools with a larger share of their cores in use are spared by waves that have
 // time. A round of maintenance takes about kRoundTime.
 constexpr double kBusyPool = 0.5;
@@ -493,7 +494,9 @@
   }
   next_sizing_ = now + kSizingPeriod;
   std::vector<PoolSize> sizes = Sizes(contacts);
-  for (const HostMoves& moves : sizing_.Plan(now, sizes, kMaxMovesAtOnce)) {
+  auto limit = static_cast<uint32_t>(kMoveShare * options_.bounds.duty_rate *
+                                     ToSeconds(kSizingPeriod));
+  for (const HostMoves& moves : sizing_.Plan(now, sizes, limit)) {
     for (const HostId& host : Movable(moves.from, moves.count, contacts)) {
       Duty duty;
       duty.kind = DutyKind::kMove;
@@ -591,7 +594,14 @@
         duty.stage == Stage::kEmptying &&
         (listing == hosts_.end() || listing->second.state != HostState::kUp ||
          listing->second.server != duty.server);
-    if (stuck || changed) {
+    auto owner = contacts.find(duty.pool);
+    auto wave_of = waves_.find(duty.wave);
+    bool pool_got_busy = duty.stage == Stage::kEmptying &&
+                         duty.kind == DutyKind::kMaintain &&
+                         wave_of != waves_.end() && owner != contacts.end() &&
+                         owner->second.demand_share() >= kBusyPool &&
+                         HasTime(now, wave_of->second);
+    if (stuck || changed || pool_got_busy) {
       auto contact = contacts.find(duty.pool);
       if (contact != contacts.end())
         outbox.Send(contact->second.node, contact->second.address,
--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -11,8 +11,10 @@
 // A host that moves serves its new pool after about this time.
 constexpr double kLeadSeconds = 2.5;
 constexpr Duration kSurplusTime = Milliseconds(2500);
-// Queues are as a rule quiet before the first callers come.
-constexpr Duration kStartTime = Seconds(12);
+// Queues are quiet before the first callers come: until a pool has this share
+// of its cores in use, or the time has passed, all pools keep their hosts.
+constexpr double kUsedShare = 0.25;
+constexpr Duration kStartTime = Seconds(30);
 // The slope follows demand with this weight at each plan.
 constexpr double kDemandWeight = 0.4;
 constexpr double kSlopeWeight = 0.3;
@@ -51,7 +53,7 @@
 }
 
 bool FleetSizing::InStartTime(Time now) const {
-  return new_site_ && now - *started_ < kStartTime;
+  return new_site_ && !used_ && now - *started_ < kStartTime;
 }
 
 uint32_t FleetSizing::NeededLately(Time now, const PoolSize& pool) {
@@ -86,6 +88,8 @@
     }
     if (!pool.known)
       continue;
+    double cores = pool.cores_per_host * pool.hosts;
+    used_ = used_ || pool.demand_cores > kUsedShare * cores;
     uint32_t needed = Needed(now, pool);
     uint32_t lately = NeededLately(now, pool);
     uint32_t staying = pool.hosts - std::min(pool.hosts, pool.leaving);
--- a/radishmoor/jobs/fleet_sizing.h
+++ b/radishmoor/jobs/fleet_sizing.h
@@ -8,7 +8,7 @@
 //
 // A move costs as much as a host in a pool for a second or so, so a pool gives
 // hosts up only when it had too many for a while, by the highest demand of that
-// time. In the first seconds nothing is known of the queues, so all keep
+// time. Before a new site is used nothing is known of its queues, so all keep
 // theirs.
 
 #ifndef RADISHMOOR_JOBS_FLEET_SIZING_H_
@@ -78,6 +78,7 @@
   bool InStartTime(Time now) const;
 
   bool new_site_;
+  bool used_ = false;
   std::map<PoolId, History> history_;
   std::optional<Time> started_;
 };
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -1592,6 +1592,10 @@
 void Node::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void Node::__set_capacity(const int32_t val) {
+  this->capacity = val;
+}
 std::ostream& operator<<(std::ostream& out, const Node& obj)
 {
   obj.printTo(out);
@@ -1660,6 +1664,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->capacity);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1697,6 +1709,10 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->capacity);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1709,6 +1725,7 @@
   swap(a.zone, b.zone);
   swap(a.incarnation, b.incarnation);
   swap(a.leaving, b.leaving);
+  swap(a.capacity, b.capacity);
   swap(a.__isset, b.__isset);
 }
 
@@ -1718,6 +1735,7 @@
   zone = other58.zone;
   incarnation = other58.incarnation;
   leaving = other58.leaving;
+  capacity = other58.capacity;
   __isset = other58.__isset;
 }
 Node::Node(Node&& other59) noexcept {
@@ -1726,6 +1744,7 @@
   zone = std::move(other59.zone);
   incarnation = other59.incarnation;
   leaving = other59.leaving;
+  capacity = other59.capacity;
   __isset = other59.__isset;
 }
 Node& Node::operator=(const Node& other60) {
@@ -1734,6 +1753,7 @@
   zone = other60.zone;
   incarnation = other60.incarnation;
   leaving = other60.leaving;
+  capacity = other60.capacity;
   __isset = other60.__isset;
   return *this;
 }
@@ -1743,6 +1763,7 @@
   zone = std::move(other61.zone);
   incarnation = other61.incarnation;
   leaving = other61.leaving;
+  capacity = other61.capacity;
   __isset = other61.__isset;
   return *this;
 }
@@ -1754,6 +1775,7 @@
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "capacity=" << to_string(capacity);
   out << ")";
 }
 
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -604,12 +604,13 @@
 std::ostream& operator<<(std::ostream& out, const Lease& obj);
 
 typedef struct _Node__isset {
-  _Node__isset() : name(false), address(false), zone(false), incarnation(false), leaving(false) {}
+  _Node__isset() : name(false), address(false), zone(false), incarnation(false), leaving(false), capacity(false) {}
   bool name :1;
   bool address :1;
   bool zone :1;
   bool incarnation :1;
   bool leaving :1;
+  bool capacity :1;
 } _Node__isset;
 
 class Node : public virtual ::apache::thrift::TBase {
@@ -624,7 +625,8 @@
          address(),
          zone(),
          incarnation(0),
-         leaving(0) {
+         leaving(0),
+         capacity(0) {
   }
 
   virtual ~Node() noexcept;
@@ -633,6 +635,7 @@
   std::string zone;
   int64_t incarnation;
   bool leaving;
+  int32_t capacity;
 
   _Node__isset __isset;
 
@@ -646,6 +649,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_capacity(const int32_t val);
+
   bool operator == (const Node & rhs) const
   {
     if (!(name == rhs.name))
@@ -658,6 +663,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(capacity == rhs.capacity))
+      return false;
     return true;
   }
   bool operator != (const Node &rhs) const {
--- a/radishmoor/jobs/intake.h
+++ b/radishmoor/jobs/intake.h
@@ -113,8 +113,8 @@
 
   MemberId node_;
   const PoolLeases& leases_;
-  // Queues that went to another pool lately: a repeated submission may have been
-  // stored for the earlier one.
+  // Queues that went to another pool lately: a repeated submission may have
+  // been stored for the earlier one.
   struct MovedQueue {
     PoolId earlier;
     Time at;
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -240,6 +240,7 @@
   wire.zone = node.zone.str();
   wire.incarnation = static_cast<int64_t>(node.incarnation);
   wire.leaving = node.leaving;
+  wire.capacity = static_cast<int32_t>(node.capacity);
   return ToBytes(wire);
 }
 
@@ -247,8 +248,9 @@
   jobs_wire::Node wire;
   if (!FromBytes(bytes, wire) || wire.name.empty())
     return std::nullopt;
-  return NodeRow{MemberId(wire.name), wire.address, ZoneId(wire.zone),
-                 static_cast<uint64_t>(wire.incarnation), wire.leaving};
+  return NodeRow{MemberId(wire.name), wire.address,
+                 ZoneId(wire.zone),   static_cast<uint64_t>(wire.incarnation),
+                 wire.leaving,        static_cast<uint32_t>(wire.capacity)};
 }
 
 std::string EncodeDuty(const DutyRow& duty) {
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -84,6 +84,7 @@
   ZoneId zone;
   uint64_t incarnation = 0;
   bool leaving = false;
+  uint32_t capacity = 0;  // Share of a processor, in thousandths.
 };
 
 enum class DutyKind : uint8_t { kMaintain = 1, kMove = 2, kMaintained = 3 };
--- a/radishmoor/jobs/job_table.cc
+++ b/radishmoor/jobs/job_table.cc
@@ -244,7 +244,15 @@
 
 void JobTable::Touch(Job& job) {
   ++job.changes;
-  dirty_.insert(job.id);
+  if (job.dirty != 0)
+    return;
+  job.dirty = next_dirty_++;
+  dirty_.emplace(job.dirty, job.id);
+}
+
+void JobTable::ClearDirty(Job& job) {
+  dirty_.erase(job.dirty);
+  job.dirty = 0;
 }
 
 StoredProgress JobTable::ProgressOf(const Job& job) const {
@@ -294,7 +302,7 @@
   for (auto it = jobs_.begin(); it != jobs_.end() && purged.size() < limit;) {
     const Job& job = it->second;
     bool old = IsFinal(job.state) && job.ended < before &&
-               !open_.contains(job.id) && !dirty_.contains(job.id);
+               !open_.contains(job.id) && job.dirty == 0;
     if (!old) {
       ++it;
       continue;
--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -96,9 +96,16 @@
   std::map<uint32_t, Occurrence> occurrences;  // Unfinished or unresolved ones.
   // Counts changes; the stored progress lags behind.
   uint64_t changes = 0;
+  uint64_t stored_changes = 0;
+  uint64_t dirty = 0;  // Its number among the jobs with changes; 0: none.
   bool definition_stored = true;
   bool definition_dropped = false;
 
+  // What is left of the job, as of `measured_at` changes.
+  uint64_t measured_at = UINT64_MAX;
+  Duration remaining_chain{};
+  double remaining_work = 0;  // Core-seconds.
+
   const StepSpec& StepOf(const Task& task) const {
     return spec.steps[task.step];
   }
@@ -137,9 +144,9 @@
 
   // Counts a change that the stored progress does not show yet.
   void Touch(Job& job);
-  // Jobs with changes, oldest first.
-  const std::set<JobId>& dirty() const { return dirty_; }
-  void ClearDirty(const JobId& id) { dirty_.erase(id); }
+  // Jobs with changes, those first that changed first, by a running number.
+  const std::map<uint64_t, JobId>& dirty() const { return dirty_; }
+  void ClearDirty(Job& job);
 
   StoredProgress ProgressOf(const Job& job) const;
 
@@ -162,7 +169,8 @@
   PoolId pool_;
   std::map<JobId, Job> jobs_;
   std::set<JobId> open_;
-  std::set<JobId> dirty_;
+  std::map<uint64_t, JobId> dirty_;
+  uint64_t next_dirty_ = 1;
 };
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -19,6 +19,10 @@
 constexpr Duration kNodeExpiry = Seconds(40);
 constexpr Duration kServersPeriod = Milliseconds(500);
 constexpr Duration kHostsPeriod = Milliseconds(500);
+// The list of many servers is long, so it is read less often.
+constexpr Duration kServersPeriodPerServer = Milliseconds(3);
+constexpr Duration kMaxServersPeriod = Milliseconds(1200);
+constexpr Duration kFleetTickGap = Milliseconds(20);
 constexpr Duration kServersRetry = Milliseconds(200);
 // After the signal to stop, callers with open connections are served this long.
 constexpr Duration kServeAfterStop = Milliseconds(3500);
@@ -43,7 +47,7 @@
 
 NodeCore::NodeCore(const NodeOptions& options)
     : options_(options),
-      leases_(options.name, options.address),
+      leases_(options.name, options.address, options.capacity),
       intake_(options.name, leases_) {}
 
 void NodeCore::Start(Time now, WallMillis wall) {
@@ -395,8 +399,8 @@
     Wake(next_register_);
     return;
   }
-  NodeRow row{options_.name, options_.address, options_.zone,
-              options_.incarnation, shutdown_.has_value()};
+  NodeRow row{options_.name,        options_.address,      options_.zone,
+              options_.incarnation, shutdown_.has_value(), options_.capacity};
   Transaction transaction;
   transaction.writes.push_back({NodeKey(options_.name), EncodeNode(row)});
   register_tag_ = outbox_.Store(CommitRows{std::move(transaction)});
@@ -416,7 +420,7 @@
 }
 
 void NodeCore::OnNodes(Time now, const std::vector<Row>& rows) {
-  std::vector<MemberId> live;
+  std::vector<LeaseCandidate> live;
   for (const Row& row : rows) {
     std::optional<NodeRow> decoded = DecodeNode(row.value);
     if (!decoded) {
@@ -430,7 +434,7 @@
     }
     node.row = std::move(*decoded);
     if (!node.row.leaving && now - node.changed < kNodeExpiry)
-      live.push_back(node.row.name);
+      live.push_back({node.row.name, node.row.capacity});
   }
   leases_.SetNodes(live);
 }
@@ -442,7 +446,9 @@
     Wake(next_servers_);
     return;
   }
-  next_servers_ = now + kServersPeriod;
+  next_servers_ = now + std::clamp(kServersPeriodPerServer *
+                                       static_cast<int64_t>(servers_.size()),
+                                   kServersPeriod, kMaxServersPeriod);
   servers_tag_ = outbox_.Servers();
 }
 
@@ -501,8 +507,10 @@
   TakeOver(now);
   for (auto& [pool, scheduler] : schedulers_)
     scheduler->Tick(now, wall, outbox_);
-  if (fleet_ != nullptr)
+  if (fleet_ != nullptr && now - last_fleet_tick_ >= kFleetTickGap) {
+    last_fleet_tick_ = now;
     fleet_->Tick(now, Contacts(now), outbox_);
+  }
   intake_.Tick(now, outbox_);
   SendBeats(now);
   DeliverLocal(now);
@@ -518,7 +526,7 @@
   for (auto& [pool, scheduler] : schedulers_)
     Wake(scheduler->next_wake());
   if (fleet_ != nullptr)
-    Wake(fleet_->next_wake());
+    Wake(std::max(fleet_->next_wake(), last_fleet_tick_ + kFleetTickGap));
 }
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -32,6 +32,8 @@
   std::string address;  // For messages of other processes.
   ZoneId zone;
   uint64_t incarnation = 0;
+  // Share of a processor, in thousandths: larger hosts take pools first.
+  uint32_t capacity = 0;
   JobBounds bounds;
   // From the signal to stop until the process must have ended.
   Duration grace = Seconds(6);
@@ -124,6 +126,7 @@
   uint64_t hosts_tag_ = 0;
   Time hosts_sent_;
   Time next_hosts_;
+  Time last_fleet_tick_;
   Time next_beat_;
   std::optional<Time> shutdown_;
   bool ended_ = false;
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -24,6 +24,8 @@
 // Of the processes that could take a lease, each waits for those before it.
 constexpr Duration kRankDelay = Milliseconds(60);
 constexpr Duration kMaxRankDelay = Milliseconds(420);
+// A host that is smaller than others leaves them this time.
+constexpr Duration kSmallerDelay = Milliseconds(900);
 constexpr Duration kOwnedDelay = Milliseconds(250);
 
 }  // namespace
@@ -36,7 +38,7 @@
   }
 }
 
-void PoolLeases::SetNodes(std::span<const MemberId> nodes) {
+void PoolLeases::SetNodes(std::span<const LeaseCandidate> nodes) {
   nodes_.assign(nodes.begin(), nodes.end());
 }
 
@@ -165,12 +167,16 @@
 Duration PoolLeases::StandBack(const PoolId& pool) const {
   uint64_t own = RendezvousWeight(pool.str(), node_.str());
   int64_t rank = 0;
-  for (const MemberId& node : nodes_) {
-    if (node != node_ && RendezvousWeight(pool.str(), node.str()) > own)
+  bool smaller = false;
+  for (const LeaseCandidate& other : nodes_) {
+    smaller = smaller || other.capacity > capacity_;
+    bool same = other.capacity == capacity_ && other.node != node_;
+    if (same && RendezvousWeight(pool.str(), other.node.str()) > own)
       ++rank;
   }
   return std::min(kRankDelay * rank, kMaxRankDelay) +
-         kOwnedDelay * static_cast<int64_t>(OwnedCount());
+         kOwnedDelay * static_cast<int64_t>(OwnedCount()) +
+         (smaller ? kSmallerDelay : Duration::zero());
 }
 
 void PoolLeases::Tick(Time now, Outbox& outbox) {
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -43,14 +43,22 @@
   Duration earlier_leases{};
 };
 
+// A process that may own pools.
+struct LeaseCandidate {
+  MemberId node;
+  uint32_t capacity = 0;  // Of its host; larger ones come first.
+};
+
 class PoolLeases {
  public:
-  PoolLeases(MemberId node, std::string address)
-      : node_(std::move(node)), address_(std::move(address)) {}
+  PoolLeases(MemberId node, std::string address, uint32_t capacity)
+      : node_(std::move(node)),
+        address_(std::move(address)),
+        capacity_(capacity) {}
 
   // The pools that need an owner, and the live processes that may own them.
   void Watch(Time now, std::span<const PoolId> pools);
-  void SetNodes(std::span<const MemberId> nodes);
+  void SetNodes(std::span<const LeaseCandidate> nodes);
 
   void OnBeat(Time now,
               const MemberId& from,
@@ -104,7 +112,8 @@
 
   MemberId node_;
   std::string address_;
-  std::vector<MemberId> nodes_;
+  uint32_t capacity_;
+  std::vector<LeaseCandidate> nodes_;
   std::map<PoolId, Watched> pools_;
   std::vector<AcquiredLease> acquired_;
   Duration read_latency_{};
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -12,9 +12,7 @@
 // lost.
 constexpr Duration kInboxPeriod = Milliseconds(1000);
 constexpr uint32_t kInboxPage = 200;
-// Planning waits so that events that come together are planned together.
-constexpr Duration kPlanGap = Milliseconds(4);
-constexpr Duration kReviewPeriod = Milliseconds(100);
+constexpr Duration kReviewPeriod = Milliseconds(150);
 // Without a listing, a server that answers stays in use this long: listings
 // that lapsed while the store was away come back within it.
 constexpr Duration kUnlistedGrace = Seconds(2);
@@ -29,6 +27,7 @@
 constexpr Duration kAnsweringLease = Milliseconds(1400);
 // A request to empty a server holds this long.
 constexpr Duration kVacateHold = Seconds(3);
+constexpr Duration kLoadLinePeriod = Seconds(1);
 constexpr Duration kPurgePeriod = Seconds(10);
 constexpr size_t kPurgeBatch = 20;
 // Named in an announcement.
@@ -157,7 +156,7 @@
     return;
   Job& job = *state_.jobs.Find(id);
   state_.jobs.Restore(job, stored->second, now);
-  state_.jobs.ClearDirty(id);
+  state_.jobs.ClearDirty(job);
   for (auto& [number, occurrence] : job.occurrences) {
     for (Task& task : occurrence.tasks) {
       for (const Run& run : task.runs) {
@@ -183,6 +182,7 @@
               {"inherited_runs", static_cast<int64_t>(inherited)},
               {"took_ms", (now - options_.lease_taken).count() / 1000}});
   load_.progress.clear();
+  runs_.Wake(now);
   next_inbox_ = now + kInboxPeriod;
   plan_needed_ = true;
 }
@@ -408,6 +408,7 @@
   for (const ServerId& id : forgotten)
     state_.servers.Erase(id);
   plan_needed_ = true;
+  runs_.Wake(now);
 }
 
 bool PoolScheduler::wants_hosts(Time now) const {
@@ -486,6 +487,7 @@
   if (chain_.OnAnswer(now, answer, &stored)) {
     for (const RunRef& start : stored.starts)
       runs_.SendStart(now, start, outbox);
+    runs_.OnStored(now);
     AnswerWaiters(outbox);
     return true;
   }
@@ -528,31 +530,34 @@
   }
   if (load_.failed)
     Wake(load_.retry_at);
-  chain_.Tick(now, outbox);
-  Wake(chain_.next_wake());
-  if (!loaded() || lost())
+  if (!loaded() || lost()) {
+    chain_.Tick(now, outbox);
+    Wake(chain_.next_wake());
     return;
+  }
   bool may_order = !chain_.release_sent() && !chain_.released();
   runs_.Tick(now, may_order && renewed_age(now) < kUnrenewedExtension, outbox);
   PollInbox(now, outbox);
   UpdateScheduled(now, wall);
-  for (auto& [id, server] : state_.servers.all()) {
-    if (server.vacating && now - server.vacate_asked > kVacateHold)
-      server.vacating = false;
-  }
   if (may_order && renewed_age(now) < kPlanningLease) {
     if (now - last_review_ >= kReviewPeriod) {
       last_review_ = now;
+      for (auto& [id, server] : state_.servers.all()) {
+        if (server.vacating && now - server.vacate_asked > kVacateHold)
+          server.vacating = false;
+      }
       dispatch_.Review(now, outbox);
+      LogLoad(now, outbox);
       plan_needed_ = true;
     }
-    if (plan_needed_ && now - last_plan_ >= kPlanGap) {
+    // A plan takes effect with the commit that stores it, so it is made just
+    // before one can be sent.
+    if (plan_needed_ && now >= chain_.ready_at()) {
       plan_needed_ = false;
-      last_plan_ = now;
       dispatch_.Plan(now);
     }
     if (plan_needed_)
-      Wake(last_plan_ + kPlanGap);
+      Wake(chain_.ready_at());
     if (!state_.jobs.open().empty())
       Wake(last_review_ + kReviewPeriod);
   }
@@ -569,6 +574,40 @@
   Wake(runs_.next_wake());
 }
 
+void PoolScheduler::LogLoad(Time now, Outbox& outbox) {
+  if (now < next_load_line_)
+    return;
+  next_load_line_ = now + kLoadLinePeriod;
+  int64_t servers = 0;
+  int64_t answering = 0;
+  int64_t vacating = 0;
+  Resources capacity;
+  Resources used;
+  for (const auto& [id, server] : state_.servers.all()) {
+    if (!server.Serves(state_.pool))
+      continue;
+    ++servers;
+    answering += server.contact && server.failed_looks == 0 ? 1 : 0;
+    vacating += server.vacating ? 1 : 0;
+    capacity += server.listing.capacity;
+    used += server.used;
+  }
+  outbox.Log("pool-load",
+             {{"pool", state_.pool.str()},
+              {"servers", servers},
+              {"answering", answering},
+              {"emptying", vacating},
+              {"used_cpu", used.cpu_millis},
+              {"capacity_cpu", capacity.cpu_millis},
+              {"demand_cpu", dispatch_.demand_cpu()},
+              {"open_jobs", static_cast<int64_t>(state_.jobs.open().size())},
+              {"wait_ms", dispatch_.expected_wait().count() / 1000},
+              {"starts", static_cast<int64_t>(state_.counters.starts)},
+              {"looks", static_cast<int64_t>(state_.counters.looks)},
+              {"commits", static_cast<int64_t>(state_.counters.commits)},
+              {"renewed_age_ms", renewed_age(now).count() / 1000}});
+}
+
 void PoolScheduler::Release(const MemberId& successor) {
   chain_.Release(successor);
 }
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -136,6 +136,8 @@
               Outbox& outbox);
   bool Cancel(Time now, const JobId& id, Outbox& outbox);
   void AnswerWaiters(Outbox& outbox);
+  // One line each second on how full the pool is.
+  void LogLoad(Time now, Outbox& outbox);
   // Servers that long-running tasks need, and those without any.
   void DescribeServers(OwnerBeat& beat) const;
   Time ObjectiveOf(const JobSpec& spec, Time arrived) const;
@@ -158,8 +160,8 @@
   std::map<JobId, std::vector<Waiter>> cancel_waiters_;
   std::set<JobId> scheduled_;  // Jobs with times.
   bool plan_needed_ = false;
-  Time last_plan_;
   Time last_review_;
+  Time next_load_line_;
   Time last_purge_;
   Time next_wake_ = kTimeMax;
 };
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -37,6 +37,8 @@
   Duration status_retention = Seconds(120);
   // Two holders of a host's duties are at least this far apart.
   Duration duty_lease = Seconds(3);
+  // Calls to move or maintain hosts that the platform takes in a second.
+  double duty_rate = 64;
 };
 
 // How long an owner whose lease is not renewed goes on extending leases of
@@ -81,7 +83,8 @@
   std::map<QueueId, QueueStats> stats;
   JobTable jobs;
   ServerBook servers;
-  std::vector<RunRef> planned;  // Runs in the phase kPlanned.
+  // Runs in the phase kPlanned that no commit holds yet.
+  std::map<JobId, std::vector<RunRef>> planned;
   PoolCounters counters;
   // The successor's token was seen: this process must not order anything.
   bool fenced = false;
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -16,8 +16,11 @@
 constexpr Duration kBusyLookWait = Milliseconds(700);
 // Between looks at a server that runs nothing: keeps its clock known.
 constexpr Duration kIdleLookPeriod = Milliseconds(1500);
-// Between two looks at a busy server, so that ends are taken in groups.
+// Between two looks at a busy server, so that ends are taken in groups; in
+// large pools it grows with the number of servers, which bounds the looks of a
+// pool.
 constexpr Duration kMinLookGap = Milliseconds(20);
+constexpr Duration kLookGapPerServer = Microseconds(800);
 // After a look without an answer.
 constexpr Duration kFailedLookDelay = Milliseconds(200);
 constexpr Duration kMaxFailedLookDelay = Milliseconds(1000);
@@ -43,6 +46,11 @@
   return d.count() / 1000;
 }
 
+// Runs whose state a look does not settle by itself.
+bool NeedsCare(const Run& run) {
+  return run.stop_wanted || run.phase == RunPhase::kUncertain;
+}
+
 std::string_view EndName(RunEnd end) {
   switch (end) {
     case RunEnd::kDone:
@@ -127,6 +135,7 @@
   if (run == nullptr || run->stop_wanted)
     return;
   run->stop_wanted = true;
+  NeedCare(now, run->server);
   outbox.Log("run-stop", {{"task", FormatTask(task_id)},
                           {"run", static_cast<int64_t>(number)},
                           {"server", run->server.str()},
@@ -233,6 +242,8 @@
       break;
   }
   CloseResolved();
+  // The next look at the server, or a repeated stop, may be due.
+  Wake(now);
   return true;
 }
 
@@ -272,6 +283,7 @@
   server->contact.reset();
   server->lease_until = 0;
   server->ended_seen = server->ended_stored = server->ended_sent = 0;
+  server->unstored.clear();
   server->next_look = now;
   EndLife(now, *server, "server-restarted", outbox);
 }
@@ -296,6 +308,7 @@
     run->phase = RunPhase::kUncertain;
     run->since = now;
     run->stopped_at.reset();
+    NeedCare(now, server.listing.id);
   }
 }
 
@@ -328,12 +341,13 @@
         SendStop(now, order.run, *run, outbox);
       // The look under way may have been asked without a wait for ends.
       if (server.look_tag == 0)
-        server.next_look = std::min(server.next_look, now + kMinLookGap);
+        server.next_look = std::min(server.next_look, now + LookGap());
       return;
     case OrderOutcome::kUnanswered:
       ++state_.counters.starts_unanswered;
       run->phase = RunPhase::kUncertain;
       run->since = now;
+      NeedCare(now, order.server);
       outbox.Log("start-unanswered",
                  {{"task", FormatTask(order.run.task)},
                   {"run", static_cast<int64_t>(order.run.run)},
@@ -402,7 +416,7 @@
   if (order.kind == OrderKind::kLook) {
     server.next_look = server.runs.empty()
                            ? now + kIdleLookPeriod
-                           : std::max(now, order.sent + kMinLookGap);
+                           : std::max(now, order.sent + LookGap());
   }
 }
 
@@ -415,6 +429,9 @@
       continue;
     server.ended_seen = ended.sequence;
     OnEnd(now, ended, server, outbox);
+    const Job* job = state_.jobs.Find(ended.task.job);
+    if (job != nullptr && job->stored_changes < job->changes)
+      server.unstored.push_back({ended.sequence, job->id, job->changes});
   }
 }
 
@@ -640,6 +657,13 @@
   }
 }
 
+void RunControl::NeedCare(Time now, const ServerId& id) {
+  ServerState* server = state_.servers.Find(id);
+  if (server != nullptr)
+    server->needs_care = true;
+  Wake(now);
+}
+
 void RunControl::RemoveRun(Time now,
                            const RunRef& ref,
                            std::string_view reason,
@@ -718,7 +742,31 @@
                   now};
 }
 
+void RunControl::OnStored(Time now) {
+  for (auto& [id, server] : state_.servers.all()) {
+    while (!server.unstored.empty()) {
+      const Job* job = state_.jobs.Find(server.unstored.front().job);
+      if (job != nullptr &&
+          job->stored_changes < server.unstored.front().changes)
+        break;
+      server.unstored.pop_front();
+    }
+    server.ended_stored = server.unstored.empty()
+                              ? server.ended_seen
+                              : server.unstored.front().sequence - 1;
+  }
+  Wake(now);
+}
+
+Duration RunControl::LookGap() const {
+  return std::max(
+      kMinLookGap,
+      kLookGapPerServer * static_cast<int64_t>(state_.servers.all().size()));
+}
+
 void RunControl::Tick(Time now, bool extend, Outbox& outbox) {
+  if (now < next_wake_)
+    return;
   next_wake_ = kTimeMax;
   for (auto& [id, server] : state_.servers.all())
     CheckServer(now, server, extend, outbox);
@@ -742,17 +790,20 @@
     if (unstored && server.failed_looks == 0)
       due = std::max(due, server.look_sent + kBusyLookWait);
     if (acknowledge)
-      due = std::min(due, server.look_sent + kMinLookGap);
+      due = std::min(due, server.look_sent + LookGap());
     if (now >= due)
       SendLook(now, server, false, extend, outbox);
     else
       Wake(due);
   }
-  if (!server.runs.empty())
-    CheckRuns(now, server, outbox);
+  bool silent = server.failed_looks > 0 || !server.contact;
+  if (server.runs.empty() || (!silent && !server.needs_care))
+    return;
+  CheckRuns(now, server, outbox);
 }
 
 void RunControl::CheckRuns(Time now, ServerState& server, Outbox& outbox) {
+  server.needs_care = false;
   bool lapsed = server.LeasesLapsed(now);
   std::vector<RunRef> runs = server.runs;
   for (const RunRef& ref : runs) {
@@ -765,7 +816,8 @@
       RemoveRun(now, ref, "lapsed", outbox);
       continue;
     }
-    bool stop = run->stop_wanted || run->phase == RunPhase::kUncertain;
+    server.needs_care = server.needs_care || NeedsCare(*run);
+    bool stop = NeedsCare(*run);
     if (!stop || run->stop_tag != 0 || run->stopped_at)
       continue;
     if (run->phase == RunPhase::kUncertain && !run->stop_wanted &&
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -50,9 +50,14 @@
   void OnServerDead(Time now, ServerState& server, Outbox& outbox);
 
   // Sends the looks and repeated stops that are due; gives up runs whose
-  // leases have lapsed. `extend` is false when leases must not grow.
+  // leases have lapsed. `extend` is false when leases must not grow. Costs
+  // nothing before next_wake().
   void Tick(Time now, bool extend, Outbox& outbox);
   Time next_wake() const { return next_wake_; }
+  // A commit was stored: ends that it holds can be acknowledged.
+  void OnStored(Time now);
+  // Something that Tick() looks at has changed.
+  void Wake(Time at) { next_wake_ = std::min(next_wake_, at); }
 
   size_t orders_in_flight() const { return orders_.size(); }
 
@@ -137,7 +142,9 @@
                 Outbox& outbox);
   void CheckServer(Time now, ServerState& server, bool extend, Outbox& outbox);
   void CheckRuns(Time now, ServerState& server, Outbox& outbox);
-  void Wake(Time at) { next_wake_ = std::min(next_wake_, at); }
+  // The server's runs have to be gone through at the next tick.
+  void NeedCare(Time now, const ServerId& id);
+  Duration LookGap() const;
   void LearnRunTime(Time now,
                     Job& job,
                     const Task& task,
--- a/radishmoor/jobs/server_book.h
+++ b/radishmoor/jobs/server_book.h
@@ -8,6 +8,7 @@
 #define RADISHMOOR_JOBS_SERVER_BOOK_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -68,6 +69,13 @@
   uint64_t ended_seen = 0;    // Ends up to here have been applied,
   uint64_t ended_stored = 0;  // and are stored,
   uint64_t ended_sent = 0;    // and the server was told.
+  // Ends that were applied and are not stored, oldest first.
+  struct UnstoredEnd {
+    uint64_t sequence = 0;
+    JobId job;
+    uint64_t changes = 0;  // Of the job, that must be stored.
+  };
+  std::deque<UnstoredEnd> unstored;
 
   uint64_t look_tag = 0;  // Of the look under way; 0: none.
   Time look_sent;
@@ -76,6 +84,8 @@
   Time quick_look_sent;
   Time next_look;
   uint32_t failed_looks = 0;
+  // A run on it has to be stopped, or may not be there.
+  bool needs_care = false;
 
   // Ratio of observed and expected run times, against the pool's.
   double slowness = 1.0;
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -133,9 +133,14 @@
     input.long_running = job->spec.long_running();
     input.objective = job->objective;
     input.arrived = job->arrived;
-    input.remaining_chain = RemainingChain(*job);
+    if (job->measured_at != job->changes) {
+      job->measured_at = job->changes;
+      job->remaining_chain = RemainingChain(*job);
+      job->remaining_work = RemainingWork(*job);
+    }
+    input.remaining_chain = job->remaining_chain;
     input.begun = job->begun;
-    input.remaining_work = RemainingWork(*job);
+    input.remaining_work = job->remaining_work;
     jobs.push_back(job);
     inputs.push_back(input);
   }
@@ -151,6 +156,7 @@
 
 void TaskDispatch::Plan(Time now) {
   std::vector<PlacementServer> servers = CollectServers(now);
+  UpdateLargestRoom(servers);
   reservations_ = 0;
   demand_cpu_ = 0;
   waiting_work_ = 0;
@@ -170,6 +176,8 @@
     if (occurrence.finished)
       continue;
     std::vector<bool> gang_tried(job.spec.steps.size(), false);
+    // A step whose task found no room has none for its other tasks either.
+    std::vector<bool> blocked(job.spec.steps.size(), false);
     for (Task& task : occurrence.tasks) {
       const StepSpec& step = job.StepOf(task);
       if (task.done)
@@ -181,7 +189,9 @@
       if (!task.idle())
         continue;
       bool planned = false;
-      if (step.gang) {
+      if (blocked[task.step]) {
+        planned = false;
+      } else if (step.gang) {
         if (!gang_tried[task.step])
           planned = PlanGang(now, job, occurrence, task.step, servers);
         gang_tried[task.step] = true;
@@ -190,9 +200,15 @@
       }
       if (planned)
         continue;
+      bool first = !blocked[task.step];
+      // Tasks that have failed may run on fewer servers than the others.
+      blocked[task.step] = task.failures == 0;
+      if (!in_time)
+        continue;
       waiting_work_ +=
           step.request.cpu_millis * state_.ExpectedRunTime(job, step).count();
-      Reserve(job, task, servers);
+      if (first)
+        Reserve(job, task, servers);
     }
   }
 }
@@ -220,15 +236,34 @@
         std::find(task.failed_on.begin(), task.failed_on.end(), id) !=
         task.failed_on.end();
   }
+  std::map<ServerId, uint32_t> counts;
   for (const Task& other : occurrence.tasks) {
     if (other.step != task.step)
       continue;
-    for (const Run& run : other.runs) {
-      for (PlacementServer& server : servers) {
-        if (server_ids_[server.position] == run.server)
-          ++server.same_step;
-      }
-    }
+    for (const Run& run : other.runs)
+      ++counts[run.server];
+  }
+  if (counts.empty())
+    return;
+  for (PlacementServer& server : servers) {
+    auto count = counts.find(server_ids_[server.position]);
+    if (count != counts.end())
+      server.same_step = count->second;
+  }
+}
+
+void TaskDispatch::ForgetStep(std::vector<PlacementServer>& servers) {
+  for (PlacementServer& server : servers) {
+    server.same_step = 0;
+    server.failed_before = false;
+  }
+}
+
+void TaskDispatch::UpdateLargestRoom(std::span<const PlacementServer> servers) {
+  largest_room_ = 0;
+  for (const PlacementServer& server : servers) {
+    if (!server.reserved)
+      largest_room_ = std::max(largest_room_, server.room.cpu_millis);
   }
 }
 
@@ -238,7 +273,12 @@
                             Task& task,
                             std::vector<PlacementServer>& servers) {
   PlacementTask described = DescribeTask(job, task);
-  CountStep(occurrence, task, servers);
+  if (PoolState::CountedRequest(*described.step).cpu_millis > largest_room_)
+    return false;
+  bool counted = described.step->max_per_server > 0 ||
+                 described.step->colocated || !task.failed_on.empty();
+  if (counted)
+    CountStep(occurrence, task, servers);
   if (described.step->colocated) {
     std::map<RackId, uint32_t> racks;
     for (const PlacementServer& server : servers)
@@ -252,10 +292,13 @@
     }
   }
   std::optional<size_t> chosen = ChooseServer(described, servers);
-  if (!chosen)
-    return false;
-  AddRun(now, job, occurrence, task, task.last_run + 1, servers[*chosen]);
-  return true;
+  if (chosen) {
+    AddRun(now, job, occurrence, task, task.last_run + 1, servers[*chosen]);
+    UpdateLargestRoom(servers);
+  }
+  if (counted)
+    ForgetStep(servers);
+  return chosen.has_value();
 }
 
 bool TaskDispatch::PlanGang(Time now,
@@ -319,8 +362,7 @@
   state_.servers.AddRun(run.server, ref, request);
   task.runs.push_back(std::move(run));
   server.room -= request;
-  ++server.same_step;
-  state_.planned.push_back(ref);
+  state_.planned[job.id].push_back(ref);
   state_.jobs.Touch(job);
 }
 
@@ -335,6 +377,7 @@
     return;
   servers[*chosen].reserved = true;
   ++reservations_;
+  UpdateLargestRoom(servers);
 }
 
 bool TaskDispatch::MayDisplace(const Job& job,
@@ -483,6 +526,7 @@
     return server_ids_[s.position] == run.server ||
            s.room.cpu_millis * 4 < s.capacity.cpu_millis;
   });
+  UpdateLargestRoom(servers);
   if (PlanTask(now, job, occurrence, task, servers)) {
     ++state_.counters.copies;
     outbox.Log("copy-started", {{"task", FormatTask(id)},
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -8,6 +8,7 @@
 #ifndef RADISHMOOR_JOBS_TASK_DISPATCH_H_
 #define RADISHMOOR_JOBS_TASK_DISPATCH_H_
 
+#include <span>
 #include <vector>
 
 #include "radishmoor/jobs/placement.h"
@@ -65,6 +66,9 @@
   void CountStep(const Occurrence& occurrence,
                  const Task& task,
                  std::vector<PlacementServer>& servers) const;
+  // Takes back what CountStep() filled in.
+  static void ForgetStep(std::vector<PlacementServer>& servers);
+  void UpdateLargestRoom(std::span<const PlacementServer> servers);
   void AddRun(Time now,
               Job& job,
               Occurrence& occurrence,
@@ -95,6 +99,7 @@
   int64_t waiting_work_ = 0;  // Core-microseconds of tasks that found no room.
   Duration expected_wait_{};
   uint32_t reservations_ = 0;
+  int64_t largest_room_ = 0;  // Of a server that is not reserved.
 };
 
 }  // namespace radishmoor
