Say nothing of queues before they are loaded; decide duties of an earlier keeper anew

Change: queues are announced once loaded and counted only while the owner's renewal is recent; intents are dropped on a change of the keeper; a throttled call asks again. The operators' rows are read whole each 5 s.

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -17,6 +17,7 @@
 // An owner's word that a server is empty is used for this long.
 constexpr Duration kEmptyValid = Milliseconds(500);
 constexpr Duration kCallRepeat = Milliseconds(400);
+constexpr Duration kThrottledRepeat = Milliseconds(150);
 constexpr Duration kBusyRepeat = Milliseconds(500);
 constexpr Duration kReportRepeat = Milliseconds(500);
 // A host that is not in the list for this long has left the fleet.
@@ -59,7 +60,7 @@
   load_tag_ = outbox.Store(std::move(scan));
 }
 
-void FleetKeeper::OnLoadRow(Time now, const Row& row) {
+void FleetKeeper::OnLoadRow(const Row& row) {
   std::optional<DutyRow> stored = DecodeDuty(row.value);
   if (!stored) {
     ++state_.counters.unreadable_rows;
@@ -69,18 +70,9 @@
     stored_done_[stored->host].insert(stored->wave);
     return;
   }
-  Duty duty;
-  duty.stage = Stage::kCalling;
-  duty.kind = stored->kind;
-  duty.target = stored->pool;
-  duty.wave = stored->wave;
-  duty.server = stored->server;
-  duty.since = now;
-  duty.started = now;
-  duty.next_try = now;
-  // The earlier keeper may have called, so the host may be gone already.
-  duty.called = true;
-  duties_[stored->host] = duty;
+  // What an earlier keeper intended is decided anew: its server may be in use
+  // again. If its call was carried out, a repeated one has no effect.
+  chain_.Write({row.key, "", true});
 }
 
 void FleetKeeper::OnWaves(Time now,
@@ -149,7 +141,7 @@
       return true;
     }
     for (const Row& row : rows->rows)
-      OnLoadRow(now, row);
+      OnLoadRow(row);
     loaded_ = true;
     return true;
   }
@@ -258,6 +250,10 @@
       return;
     }
     case HostOutcome::kThrottled:
+      // Nothing was done: the server must still be empty at the next call.
+      duty.called = false;
+      duty.next_try = now + kThrottledRepeat;
+      return;
     case HostOutcome::kUnanswered:
       duty.next_try = now + kCallRepeat;
       return;
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -2,10 +2,9 @@
 // host through the owner of its pool, then has the platform maintain or move
 // it, a limited number at once.
 //
-// One process keeps the fleet, by a lease of its own (kFleetPool). Each call to
-// the host API is stored before it is sent; a successor repeats calls that may
-// be under way with its own, higher token, and the API answers a call that was
-// carried out already without carrying it out again.
+// One process keeps the fleet, by a lease of its own (kFleetPool). A successor
+// decides anew, with a higher token: the API answers a call that was carried out
+// already without carrying it out again.
 //
 // Load that it answers: waves over half of the hosts that must be over within
 // some 25 s, while queues peak in turn. Hosts of pools with little demand go
@@ -115,7 +114,7 @@
   };
 
   void SendLoad(Outbox& outbox);
-  void OnLoadRow(Time now, const Row& row);
+  void OnLoadRow(const Row& row);
   void ReportWaves(Time now, Outbox& outbox);
   void StartDuties(Time now,
                    const std::map<PoolId, PoolContact>& contacts,
--- a/radishmoor/jobs/intake.cc
+++ b/radishmoor/jobs/intake.cc
@@ -402,24 +402,30 @@
                            const QueueConfig& queue,
                            Outbox& outbox) {
   const OwnerBeat* beat = nullptr;
+  Duration age{};
   auto local = local_beats_.find(queue.pool);
   const PoolOwner* owner = leases_.OwnerOf(queue.pool);
-  if (local != local_beats_.end())
+  if (local != local_beats_.end()) {
     beat = &local->second.first;
-  else if (owner != nullptr && now - owner->heard < kMaxBeatAge)
+    age = now - local->second.second;
+  } else if (owner != nullptr) {
     beat = &owner->beat;
-  if (beat == nullptr) {
+    age = now - owner->heard;
+  }
+  // An owner without a recent renewal may have been succeeded.
+  bool current = beat != nullptr && age + beat->renewed_age < kMaxBeatAge;
+  const QueueLoad* load = nullptr;
+  for (size_t i = 0; current && i < beat->queues.size(); ++i) {
+    if (beat->queues[i].queue == queue.id)
+      load = &beat->queues[i];
+  }
+  if (load == nullptr) {
     Refuse(id, CallOutcome::kUnavailable, kUnavailableRetry, "owner-unknown",
            outbox);
     return;
   }
-  uint32_t pending = 0;
-  for (const QueueLoad& load : beat->queues) {
-    if (load.queue == queue.id)
-      pending = load.pending;
-  }
   outbox.Answer(
-      {.id = id, .outcome = CallOutcome::kPending, .pending = pending});
+      {.id = id, .outcome = CallOutcome::kPending, .pending = load->pending});
 }
 
 void Intake::SetLocalBeat(const OwnerBeat& beat, Time now) {
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -9,6 +9,7 @@
 // The store holds an answer back this long when nothing has changed; a silent
 // connection is noticed soon after.
 constexpr Duration kOperatorsWait = Milliseconds(450);
+constexpr Duration kFullReadPeriod = Seconds(5);
 constexpr Duration kOperatorsRetry = Milliseconds(150);
 constexpr Duration kBeatPeriod = Milliseconds(300);
 constexpr Duration kRegisterPeriod = Seconds(15);
@@ -132,7 +133,7 @@
     Settle(now, wall);
     return;
   }
-  operators_version_ = std::max(operators_version_, reply.version);
+  operators_version_ = reply.version;
   if (reply.config && reply.config->version > config_.version) {
     config_ = *reply.config;
     outbox_.Log("config-in-force",
@@ -389,6 +390,12 @@
     Wake(operators_retry_);
     return;
   }
+  // A reading of all that is there, now and then, finds what the changes left
+  // out.
+  if (now >= next_full_read_) {
+    next_full_read_ = now + kFullReadPeriod;
+    operators_version_ = 0;
+  }
   operators_tag_ = outbox_.Operators(operators_version_, kOperatorsWait);
 }
 
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -116,6 +116,7 @@
   uint64_t operators_tag_ = 0;
   RowVersion operators_version_ = 0;
   Time operators_retry_;
+  Time next_full_read_;
   uint64_t register_tag_ = 0;
   Time next_register_;
   uint64_t nodes_tag_ = 0;
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -631,7 +631,8 @@
       ++pending[job->spec.queue];
   }
   for (const auto& [id, queue] : state_.queues) {
-    if (queue.pool == state_.pool)
+    // Before the jobs are loaded nothing is known of the queues.
+    if (loaded() && queue.pool == state_.pool)
       beat.queues.push_back({id, pending[id], dispatch_.expected_wait()});
   }
   beat.demand_cores = static_cast<double>(dispatch_.demand_cpu()) / 1000;
