--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -26,11 +26,11 @@
 constexpr Duration kFleetTickGap = Milliseconds(20);
 constexpr Duration kServersRetry = Milliseconds(200);
 // After the signal to stop, callers with open connections are served this long.
-constexpr Duration kServeAfterStop = Milliseconds(3500);
+constexpr Duration kServeAfterStop = Milliseconds(3000);
 // The store counts as lost, for the log, when no call succeeds for this long.
 constexpr Duration kStoreLost = Milliseconds(500);
 // Before the end of the grace period.
-constexpr Duration kEndMargin = Milliseconds(800);
+constexpr Duration kEndMargin = Milliseconds(1500);
 
 // When the last lease has lapsed that an earlier owner of the pool may have
 // given to a server.
