Keep a host's maintenance on record when it moves afterwards

The record shared its row with intents of moves, and a move removed it; each new keeper began the wave again (the log shows hosts chosen two and three times).

Ruled out: hosts that could not be emptied (emptied within 1.2 s).

Change: a row of its own for each host and wave.

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -267,7 +267,8 @@
   duty.stage = Stage::kReturning;
   duty.since = now;
   DutyRow row{host, DutyKind::kMaintained, duty.pool, duty.wave, duty.server};
-  chain_.Write({DutyKey(state_.pool, host), EncodeDuty(row)});
+  chain_.Write({DutyKey(state_.pool, host), "", true});
+  chain_.Write({MaintainedKey(state_.pool, host, duty.wave), EncodeDuty(row)});
   auto it = waves_.find(duty.wave);
   if (it == waves_.end())
     return;
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -3,8 +3,8 @@
 // it, a limited number at once.
 //
 // One process keeps the fleet, by a lease of its own (kFleetPool). A successor
-// decides anew, with a higher token: the API answers a call that was carried out
-// already without carrying it out again.
+// decides anew, with a higher token: the API answers a call that was carried
+// out already without carrying it out again.
 //
 // Load that it answers: waves over half of the hosts that must be over within
 // some 25 s, while queues peak in turn. Hosts of pools with little demand go
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -131,6 +131,13 @@
   return Key("duties", pool.str(), host.str());
 }
 
+std::string MaintainedKey(const PoolId& pool,
+                          const HostId& host,
+                          uint64_t wave) {
+  return Key("duties", pool.str(),
+             "w" + std::to_string(wave) + ":" + host.str());
+}
+
 std::string_view KeyName(std::string_view key) {
   return key.substr(key.rfind('/') + 1);
 }
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -8,6 +8,7 @@
 //                          and rewrites it, so that the commits form a chain
 //   nodes//<node>          processes of the scheduler
 //   duties/<pool>/<host>   calls to the host API that may be under way
+//   duties/<pool>/w<wave>:<host>  hosts whose maintenance is done
 //
 // The middle part of a key names the partition: a transaction stays within one.
 
@@ -30,6 +31,10 @@
 std::string LeaseKey(const PoolId& pool);
 std::string NodeKey(const MemberId& node);
 std::string DutyKey(const PoolId& pool, const HostId& host);
+// Of a host's maintenance in a wave, once it was carried out.
+std::string MaintainedKey(const PoolId& pool,
+                          const HostId& host,
+                          uint64_t wave);
 // The last part of a key.
 std::string_view KeyName(std::string_view key);
 
--- /dev/null
+++ b/radishmoor/jobs/testing/fleet_keeper_test.cc
@@ -0,0 +1,209 @@
+#include "radishmoor/jobs/fleet_keeper.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "radishmoor/store/memory_table.h"
+
+namespace radishmoor {
+namespace {
+
+constexpr Duration kStep = Milliseconds(50);
+
+// A keeper with a store and a host API that does at once what it is told.
+class KeeperSite {
+ public:
+  KeeperSite() {
+    config_.version = 1;
+    config_.pools = {{PoolId("a")}, {PoolId("b")}, {PoolId("spare"), true}};
+    for (int i = 0; i < 12; ++i) {
+      HostListing host;
+      host.host = HostId("h" + std::to_string(i));
+      host.pool = PoolId(i < 4 ? "a" : i < 8 ? "b" : "spare");
+      host.capacity = {16000, 64000, 0};
+      if (i < 8)
+        host.server = ServerId("s" + std::to_string(next_server_++));
+      hosts_.push_back(host);
+    }
+  }
+
+  void TakeOver() {
+    FleetKeeperOptions options;
+    options.node = MemberId("n" + std::to_string(token_));
+    options.token = ++token_;
+    options.first_owner = token_ == 1;
+    options.lease_taken = now_;
+    LeaseRow lease;
+    lease.holder = options.node;
+    lease.token = token_;
+    Transaction transaction;
+    transaction.writes.push_back(
+        {LeaseKey(PoolId(kFleetPool)), EncodeLease(lease)});
+    options.lease_version =
+        std::get<CommittedReply>(table_.Handle(CommitRows{transaction}))
+            .versions[0];
+    keeper_ = std::make_unique<FleetKeeper>(options, outbox_);
+    keeper_->OnConfig(config_);
+    keeper_->OnWaves(now_, waves_, outbox_);
+  }
+
+  void Run(Duration length) {
+    for (Time end = now_ + length; now_ < end; now_ += kStep) {
+      keeper_->Tick(now_, Contacts(), outbox_);
+      if (keeper_->wants_hosts())
+        keeper_->OnHosts(now_, hosts_, outbox_);
+      for (int round = 0; round < 4; ++round) {
+        for (JobAction& action : outbox_.Take())
+          Carry(action);
+      }
+    }
+  }
+
+  std::vector<MaintenanceWave> waves_;
+  std::map<PoolId, double> demand_;
+  std::vector<HostId> maintained_;
+  std::vector<HostId> moved_;
+  std::set<uint64_t> completed_;
+  bool throttle_ = false;
+  // Servers that the pools' owners do not say to be empty.
+  std::set<ServerId> busy_;
+  std::vector<std::string> faults_;
+
+ private:
+  std::map<PoolId, PoolContact> Contacts() {
+    std::map<PoolId, PoolContact> contacts;
+    for (const char* name : {"a", "b"}) {
+      PoolContact contact;
+      contact.node = MemberId("owner");
+      contact.beat.pool = PoolId(name);
+      contact.beat.token = 1;
+      contact.beat.capacity_cores = 64;
+      contact.beat.demand_cores = demand_[PoolId(name)];
+      for (const HostListing& host : hosts_) {
+        if (host.pool == PoolId(name))
+          contact.beat.spare_servers.push_back(host.server);
+      }
+      contacts[PoolId(name)] = contact;
+    }
+    return contacts;
+  }
+
+  void Carry(const JobAction& action) {
+    if (const auto* call = std::get_if<StoreCall>(&action)) {
+      keeper_->OnStoreAnswer(now_, {call->tag, table_.Handle(call->request)},
+                             outbox_);
+    } else if (const auto* report = std::get_if<ReportWave>(&action)) {
+      if (report->completed)
+        completed_.insert(report->wave);
+      keeper_->OnStoreAnswer(now_, {report->tag, CommittedReply{}}, outbox_);
+    } else if (const auto* send = std::get_if<SendJobPeer>(&action)) {
+      const auto& request = std::get<VacateRequest>(send->message);
+      if (request.withdraw)
+        return;
+      bool busy = busy_.contains(request.server);
+      keeper_->OnVacateAnswer(
+          now_,
+          {request.pool, request.server,
+           busy ? VacateState::kEmptying : VacateState::kEmpty, 1},
+          outbox_);
+    } else if (const auto* call = std::get_if<HostCall>(&action)) {
+      keeper_->OnHostReply(now_, {call->tag, Apply(call->request), {}},
+                           outbox_);
+    }
+  }
+
+  HostOutcome Apply(const HostRequest& request) {
+    if (throttle_)
+      return HostOutcome::kThrottled;
+    const auto* maintain = std::get_if<MaintainHost>(&request);
+    const auto* move = std::get_if<MoveHost>(&request);
+    HostId id = maintain != nullptr ? maintain->host : move->host;
+    for (HostListing& host : hosts_) {
+      if (host.host != id)
+        continue;
+      if (busy_.contains(host.server))
+        faults_.push_back(id.str() + " is called while it is in use");
+      (maintain != nullptr ? maintained_ : moved_).push_back(id);
+      if (move != nullptr)
+        host.pool = move->pool;
+      host.server = host.pool == PoolId("spare")
+                        ? ServerId()
+                        : ServerId("s" + std::to_string(next_server_++));
+    }
+    return HostOutcome::kDone;
+  }
+
+  Time now_ = kTimeZero + Seconds(100);
+  Outbox outbox_;
+  MemoryTable table_;
+  JobConfig config_;
+  std::vector<HostListing> hosts_;
+  std::unique_ptr<FleetKeeper> keeper_;
+  FencingToken token_ = 0;
+  int next_server_ = 1;
+};
+
+MaintenanceWave WaveOver(std::vector<HostId> hosts) {
+  return {1, std::move(hosts), Seconds(25), 2};
+}
+
+TEST_CASE("each host of a wave is maintained once", "[keeper]") {
+  KeeperSite site;
+  site.waves_ = {WaveOver({HostId("h0"), HostId("h5"), HostId("h9")})};
+  site.TakeOver();
+  site.Run(Seconds(10));
+  REQUIRE(site.maintained_.size() == 3);
+  REQUIRE(site.completed_.contains(1));
+}
+
+// A later move of a host must not make a successor forget its maintenance.
+TEST_CASE("a successor knows which hosts are done", "[keeper]") {
+  KeeperSite site;
+  site.waves_ = {WaveOver({HostId("h8"), HostId("h9"), HostId("h10")})};
+  site.TakeOver();
+  site.demand_[PoolId("a")] = 10;
+  site.Run(Seconds(3));
+  REQUIRE(site.maintained_.size() == 3);
+  site.demand_[PoolId("a")] = 150;
+  site.Run(Seconds(3));
+  REQUIRE_FALSE(site.moved_.empty());
+  site.demand_[PoolId("a")] = 10;
+  site.TakeOver();
+  site.Run(Seconds(10));
+  REQUIRE(site.maintained_.size() == 3);
+  REQUIRE(site.completed_.contains(1));
+}
+
+// A call that was refused for its rate must not be repeated on an old word that
+// the server is empty.
+TEST_CASE("a throttled call asks the pool's owner again", "[keeper]") {
+  KeeperSite site;
+  site.waves_ = {WaveOver({HostId("h0")})};
+  site.throttle_ = true;
+  site.TakeOver();
+  site.Run(Seconds(2));
+  site.busy_ = {ServerId("s1")};
+  site.Run(Seconds(1));
+  site.throttle_ = false;
+  site.Run(Seconds(2));
+  REQUIRE(site.faults_.empty());
+  REQUIRE(site.maintained_.empty());
+  site.busy_.clear();
+  site.Run(Seconds(4));
+  REQUIRE(site.maintained_.size() == 1);
+}
+
+// Waves that have time leave a pool whose queue peaks alone.
+TEST_CASE("a busy pool is maintained later", "[keeper]") {
+  KeeperSite site;
+  site.waves_ = {WaveOver({HostId("h0"), HostId("h5")})};
+  site.demand_[PoolId("a")] = 60;
+  site.TakeOver();
+  site.Run(Seconds(4));
+  REQUIRE(site.maintained_ == std::vector<HostId>{HostId("h5")});
+  site.Run(Seconds(20));
+  REQUIRE(site.maintained_.size() == 2);
+}
+
+}  // namespace
+}  // namespace radishmoor
