Remove the mark of a cancellation only once the cancelled state is stored

The commit that removed the inbox mark could come before the one that stored the state, as changed jobs fill commits in their order; an owner that ended in between left the job alive.

Change: the mark goes when the stored state is final; commits keep ten entries for other rows; requests between processes are numbered by incarnation.

Ruled out: a wrong answer to the cancel (asked owners answer after storing).

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -14,7 +14,9 @@
 // Without changes the lease is renewed this often.
 constexpr Duration kRenewPeriod = Milliseconds(500);
 // The store takes 100 entries and 1 MB in one transaction.
-constexpr size_t kMaxEntries = 90;
+constexpr size_t kMaxEntries = 95;
+// Of these, kept for other rows, so that changed jobs do not crowd them out.
+constexpr size_t kRowEntries = 10;
 constexpr size_t kMaxBytes = 600 * 1024;
 // A commit without an answer after a multiple of the usual latency is lost.
 constexpr int64_t kTimeoutFactor = 5;
@@ -99,7 +101,8 @@
       break;
   }
   for (const JobId& id : dirty) {
-    if (transaction.writes.size() + 2 > kMaxEntries || bytes > kMaxBytes)
+    if (transaction.writes.size() + 2 > kMaxEntries - kRowEntries ||
+        bytes > kMaxBytes)
       break;
     Job& job = *state_.jobs.Find(id);
     std::string value = EncodeProgress(state_.jobs.ProgressOf(job));
--- a/radishmoor/jobs/intake.h
+++ b/radishmoor/jobs/intake.h
@@ -27,8 +27,12 @@
 
 class Intake {
  public:
-  Intake(MemberId node, const PoolLeases& leases)
-      : node_(std::move(node)), leases_(leases) {}
+  // `incarnation`: of the process, so that answers to an earlier one are not
+  // taken for its own.
+  Intake(MemberId node, uint64_t incarnation, const PoolLeases& leases)
+      : node_(std::move(node)),
+        leases_(leases),
+        next_request_(incarnation << 20 | 1) {}
 
   // The newest configuration; versions only grow.
   void OnConfig(Time now, const JobConfig& config);
@@ -126,7 +130,7 @@
   std::map<uint64_t, JobCallId> store_calls_;
   std::map<uint64_t, JobCallId> owner_calls_;
   std::map<PoolId, std::pair<OwnerBeat, Time>> local_beats_;
-  uint64_t next_request_ = 1;
+  uint64_t next_request_;
   Counters counters_;
   bool store_lost_ = false;
 };
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -49,7 +49,7 @@
 NodeCore::NodeCore(const NodeOptions& options)
     : options_(options),
       leases_(options.name, options.address, options.capacity),
-      intake_(options.name, leases_) {}
+      intake_(options.name, options.incarnation, leases_) {}
 
 void NodeCore::Start(Time now, WallMillis wall) {
   outbox_.Log("process-started",
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -329,10 +329,15 @@
     return;
   }
   JobId id{name.substr(2)};
-  bool known = state_.jobs.Find(id) != nullptr;
+  const Job* job = state_.jobs.Find(id);
+  bool known = job != nullptr;
   if (name[0] == kInboxCancelled && known) {
-    Cancel(now, id, outbox);
-    RemoveRow(row.key);
+    // The mark goes once the end of the job is stored; until then a successor
+    // needs it.
+    if (IsFinal(job->shown))
+      RemoveRow(row.key);
+    else
+      Cancel(now, id, outbox);
   } else if (known) {
     RemoveRow(row.key);
   } else if (reading_.insert(id).second) {
@@ -515,7 +520,10 @@
   if (row.version == 0) {
     // A cancellation of a job that is not stored: nothing to cancel.
     RemoveRow(InboxKey(state_.pool, kInboxCancelled, id));
-  } else if (row.value != kEndedJobMark) {
+  } else if (row.value == kEndedJobMark) {
+    RemoveRow(InboxKey(state_.pool, kInboxCancelled, id));
+    RemoveRow(InboxKey(state_.pool, kInboxSubmitted, id));
+  } else {
     LoadJob(now, wall, row, outbox);
     next_inbox_ = now;
   }
