Count the budget of a long-running step for tasks that are starting up, too

A task seen at 60% of its start-up on a server that is being emptied was stopped without asking for the budget, though it may be at work since that look.

Change: only draining servers are left at once; else the budget decides.

Before: the new test stops a starting task while another one is missing. After: it waits.

--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -469,9 +469,10 @@
   Duration expected = state_.ExpectedRunTime(job, step);
   bool fresh = server->contact && now - *server->contact < kStandstill;
   if (step.long_running) {
-    bool leaving = server->vacating || server->listing.draining;
-    bool sound = !server->listing.draining && task.at_work();
-    if (leaving && (!sound || MayDisplace(job, occurrence, task))) {
+    // A task whose start-up was not over at the last look may be at work by now.
+    bool leaves = server->listing.draining ||
+                  (server->vacating && MayDisplace(job, occurrence, task));
+    if (leaves) {
       task.displaced = true;
       runs_.RequestStop(now, id, run.number, "server-leaves", outbox);
     } else if (!task.at_work() && fresh &&
--- /dev/null
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -0,0 +1,156 @@
+#include "radishmoor/jobs/task_dispatch.h"
+
+#include <catch2/catch.hpp>
+
+namespace radishmoor {
+namespace {
+
+const Time kNow = kTimeZero + Seconds(100);
+
+// A pool with one job, whose tasks run where the test says.
+class Pool {
+ public:
+  explicit Pool(const StepSpec& step) : state_(PoolId("a"), JobBounds()) {
+    JobSpec spec;
+    spec.queue = QueueId("q");
+    spec.steps = {step};
+    job_ = &state_.jobs.Add(JobId("j"), spec, kNow, kNow + Seconds(2));
+  }
+
+  ServerState& AddServer(const char* name) {
+    ServerState& server = state_.servers.Ensure(ServerId(name));
+    server.listing.pool = state_.pool;
+    server.listing.address = "10.0.0.1:1";
+    server.listing.capacity = {16000, 64000, 0};
+    server.listed = true;
+    server.contact = kNow;
+    server.clock.Observe(kNow, kNow, 1000);
+    return server;
+  }
+
+  Run& AddRun(uint32_t index, const char* server, uint32_t percent) {
+    Task& task = job_->occurrences.at(0).tasks[index];
+    Run run;
+    run.number = ++task.last_run;
+    run.server = ServerId(server);
+    run.phase = RunPhase::kRunning;
+    run.percent = percent;
+    run.since = run.ordered = run.percent_changed = kNow - Milliseconds(100);
+    task.runs.push_back(run);
+    state_.servers.AddRun(run.server,
+                          {{job_->id, 0, task.step, task.index}, run.number},
+                          PoolState::CountedRequest(job_->StepOf(task)));
+    return task.runs.back();
+  }
+
+  size_t Stops() {
+    Outbox outbox;
+    dispatch_.Review(kNow, outbox);
+    size_t stops = 0;
+    for (const JobAction& action : outbox.Take()) {
+      const auto* order = std::get_if<OrderToServer>(&action);
+      stops +=
+          order != nullptr && std::holds_alternative<StopRun>(order->order);
+    }
+    return stops;
+  }
+
+  PoolState state_;
+  RunControl runs_{state_};
+  TaskDispatch dispatch_{state_, runs_};
+  Job* job_ = nullptr;
+};
+
+StepSpec LongRunning(uint32_t count, uint32_t allowed_missing) {
+  StepSpec step;
+  step.count = count;
+  step.request = {1000, 100, 0};
+  step.long_running = true;
+  step.allowed_missing = allowed_missing;
+  return step;
+}
+
+// Guards against emptying servers faster than the tasks of a step come back.
+TEST_CASE("long-running tasks leave a server within their budget",
+          "[dispatch]") {
+  Pool pool(LongRunning(4, 1));
+  pool.AddServer("s1").vacating = true;
+  pool.AddServer("s2").vacating = true;
+  pool.AddServer("s3");
+  pool.AddRun(0, "s1", 100);
+  pool.AddRun(1, "s2", 100);
+  pool.AddRun(2, "s3", 100);
+  pool.AddRun(3, "s3", 100);
+  REQUIRE(pool.Stops() == 1);
+  REQUIRE(pool.Stops() == 0);
+}
+
+// A task that had not finished its start-up at the last look may be at work by
+// now, so that stopping it counts.
+TEST_CASE("a starting task is not stopped while others are missing",
+          "[dispatch]") {
+  Pool pool(LongRunning(3, 1));
+  pool.AddServer("s1").vacating = true;
+  pool.AddServer("s2");
+  pool.AddRun(0, "s1", 60);
+  pool.AddRun(1, "s2", 100);  // The third task is not running.
+  REQUIRE(pool.Stops() == 0);
+  pool.AddRun(2, "s2", 100);
+  REQUIRE(pool.Stops() == 1);
+}
+
+// Guards against tasks that wait for the end of a server that leaves anyway.
+TEST_CASE("long-running tasks leave a draining server at once", "[dispatch]") {
+  Pool pool(LongRunning(3, 1));
+  pool.AddServer("s1").listing.draining = true;
+  pool.AddRun(0, "s1", 100);
+  pool.AddRun(1, "s1", 100);
+  REQUIRE(pool.Stops() == 2);
+}
+
+// Guards against runs that stand still for good, as on a server that hangs.
+TEST_CASE("a run without progress is moved", "[dispatch]") {
+  StepSpec step;
+  step.request = {1000, 100, 0};
+  step.estimate = Milliseconds(500);
+  Pool pool(step);
+  pool.AddServer("s1");
+  Run& run = pool.AddRun(0, "s1", 40);
+  REQUIRE(pool.Stops() == 0);
+  run.since = run.percent_changed = kNow - Seconds(3);
+  REQUIRE(pool.Stops() == 1);
+  REQUIRE(pool.state_.servers.Find(ServerId("s1"))->held_back_until > kNow);
+}
+
+// Guards against a plan that starts a task twice or exceeds a server's room.
+TEST_CASE("ready tasks are planned within the room", "[dispatch]") {
+  StepSpec step;
+  step.count = 5;
+  step.request = {6000, 100, 0};
+  step.estimate = Milliseconds(500);
+  Pool pool(step);
+  pool.AddServer("s1");
+  pool.dispatch_.Plan(kNow);
+  REQUIRE(pool.state_.planned[JobId("j")].size() == 2);
+  pool.dispatch_.Plan(kNow);
+  REQUIRE(pool.state_.planned[JobId("j")].size() == 2);
+  REQUIRE(pool.state_.servers.Find(ServerId("s1"))->Room().cpu_millis == 4000);
+}
+
+// Members of a gang start together or not at all.
+TEST_CASE("a gang is planned whole or not at all", "[dispatch]") {
+  StepSpec step;
+  step.count = 3;
+  step.request = {6000, 100, 0};
+  step.gang = true;
+  Pool pool(step);
+  pool.AddServer("s1");
+  pool.dispatch_.Plan(kNow);
+  REQUIRE(pool.state_.planned.empty());
+  pool.AddServer("s2");
+  pool.dispatch_.Plan(kNow);
+  REQUIRE(pool.state_.planned[JobId("j")].size() == 3);
+}
+
+}  // namespace
+}  // namespace radishmoor
