Grow pools sooner and leave them more room

Cause: short jobs at the start of a turn wait for hosts that move for 2.5 s.

Change: usable share 0.85 to 0.75, weight of the newest demand 0.4 to 0.7.

--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Share of a pool's cores that tasks can fill before short ones have to wait.
-constexpr double kUsableShare = 0.85;
+constexpr double kUsableShare = 0.75;
 // A host that moves serves its new pool after about this time.
 constexpr double kLeadSeconds = 2.5;
 constexpr Duration kSurplusTime = Milliseconds(2500);
@@ -16,7 +16,7 @@
 constexpr double kUsedShare = 0.25;
 constexpr Duration kStartTime = Seconds(30);
 // The slope follows demand with this weight at each plan.
-constexpr double kDemandWeight = 0.4;
+constexpr double kDemandWeight = 0.7;
 constexpr double kSlopeWeight = 0.3;
 constexpr double kMaxRise = 0.5;
 // A pool keeps as many, for the first jobs of a peak.
