--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -7,10 +7,10 @@
 namespace {
 
 // Share of a pool's cores that tasks can fill before short ones have to wait.
-constexpr double kUsableShare = 0.75;
+constexpr double kUsableShare = 0.8;
 // A host that moves serves its new pool after about this time.
 constexpr double kLeadSeconds = 2.5;
-constexpr Duration kSurplusTime = Milliseconds(2500);
+constexpr Duration kSurplusTime = Milliseconds(2200);
 // Queues are quiet before the first callers come: until a pool has this share
 // of its cores in use, or the time has passed, all pools keep their hosts.
 constexpr double kUsedShare = 0.25;
@@ -70,6 +70,10 @@
                                          uint32_t limit) {
   if (!started_)
     started_ = now;
+  for (const PoolSize& pool : pools) {
+    double cores = pool.cores_per_host * pool.hosts;
+    used_ = used_ || (pool.known && pool.demand_cores > kUsedShare * cores);
+  }
   struct Balance {
     const PoolSize* pool = nullptr;
     uint32_t short_by = 0;
@@ -88,8 +92,6 @@
     }
     if (!pool.known)
       continue;
-    double cores = pool.cores_per_host * pool.hosts;
-    used_ = used_ || pool.demand_cores > kUsedShare * cores;
     uint32_t needed = Needed(now, pool);
     uint32_t lately = NeededLately(now, pool);
     uint32_t staying = pool.hosts - std::min(pool.hosts, pool.leaving);
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -469,7 +469,8 @@
   Duration expected = state_.ExpectedRunTime(job, step);
   bool fresh = server->contact && now - *server->contact < kStandstill;
   if (step.long_running) {
-    // A task whose start-up was not over at the last look may be at work by now.
+    // A task whose start-up was not over at the last look may be at work by
+    // now.
     bool leaves = server->listing.draining ||
                   (server->vacating && MayDisplace(job, occurrence, task));
     if (leaves) {
