--- a/radishmoor/jobs/intake.cc
+++ b/radishmoor/jobs/intake.cc
@@ -28,6 +28,25 @@
 constexpr size_t kJobIdDigits = 16;
 constexpr size_t kMaxOpenCalls = 2000;
 
+std::string_view OutcomeName(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kNoQueue:
+      return "no-queue";
+    case CallOutcome::kNoJob:
+      return "no-job";
+    case CallOutcome::kBadJob:
+      return "bad-job";
+    case CallOutcome::kOverloaded:
+      return "overloaded";
+    case CallOutcome::kUnavailable:
+      return "not-accepted";
+    case CallOutcome::kUncertain:
+      return "uncertain";
+    default:
+      return "answered";
+  }
+}
+
 bool IsJobId(std::string_view text) {
   return text.size() == kJobIdDigits &&
          std::all_of(text.begin(), text.end(),
@@ -454,7 +473,7 @@
   ++counters_.refused;
   outbox.Log("call-refused",
              {{"job", it == calls_.end() ? "" : it->second.job.str()},
-              {"outcome", static_cast<int64_t>(outcome)},
+              {"outcome", std::string(OutcomeName(outcome))},
               {"reason", std::string(why)},
               {"config", static_cast<int64_t>(config_.version)}});
   Finish(id,
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -169,6 +169,14 @@
   Settle(now, wall);
 }
 
+void NodeCore::OnAdvice(Time now, WallMillis wall, const AdviceReply& reply) {
+  for (auto& [pool, scheduler] : schedulers_) {
+    if (scheduler->OnAdvice(now, reply))
+      break;
+  }
+  Settle(now, wall);
+}
+
 void NodeCore::OnPeer(Time now,
                       WallMillis wall,
                       const JobPeerEnvelope& envelope) {
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -51,6 +51,7 @@
   void OnServers(Time now, WallMillis wall, const ServersReply& reply);
   void OnOperators(Time now, WallMillis wall, const OperatorsReply& reply);
   void OnHostReply(Time now, WallMillis wall, const HostReply& reply);
+  void OnAdvice(Time now, WallMillis wall, const AdviceReply& reply);
   void OnPeer(Time now, WallMillis wall, const JobPeerEnvelope& envelope);
   void Tick(Time now, WallMillis wall);
   // The process was suspended for a while that the clock does not show.
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -453,6 +453,13 @@
   return true;
 }
 
+bool PoolScheduler::OnAdvice(Time now, const AdviceReply& reply) {
+  if (!state_.advice.OnReply(now, reply))
+    return false;
+  plan_needed_ = true;
+  return true;
+}
+
 void PoolScheduler::OnVacateRequest(Time now,
                                     const MemberId& from,
                                     const std::string& address,
@@ -562,7 +569,7 @@
     // before one can be sent.
     if (plan_needed_ && now >= chain_.ready_at()) {
       plan_needed_ = false;
-      dispatch_.Plan(now);
+      dispatch_.Plan(now, outbox);
     }
     if (plan_needed_)
       Wake(chain_.ready_at());
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -67,6 +67,7 @@
                      const StoreAnswer& answer,
                      Outbox& outbox);
   bool OnServerReply(Time now, const ServerReply& reply, Outbox& outbox);
+  bool OnAdvice(Time now, const AdviceReply& reply);
 
   void OnJobNotice(Time now,
                    const MemberId& from,
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -10,6 +10,7 @@
 
 #include "radishmoor/base/ids.h"
 #include "radishmoor/base/time.h"
+#include "radishmoor/jobs/advice_book.h"
 #include "radishmoor/jobs/job.h"
 #include "radishmoor/jobs/job_table.h"
 #include "radishmoor/jobs/outbox.h"
@@ -83,6 +84,7 @@
   std::map<QueueId, QueueStats> stats;
   JobTable jobs;
   ServerBook servers;
+  AdviceBook advice;
   // Runs in the phase kPlanned that no commit holds yet.
   std::map<JobId, std::vector<RunRef>> planned;
   PoolCounters counters;
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -103,6 +103,7 @@
   start.payload = job.spec.payload;
   start.lease_until = server->clock.Nominal(now) + ToMillis(state_.lease());
   start.checkpoint = task->checkpoint;
+  start.ticket = state_.advice.TicketFor(ref.task, run->server);
   server->lease_until = std::max(server->lease_until, start.lease_until);
   run->start_lease = start.lease_until;
   run->phase = RunPhase::kOrdered;
@@ -363,6 +364,8 @@
       break;
   }
   ++state_.counters.starts_refused;
+  if (reply.outcome == OrderOutcome::kBadTicket)
+    state_.advice.Drop(order.run.task, order.server);
   outbox.Log("start-refused",
              {{"task", FormatTask(order.run.task)},
               {"run", static_cast<int64_t>(order.run.run)},
@@ -692,8 +695,11 @@
 void RunControl::CloseResolved() {
   for (const JobId& id : std::exchange(to_close_, {})) {
     Job* job = state_.jobs.Find(id);
-    if (job != nullptr)
-      state_.jobs.CloseIfResolved(*job);
+    if (job == nullptr)
+      continue;
+    state_.jobs.CloseIfResolved(*job);
+    if (IsFinal(job->state))
+      state_.advice.Forget(id);
   }
 }
 
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -154,14 +154,14 @@
   return ordered;
 }
 
-void TaskDispatch::Plan(Time now) {
+void TaskDispatch::Plan(Time now, Outbox& outbox) {
   std::vector<PlacementServer> servers = CollectServers(now);
   UpdateLargestRoom(servers);
   reservations_ = 0;
   demand_cpu_ = 0;
   waiting_work_ = 0;
   for (const OrderedJob& ordered : OrderedJobs(now))
-    PlanJob(now, *ordered.job, ordered.in_time, servers);
+    PlanJob(now, *ordered.job, ordered.in_time, servers, outbox);
   int64_t capacity = 0;
   for (const PlacementServer& server : servers)
     capacity += server.capacity.cpu_millis;
@@ -171,7 +171,9 @@
 void TaskDispatch::PlanJob(Time now,
                            Job& job,
                            bool in_time,
-                           std::vector<PlacementServer>& servers) {
+                           std::vector<PlacementServer>& servers,
+                           Outbox& outbox) {
+  bool advised = state_.QueueOf(job).needs_advice;
   for (auto& [number, occurrence] : job.occurrences) {
     if (occurrence.finished)
       continue;
@@ -191,6 +193,13 @@
       bool planned = false;
       if (blocked[task.step]) {
         planned = false;
+      } else if (advised) {
+        std::vector<PlacementServer> admitted = servers;
+        Admit(now, {job.id, number, task.step, task.index}, admitted, outbox);
+        planned = step.gang
+                      ? PlanGang(now, job, occurrence, task.step, admitted)
+                      : PlanTask(now, job, occurrence, task, admitted);
+        TakeRooms(admitted, servers);
       } else if (step.gang) {
         if (!gang_tried[task.step])
           planned = PlanGang(now, job, occurrence, task.step, servers);
@@ -252,6 +261,31 @@
   }
 }
 
+void TaskDispatch::Admit(Time now,
+                         const TaskId& task,
+                         std::vector<PlacementServer>& servers,
+                         Outbox& outbox) {
+  std::vector<ServerId> asked;
+  for (const PlacementServer& server : servers)
+    asked.push_back(server_ids_[server.position]);
+  std::map<ServerId, std::string> tickets =
+      state_.advice.Tickets(now, task, asked, outbox);
+  std::erase_if(servers, [&](const PlacementServer& server) {
+    return !tickets.contains(server_ids_[server.position]);
+  });
+}
+
+void TaskDispatch::TakeRooms(std::span<const PlacementServer> from,
+                             std::vector<PlacementServer>& to) {
+  for (const PlacementServer& used : from) {
+    for (PlacementServer& server : to) {
+      if (server.position == used.position)
+        server.room = used.room;
+    }
+  }
+  UpdateLargestRoom(to);
+}
+
 void TaskDispatch::ForgetStep(std::vector<PlacementServer>& servers) {
   for (PlacementServer& server : servers) {
     server.same_step = 0;
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -23,7 +23,7 @@
       : state_(state), runs_(runs) {}
 
   // Plans runs for ready tasks as far as there is room.
-  void Plan(Time now);
+  void Plan(Time now, Outbox& outbox);
 
   // Stops runs that would end sooner elsewhere, empties servers that leave, and
   // starts copies of stragglers where the step allows them.
@@ -47,12 +47,18 @@
   void PlanJob(Time now,
                Job& job,
                bool in_time,
-               std::vector<PlacementServer>& servers);
+               std::vector<PlacementServer>& servers,
+               Outbox& outbox);
   bool PlanTask(Time now,
                 Job& job,
                 Occurrence& occurrence,
                 Task& task,
                 std::vector<PlacementServer>& servers);
+  // Keeps only the servers that the placement adviser admits for the step.
+  void Admit(Time now,
+             const TaskId& task,
+             std::vector<PlacementServer>& servers,
+             Outbox& outbox);
   bool PlanGang(Time now,
                 Job& job,
                 Occurrence& occurrence,
@@ -66,6 +72,9 @@
   void CountStep(const Occurrence& occurrence,
                  const Task& task,
                  std::vector<PlacementServer>& servers) const;
+  // Copies the rooms of the servers in `from`.
+  void TakeRooms(std::span<const PlacementServer> from,
+                 std::vector<PlacementServer>& to);
   // Takes back what CountStep() filled in.
   static void ForgetStep(std::vector<PlacementServer>& servers);
   void UpdateLargestRoom(std::span<const PlacementServer> servers);
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -124,33 +124,65 @@
 
 // Guards against a plan that starts a task twice or exceeds a server's room.
 TEST_CASE("ready tasks are planned within the room", "[dispatch]") {
+  Outbox outbox;
   StepSpec step;
   step.count = 5;
   step.request = {6000, 100, 0};
   step.estimate = Milliseconds(500);
   Pool pool(step);
   pool.AddServer("s1");
-  pool.dispatch_.Plan(kNow);
+  pool.dispatch_.Plan(kNow, outbox);
   REQUIRE(pool.state_.planned[JobId("j")].size() == 2);
-  pool.dispatch_.Plan(kNow);
+  pool.dispatch_.Plan(kNow, outbox);
   REQUIRE(pool.state_.planned[JobId("j")].size() == 2);
   REQUIRE(pool.state_.servers.Find(ServerId("s1"))->Room().cpu_millis == 4000);
 }
 
 // Members of a gang start together or not at all.
 TEST_CASE("a gang is planned whole or not at all", "[dispatch]") {
+  Outbox outbox;
   StepSpec step;
   step.count = 3;
   step.request = {6000, 100, 0};
   step.gang = true;
   Pool pool(step);
   pool.AddServer("s1");
-  pool.dispatch_.Plan(kNow);
+  pool.dispatch_.Plan(kNow, outbox);
   REQUIRE(pool.state_.planned.empty());
   pool.AddServer("s2");
-  pool.dispatch_.Plan(kNow);
+  pool.dispatch_.Plan(kNow, outbox);
   REQUIRE(pool.state_.planned[JobId("j")].size() == 3);
 }
 
+// Queues with advice start only where the adviser admits them, are asked for
+// once and carry the ticket.
+TEST_CASE("a step with advice waits for its tickets", "[dispatch]") {
+  StepSpec step;
+  step.count = 2;
+  step.request = {1000, 100, 0};
+  Pool pool(step);
+  pool.AddServer("s1");
+  pool.AddServer("s2");
+  pool.state_.queues[QueueId("q")].needs_advice = true;
+  Outbox outbox;
+  pool.dispatch_.Plan(kNow, outbox);
+  pool.dispatch_.Plan(kNow, outbox);
+  REQUIRE(pool.state_.planned.empty());
+  std::vector<JobAction> actions = outbox.Take();
+  REQUIRE(actions.size() == 1);
+  const auto& ask = std::get<AskAdvice>(actions[0]);
+  REQUIRE(ask.servers.size() == 2);
+  REQUIRE(pool.state_.advice.OnReply(
+      kNow, {ask.tag, true, {{ServerId("s2"), "ticket"}}, Seconds(3)}));
+  pool.dispatch_.Plan(kNow, outbox);
+  REQUIRE(pool.state_.planned[JobId("j")].size() == 2);
+  TaskId task{JobId("j"), 0, 0, 0};
+  REQUIRE(pool.state_.jobs.FindTask(task)->runs[0].server == ServerId("s2"));
+  REQUIRE(pool.state_.servers.Find(ServerId("s2"))->Room().cpu_millis == 14000);
+  REQUIRE(pool.state_.advice.TicketFor(task, ServerId("s2")) == "ticket");
+  pool.state_.advice.Drop(task, ServerId("s2"));
+  REQUIRE(pool.state_.advice.TicketFor(task, ServerId("s2")).empty());
+}
+
 }  // namespace
 }  // namespace radishmoor
