--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -31,7 +31,7 @@
 // time. A round of maintenance takes about kRoundTime.
 constexpr double kBusyPool = 0.5;
 constexpr Duration kRoundTime = Milliseconds(3500);
-constexpr Duration kWaveMargin = Seconds(6);
+constexpr Duration kWaveMargin = Seconds(9);
 // Hosts that are emptied ahead of their turn, beyond those that may be down.
 constexpr uint32_t kEmptiedAhead = 1;
 
@@ -584,8 +584,10 @@
     ids.push_back(host);
   for (const HostId& host : ids) {
     Duty& duty = duties_.at(host);
+    Duration patience =
+        duty.kind == DutyKind::kMove ? kMovePatience : kEmptyingLimit;
     bool stuck =
-        duty.stage == Stage::kEmptying && now - duty.started > kEmptyingLimit;
+        duty.stage == Stage::kEmptying && now - duty.started > patience;
     auto listing = hosts_.find(host);
     bool changed =
         duty.stage == Stage::kEmptying &&
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -266,6 +266,7 @@
                          std::vector<PlacementServer>& servers,
                          Outbox& outbox) {
   std::vector<ServerId> asked;
+  asked.reserve(servers.size());
   for (const PlacementServer& server : servers)
     asked.push_back(server_ids_[server.position]);
   std::map<ServerId, std::string> tickets =
