Hand the age of a wave on to a later keeper

A new keeper took a wave's time to begin with its own, so it spared busy pools for too long (wave seen at 4.3 s, 18.0 s again; done at 32.9 s).

Change: each process keeps when it first saw a wave; one from before its start counts as having no time left.

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -75,16 +75,15 @@
   chain_.Write({row.key, "", true});
 }
 
-void FleetKeeper::OnWaves(Time now,
-                          std::span<const MaintenanceWave> waves,
-                          Outbox& outbox) {
-  for (const MaintenanceWave& plan : waves) {
+void FleetKeeper::OnWaves(std::span<const KnownWave> waves, Outbox& outbox) {
+  for (const KnownWave& known : waves) {
+    const MaintenanceWave& plan = known.plan;
     auto [it, inserted] = waves_.try_emplace(plan.number);
     Wave& wave = it->second;
     wave.plan = plan;
     if (!inserted)
       continue;
-    wave.seen = now;
+    wave.seen = known.seen;
     outbox.Log("wave-seen",
                {{"wave", static_cast<int64_t>(plan.number)},
                 {"hosts", static_cast<int64_t>(plan.hosts.size())},
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -53,12 +53,18 @@
   }
 };
 
+// A wave, and since when its time runs as far as this process knows.
+struct KnownWave {
+  MaintenanceWave plan;
+  Time seen;
+};
+
 class FleetKeeper {
  public:
   FleetKeeper(const FleetKeeperOptions& options, Outbox& outbox);
 
   void OnConfig(const JobConfig& config) { config_ = config; }
-  void OnWaves(Time now, std::span<const MaintenanceWave> waves, Outbox& out);
+  void OnWaves(std::span<const KnownWave> waves, Outbox& outbox);
   void OnVacateAnswer(Time now, const VacateAnswer& answer, Outbox& outbox);
   bool OnStoreAnswer(Time now, const StoreAnswer& answer, Outbox& outbox);
   bool OnHostReply(Time now, const HostReply& reply, Outbox& outbox);
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -147,10 +147,18 @@
       fleet_->OnConfig(config_);
     leases_.Watch(now, WatchedPools());
   }
-  for (const MaintenanceWave& wave : reply.waves)
-    waves_[wave.number] = wave;
+  std::vector<KnownWave> waves;
+  for (const MaintenanceWave& wave : reply.waves) {
+    auto [it, inserted] = waves_.try_emplace(wave.number);
+    it->second.plan = wave;
+    // A wave from before the start of this process may have no time left.
+    if (inserted)
+      it->second.seen = operators_known_ ? now : now - wave.length;
+    waves.push_back(it->second);
+  }
+  operators_known_ = true;
   if (fleet_ != nullptr)
-    fleet_->OnWaves(now, reply.waves, outbox_);
+    fleet_->OnWaves(waves, outbox_);
   Settle(now, wall);
 }
 
@@ -291,10 +299,10 @@
       options.first_owner = lease.first_owner;
       fleet_ = std::make_unique<FleetKeeper>(options, outbox_);
       fleet_->OnConfig(config_);
-      std::vector<MaintenanceWave> waves;
+      std::vector<KnownWave> waves;
       for (const auto& [number, wave] : waves_)
         waves.push_back(wave);
-      fleet_->OnWaves(now, waves, outbox_);
+      fleet_->OnWaves(waves, outbox_);
     } else {
       PoolSchedulerOptions options;
       options.pool = lease.pool;
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -107,7 +107,8 @@
   NodeOptions options_;
   Outbox outbox_;
   JobConfig config_;
-  std::map<uint64_t, MaintenanceWave> waves_;
+  // With the time since when each is known, which a later keeper needs as well.
+  std::map<uint64_t, KnownWave> waves_;
   PoolLeases leases_;
   Intake intake_;
   std::map<PoolId, std::unique_ptr<PoolScheduler>> schedulers_;
@@ -116,6 +117,7 @@
 
   uint64_t operators_tag_ = 0;
   RowVersion operators_version_ = 0;
+  bool operators_known_ = false;  // All that was there at the start was read.
   Time operators_retry_;
   Time next_full_read_;
   uint64_t register_tag_ = 0;
--- a/radishmoor/jobs/testing/fleet_keeper_test.cc
+++ b/radishmoor/jobs/testing/fleet_keeper_test.cc
@@ -1,6 +1,7 @@
 #include "radishmoor/jobs/fleet_keeper.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <set>
 
 #include "radishmoor/store/memory_table.h"
@@ -44,7 +45,10 @@
             .versions[0];
     keeper_ = std::make_unique<FleetKeeper>(options, outbox_);
     keeper_->OnConfig(config_);
-    keeper_->OnWaves(now_, waves_, outbox_);
+    std::vector<KnownWave> known;
+    for (const MaintenanceWave& wave : waves_)
+      known.push_back({wave, wave_seen_.value_or(now_)});
+    keeper_->OnWaves(known, outbox_);
   }
 
   void Run(Duration length) {
@@ -60,6 +64,7 @@
   }
 
   std::vector<MaintenanceWave> waves_;
+  std::optional<Time> wave_seen_;  // Else: when the keeper took over.
   std::map<PoolId, double> demand_;
   std::vector<HostId> maintained_;
   std::vector<HostId> moved_;
@@ -205,5 +210,16 @@
   REQUIRE(site.maintained_.size() == 2);
 }
 
+// A successor must not take the time of a wave to begin with its own.
+TEST_CASE("a wave that began long ago does not wait", "[keeper]") {
+  KeeperSite site;
+  site.waves_ = {WaveOver({HostId("h0")})};
+  site.demand_[PoolId("a")] = 60;
+  site.wave_seen_ = kTimeZero + Seconds(80);
+  site.TakeOver();
+  site.Run(Seconds(3));
+  REQUIRE(site.maintained_.size() == 1);
+}
+
 }  // namespace
 }  // namespace radishmoor
