Answer open calls before a stopping process ends

Cause: a process that stops takes calls for 3 s, calls last for up to 3 s, and it ended 1.5 s before its grace period of 6 s was over whether or not calls were open.

Ruled out: connections whose request was still being read; the process ended exactly at the margin, not once its calls were over.

Change: at the margin Intake refuses what is open, and the process ends with the next tick, at most 100 ms later.

--- a/radishmoor/jobs/intake.cc
+++ b/radishmoor/jobs/intake.cc
@@ -483,6 +483,18 @@
          outbox);
 }
 
+void Intake::GiveUp(JobCallId id, std::string_view why, Outbox& outbox) {
+  CallOutcome outcome = calls_.at(id).kind == Kind::kRead
+                            ? CallOutcome::kUnavailable
+                            : CallOutcome::kUncertain;
+  Refuse(id, outcome, kUnavailableRetry, why, outbox);
+}
+
+void Intake::EndCalls(Outbox& outbox) {
+  while (!calls_.empty())
+    GiveUp(calls_.begin()->first, "process-ending", outbox);
+}
+
 void Intake::Tick(Time now, Outbox& outbox) {
   std::vector<JobCallId> due;
   for (const auto& [id, call] : calls_) {
@@ -494,9 +506,7 @@
   for (JobCallId id : due) {
     OpenCall& call = calls_.at(id);
     if (now >= call.deadline) {
-      CallOutcome outcome = call.kind == Kind::kRead ? CallOutcome::kUnavailable
-                                                     : CallOutcome::kUncertain;
-      Refuse(id, outcome, kUnavailableRetry, "time-limit", outbox);
+      GiveUp(id, "time-limit", outbox);
       continue;
     }
     call.retry_at = kTimeMax;
--- a/radishmoor/jobs/intake.h
+++ b/radishmoor/jobs/intake.h
@@ -45,6 +45,9 @@
   void Tick(Time now, Outbox& outbox);
   Time next_wake() const;
 
+  // Answers all open calls before the process ends.
+  void EndCalls(Outbox& outbox);
+
   // Announcement of a pool that this process owns itself.
   void SetLocalBeat(const OwnerBeat& beat, Time now);
 
@@ -109,6 +112,8 @@
                      Outbox& outbox);
   void AnswerState(JobCallId id, JobState state, Outbox& outbox);
   void Finish(JobCallId id, AnswerCall answer, Outbox& outbox);
+  // Refuses a call that gets no other answer in time.
+  void GiveUp(JobCallId id, std::string_view why, Outbox& outbox);
   void Refuse(JobCallId id,
               CallOutcome outcome,
               Duration retry_after,
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -29,8 +29,10 @@
 constexpr Duration kServeAfterStop = Milliseconds(3000);
 // The store counts as lost, for the log, when no call succeeds for this long.
 constexpr Duration kStoreLost = Milliseconds(500);
-// Before the end of the grace period.
+// Before the end of the grace period; open calls are given up then.
 constexpr Duration kEndMargin = Milliseconds(1500);
+// For the answers to these calls to be sent.
+constexpr Duration kLastAnswersTime = Milliseconds(100);
 
 // When the last lease has lapsed that an earlier owner of the pool may have
 // given to a server.
@@ -513,9 +515,14 @@
 void NodeCore::TickShutdown(Time now) {
   if (!shutdown_ || ended_)
     return;
-  bool served = now - *shutdown_ >= kServeAfterStop &&
-                intake_.open_calls() == 0 && !HasOwned();
-  if (served || now - *shutdown_ >= options_.grace - kEndMargin) {
+  Duration stopping = now - *shutdown_;
+  Duration limit = options_.grace - kEndMargin;
+  bool unanswered = intake_.open_calls() > 0;
+  if (stopping >= limit)
+    intake_.EndCalls(outbox_);
+  bool served = stopping >= kServeAfterStop && !unanswered && !HasOwned();
+  bool over = stopping >= limit && !unanswered;
+  if (served || over || stopping >= limit + kLastAnswersTime) {
     ended_ = true;
     outbox_.Log("process-ended", {});
     outbox_.End();
