Give types and functions of the job slice names of their own

Cause: radishmoor::PoolState and radishmoor::HostState were defined in two headers each (config and jobs), and radishmoor::LeaseKey in two slices (membership and jobs). A program that links both, as platform_process_test does, may get the wrong destructor or function.

No behaviour changes.

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -87,7 +87,7 @@
   lease.earlier_leases =
       std::max(Duration::zero(), options_.earlier_leases_until - now) +
       Milliseconds(1);
-  std::string key = LeaseKey(state_.pool);
+  std::string key = OwnerLeaseKey(state_.pool);
   transaction.expects.push_back({key, options_.lease_version});
   transaction.writes.push_back({std::move(key), EncodeLease(lease)});
 }
@@ -219,7 +219,7 @@
 }
 
 void CommitChain::OnConflict(Time now, const std::vector<Row>& rows) {
-  std::string key = LeaseKey(state_.pool);
+  std::string key = OwnerLeaseKey(state_.pool);
   for (const Row& row : rows) {
     if (row.key != key)
       continue;
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -42,7 +42,7 @@
     bool released = false;
   };
 
-  CommitChain(PoolState& state, Options options)
+  CommitChain(JobPoolState& state, Options options)
       : state_(state), options_(std::move(options)) {}
 
   // Sends a commit if one is due: something changed, or the lease needs to be
@@ -102,7 +102,7 @@
   // Takes the content of the commit in flight back.
   void Revert();
 
-  PoolState& state_;
+  JobPoolState& state_;
   Options options_;
   InFlight commit_;
   struct PendingRow {
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -111,7 +111,8 @@
   }
   // A call of an earlier keeper may have put others down.
   for (const auto& [host, listing] : hosts_) {
-    if (listing.state == HostState::kMaintenance && !duties_.contains(host))
+    if (listing.state == ListedHostState::kMaintenance &&
+        !duties_.contains(host))
       ++down;
   }
   return down;
@@ -198,8 +199,8 @@
     if (duty.stage != Stage::kReturning || it == hosts_.end())
       continue;
     // The list shows the maintenance from the answer to the call on.
-    bool away = it->second.state == HostState::kMaintenance ||
-                it->second.state == HostState::kMoving;
+    bool away = it->second.state == ListedHostState::kMaintenance ||
+                it->second.state == ListedHostState::kMoving;
     if (sent > duty.since && !away)
       back.push_back(id);
   }
@@ -378,7 +379,7 @@
       wave.missing.erase(host);
       auto aside = wave.set_aside.find(host);
       if (wave.done.contains(host) || duties_.contains(host) ||
-          listing->second.state != HostState::kUp ||
+          listing->second.state != ListedHostState::kUp ||
           (aside != wave.set_aside.end() && now < aside->second))
         continue;
       auto contact = contacts.find(listing->second.pool);
@@ -435,7 +436,7 @@
       const PoolId& pool = moves && duty->second.stage != Stage::kEmptying
                                ? duty->second.target
                                : host.pool;
-      if (pool != config.id || host.state == HostState::kDown)
+      if (pool != config.id || host.state == ListedHostState::kDown)
         continue;
       ++size.hosts;
       size.cores_per_host =
@@ -459,7 +460,7 @@
     const std::map<PoolId, PoolContact>& contacts) const {
   std::vector<HostId> movable;
   auto usable = [this](const HostId& id, const HostListing& host) {
-    return host.state == HostState::kUp && !duties_.contains(id);
+    return host.state == ListedHostState::kUp && !duties_.contains(id);
   };
   if (IsStandby(pool)) {
     for (const auto& [id, host] : hosts_) {
@@ -588,10 +589,10 @@
     bool stuck =
         duty.stage == Stage::kEmptying && now - duty.started > patience;
     auto listing = hosts_.find(host);
-    bool changed =
-        duty.stage == Stage::kEmptying &&
-        (listing == hosts_.end() || listing->second.state != HostState::kUp ||
-         listing->second.server != duty.server);
+    bool changed = duty.stage == Stage::kEmptying &&
+                   (listing == hosts_.end() ||
+                    listing->second.state != ListedHostState::kUp ||
+                    listing->second.server != duty.server);
     auto owner = contacts.find(duty.pool);
     auto wave_of = waves_.find(duty.wave);
     bool pool_got_busy = duty.stage == Stage::kEmptying &&
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -167,7 +167,7 @@
 
   FleetKeeperOptions options_;
   JobConfig config_;
-  PoolState state_;  // Without jobs; the chain needs one.
+  JobPoolState state_;  // Without jobs; the chain needs one.
   CommitChain chain_;
   uint64_t load_tag_ = 0;
   bool loaded_ = false;
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -119,7 +119,7 @@
   return Key("inbox", pool.str(), std::string(1, kind) + ":" + job.str());
 }
 
-std::string LeaseKey(const PoolId& pool) {
+std::string OwnerLeaseKey(const PoolId& pool) {
   return Key("owner", pool.str(), "lease");
 }
 
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -28,7 +28,7 @@
 std::string JobKey(const PoolId& pool, const JobId& job);
 std::string ProgressKey(const PoolId& pool, const JobId& job);
 std::string InboxKey(const PoolId& pool, char kind, const JobId& job);
-std::string LeaseKey(const PoolId& pool);
+std::string OwnerLeaseKey(const PoolId& pool);
 std::string NodeKey(const MemberId& node);
 std::string DutyKey(const PoolId& pool, const HostId& host);
 // Of a host's maintenance in a wave, once it was carried out.
--- a/radishmoor/jobs/messages.h
+++ b/radishmoor/jobs/messages.h
@@ -176,12 +176,12 @@
 
 // Calls to the platform's host API.
 
-enum class HostState : uint8_t { kUp, kMoving, kMaintenance, kDown };
+enum class ListedHostState : uint8_t { kUp, kMoving, kMaintenance, kDown };
 
 struct HostListing {
   HostId host;
   PoolId pool;
-  HostState state = HostState::kUp;
+  ListedHostState state = ListedHostState::kUp;
   ZoneId zone;
   std::vector<std::string> labels;
   Resources capacity;
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -37,7 +37,7 @@
 // When the last lease has lapsed that an earlier owner of the pool may have
 // given to a server.
 Time EarlierLeasesUntil(const AcquiredLease& lease) {
-  Duration length = PoolState::kLease + PoolState::kLeaseSlack;
+  Duration length = JobPoolState::kLease + JobPoolState::kLeaseSlack;
   if (lease.first_owner)
     return kTimeZero;
   Time earlier = lease.renewed_before + lease.earlier_leases;
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -229,7 +229,8 @@
   }
   watched.next_read = now + kReadPeriod;
   watched.read_sent = now;
-  watched.read_tag = outbox.Store(ReadRows{{LeaseKey(pool)}}, kReadTimeout);
+  watched.read_tag =
+      outbox.Store(ReadRows{{OwnerLeaseKey(pool)}}, kReadTimeout);
   Wake(watched.next_read);
 }
 
@@ -249,8 +250,8 @@
       watched.row ? watched.row->earlier_leases : Duration::zero();
   watched.take_sent = now;
   Transaction transaction;
-  transaction.expects.push_back({LeaseKey(pool), watched.version});
-  transaction.writes.push_back({LeaseKey(pool), EncodeLease(lease)});
+  transaction.expects.push_back({OwnerLeaseKey(pool), watched.version});
+  transaction.writes.push_back({OwnerLeaseKey(pool), EncodeLease(lease)});
   watched.take_tag =
       outbox.Store(CommitRows{std::move(transaction)}, kTakeTimeout);
   outbox.Log("pool-lease-expired",
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -162,7 +162,7 @@
       for (const Run& run : task.runs) {
         state_.servers.AddRun(run.server,
                               {{id, number, task.step, task.index}, run.number},
-                              PoolState::CountedRequest(job.StepOf(task)));
+                              JobPoolState::CountedRequest(job.StepOf(task)));
         state_.servers.Find(run.server)->inherited_until =
             options_.earlier_leases_until;
       }
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -99,7 +99,7 @@
 
   OwnerBeat Beat(Time now) const;
   bool loaded() const { return load_.stage == LoadStage::kDone; }
-  const PoolState& state() const { return state_; }
+  const JobPoolState& state() const { return state_; }
   FencingToken token() const { return state_.token; }
   Duration renewed_age(Time now) const { return now - chain_.renewed(); }
 
@@ -147,7 +147,7 @@
   void Wake(Time at) { next_wake_ = std::min(next_wake_, at); }
 
   PoolSchedulerOptions options_;
-  PoolState state_;
+  JobPoolState state_;
   RunControl runs_;
   TaskDispatch dispatch_;
   CommitChain chain_;
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -69,8 +69,8 @@
   uint64_t unreadable_rows = 0;
 };
 
-struct PoolState {
-  PoolState(PoolId pool_id, JobBounds platform_bounds)
+struct JobPoolState {
+  JobPoolState(PoolId pool_id, JobBounds platform_bounds)
       : pool(std::move(pool_id)), bounds(platform_bounds), jobs(pool) {}
 
   // Length of the leases that this owner gives.
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -682,7 +682,7 @@
                           {"reason", std::string(reason)},
                           {"ran_ms", ToMillis(now - run->ordered)}});
   state_.servers.RemoveRun(run->server, ref,
-                           PoolState::CountedRequest(job->StepOf(*task)));
+                           JobPoolState::CountedRequest(job->StepOf(*task)));
   if (job->StepOf(*task).long_running && !task->missing_since)
     task->missing_since = now;
   std::erase_if(task->runs,
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -22,7 +22,7 @@
 
 class RunControl {
  public:
-  explicit RunControl(PoolState& state) : state_(state) {}
+  explicit RunControl(JobPoolState& state) : state_(state) {}
 
   // Sends the start of a planned run whose plan is stored, unless it is not
   // wanted any more.
@@ -151,7 +151,7 @@
                     const Run& run,
                     ServerState& server);
 
-  PoolState& state_;
+  JobPoolState& state_;
   std::map<uint64_t, PendingOrder> orders_;
   std::set<JobId> to_close_;
   Time next_wake_ = kTimeMax;
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -308,7 +308,7 @@
                             Task& task,
                             std::vector<PlacementServer>& servers) {
   PlacementTask described = DescribeTask(job, task);
-  if (PoolState::CountedRequest(*described.step).cpu_millis > largest_room_)
+  if (JobPoolState::CountedRequest(*described.step).cpu_millis > largest_room_)
     return false;
   bool counted = described.step->max_per_server > 0 ||
                  described.step->colocated || !task.failed_on.empty();
@@ -362,7 +362,7 @@
     if (!chosen)
       return false;
     PlacementServer& server = trial[*chosen];
-    server.room -= PoolState::CountedRequest(*described.step);
+    server.room -= JobPoolState::CountedRequest(*described.step);
     ++server.same_step;
     if (described.step->colocated && described.preferred_rack.empty())
       described.preferred_rack = server.rack;
@@ -385,7 +385,7 @@
                           Task& task,
                           RunNumber number,
                           PlacementServer& server) {
-  Resources request = PoolState::CountedRequest(job.StepOf(task));
+  Resources request = JobPoolState::CountedRequest(job.StepOf(task));
   Run run;
   run.number = number;
   run.server = server_ids_[server.position];
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -19,7 +19,7 @@
 
 class TaskDispatch {
  public:
-  TaskDispatch(PoolState& state, RunControl& runs)
+  TaskDispatch(JobPoolState& state, RunControl& runs)
       : state_(state), runs_(runs) {}
 
   // Plans runs for ready tasks as far as there is room.
@@ -101,7 +101,7 @@
                    const Occurrence& occurrence,
                    const Task& task) const;
 
-  PoolState& state_;
+  JobPoolState& state_;
   RunControl& runs_;
   std::vector<ServerId> server_ids_;  // By PlacementServer::position.
   int64_t demand_cpu_ = 0;
--- a/radishmoor/jobs/testing/fleet_keeper_test.cc
+++ b/radishmoor/jobs/testing/fleet_keeper_test.cc
@@ -39,7 +39,7 @@
     lease.token = token_;
     Transaction transaction;
     transaction.writes.push_back(
-        {LeaseKey(PoolId(kFleetPool)), EncodeLease(lease)});
+        {OwnerLeaseKey(PoolId(kFleetPool)), EncodeLease(lease)});
     options.lease_version =
         std::get<CommittedReply>(table_.Handle(CommitRows{transaction}))
             .versions[0];
--- a/radishmoor/jobs/testing/job_world.cc
+++ b/radishmoor/jobs/testing/job_world.cc
@@ -368,9 +368,9 @@
       HostListing host;
       host.host = server->host;
       host.pool = server->pool;
-      host.state = server->up            ? HostState::kUp
-                   : server->maintenance ? HostState::kMaintenance
-                                         : HostState::kDown;
+      host.state = server->up            ? ListedHostState::kUp
+                   : server->maintenance ? ListedHostState::kMaintenance
+                                         : ListedHostState::kDown;
       host.capacity = server->capacity;
       if (server->up)
         host.server = server->id;
--- a/radishmoor/jobs/testing/pool_scheduler_test.cc
+++ b/radishmoor/jobs/testing/pool_scheduler_test.cc
@@ -48,7 +48,7 @@
     lease.holder = options.node;
     lease.token = token_;
     Transaction transaction;
-    transaction.writes.push_back({LeaseKey(pool_), EncodeLease(lease)});
+    transaction.writes.push_back({OwnerLeaseKey(pool_), EncodeLease(lease)});
     options.lease_version =
         std::get<CommittedReply>(table_.Handle(CommitRows{transaction}))
             .versions[0];
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -39,7 +39,7 @@
     task.runs.push_back(run);
     state_.servers.AddRun(run.server,
                           {{job_->id, 0, task.step, task.index}, run.number},
-                          PoolState::CountedRequest(job_->StepOf(task)));
+                          JobPoolState::CountedRequest(job_->StepOf(task)));
     return task.runs.back();
   }
 
@@ -55,7 +55,7 @@
     return stops;
   }
 
-  PoolState state_;
+  JobPoolState state_;
   RunControl runs_{state_};
   TaskDispatch dispatch_{state_, runs_};
   Job* job_ = nullptr;
