Look up runs, name tasks and count requests in one place

Cause: read again, the job slice had nine copies of the lookup of a run, six of a task's id, two of what a task takes from its server, two of the longest path through a job's steps, and two functions that end a job.

Change: JobTable::FindRun, Job::IdOf, StepSpec::counted_request, LongestChain, Occurrence::HasRuns, JobTable::MarkEnded. RunRef stands with TaskId.

No behaviour changes.

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -132,8 +132,7 @@
   if (planned.empty())
     return;
   for (const RunRef& ref : planned.mapped()) {
-    Task* task = state_.jobs.FindTask(ref.task);
-    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    Run* run = state_.jobs.FindRun(ref);
     if (run == nullptr || run->phase != RunPhase::kPlanned)
       continue;
     run->commit = commit.sequence;
--- a/radishmoor/jobs/job.h
+++ b/radishmoor/jobs/job.h
@@ -11,9 +11,11 @@
 #ifndef RADISHMOOR_JOBS_JOB_H_
 #define RADISHMOOR_JOBS_JOB_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -86,8 +88,39 @@
   Duration tail_limit{};  // 0: no limit.
   // Tasks that may be unavailable at once by acts of the scheduler.
   uint32_t allowed_missing = 0;
+
+  // What a task takes from its server's capacity.
+  Resources counted_request() const {
+    Resources counted = request;
+    if (uses_spare)
+      counted.cpu_millis = 0;
+    return counted;
+  }
 };
 
+// Longest path through the steps, each of which takes `duration_of(i)`.
+template <typename DurationOf>
+Duration LongestChain(std::span<const StepSpec> steps, DurationOf duration_of) {
+  // Steps come after those they name, but not always in the order of their
+  // numbers; a few passes settle the longest path.
+  std::vector<Duration> end(steps.size(), Duration::zero());
+  Duration longest{};
+  bool changed = true;
+  for (size_t pass = 0; changed && pass < steps.size(); ++pass) {
+    changed = false;
+    for (size_t i = 0; i < steps.size(); ++i) {
+      Duration before{};
+      for (uint32_t b : steps[i].after)
+        before = std::max(before, end[b]);
+      Duration own_end = before + duration_of(i);
+      changed = changed || own_end != end[i];
+      end[i] = own_end;
+      longest = std::max(longest, own_end);
+    }
+  }
+  return longest;
+}
+
 struct JobSpec {
   QueueId queue;
   std::string payload;  // Passed on to each start as it is.
@@ -143,6 +176,13 @@
   friend auto operator<=>(const TaskId&, const TaskId&) = default;
 };
 
+struct RunRef {
+  TaskId task;
+  RunNumber run = 0;
+
+  friend auto operator<=>(const RunRef&, const RunRef&) = default;
+};
+
 // "job.occurrence.step.index", also the name on the wire.
 std::string FormatTask(const TaskId& task);
 std::optional<TaskId> ParseTask(std::string_view text);
--- a/radishmoor/jobs/job_table.cc
+++ b/radishmoor/jobs/job_table.cc
@@ -43,14 +43,14 @@
   return offset;
 }
 
+bool Occurrence::HasRuns() const {
+  return std::any_of(tasks.begin(), tasks.end(),
+                     [](const Task& task) { return !task.runs.empty(); });
+}
+
 bool Job::HasRuns() const {
-  for (const auto& [number, occurrence] : occurrences) {
-    for (const Task& task : occurrence.tasks) {
-      if (!task.runs.empty())
-        return true;
-    }
-  }
-  return false;
+  return std::any_of(occurrences.begin(), occurrences.end(),
+                     [](const auto& entry) { return entry.second.HasRuns(); });
 }
 
 Job& JobTable::Add(const JobId& id,
@@ -145,6 +145,11 @@
   return &it->second.tasks[job->StepOffset(id.step) + id.index];
 }
 
+Run* JobTable::FindRun(const RunRef& ref) {
+  Task* task = FindTask(ref.task);
+  return task == nullptr ? nullptr : task->FindRun(ref.run);
+}
+
 Occurrence& JobTable::AddOccurrence(Job& job, uint32_t number, Time now) {
   auto [it, inserted] = job.occurrences.try_emplace(number);
   Occurrence& occurrence = it->second;
@@ -226,18 +231,10 @@
   }
 }
 
-void JobTable::MarkFailed(Job& job, Time now) {
+void JobTable::MarkEnded(Job& job, JobState state, Time now) {
   if (IsFinal(job.state))
     return;
-  job.state = JobState::kFailed;
-  job.ended = now;
-  Touch(job);
-}
-
-void JobTable::MarkCancelled(Job& job, Time now) {
-  if (IsFinal(job.state))
-    return;
-  job.state = JobState::kCancelled;
+  job.state = state;
   job.ended = now;
   Touch(job);
 }
@@ -282,10 +279,7 @@
 void JobTable::CloseIfResolved(Job& job) {
   for (auto it = job.occurrences.begin(); it != job.occurrences.end();) {
     bool over = it->first < job.finished_below || IsFinal(job.state);
-    bool has_runs = false;
-    for (const Task& task : it->second.tasks)
-      has_runs = has_runs || !task.runs.empty();
-    if (over && !has_runs)
+    if (over && !it->second.HasRuns())
       it = job.occurrences.erase(it);
     else
       ++it;
--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -80,6 +80,8 @@
   std::vector<Task> tasks;  // In the order of the steps.
   std::vector<uint32_t> done_in_step;
   bool finished = false;
+
+  bool HasRuns() const;
 };
 
 struct Job {
@@ -109,6 +111,9 @@
   const StepSpec& StepOf(const Task& task) const {
     return spec.steps[task.step];
   }
+  TaskId IdOf(const Occurrence& occurrence, const Task& task) const {
+    return {id, occurrence.number, task.step, task.index};
+  }
   uint32_t StepOffset(uint32_t step) const;
   bool HasRuns() const;
 };
@@ -127,6 +132,7 @@
   Job* Find(const JobId& id);
   const Job* Find(const JobId& id) const;
   Task* FindTask(const TaskId& id);
+  Run* FindRun(const RunRef& ref);
 
   // Creates the occurrences that are due by `now`, `wall` being the time of
   // day. Returns the time of day of the next one, if there is any.
@@ -139,8 +145,8 @@
 
   // A task succeeded. Ends its occurrence and job where it was the last.
   void MarkDone(Job& job, Occurrence& occurrence, Task& task, Time now);
-  void MarkFailed(Job& job, Time now);
-  void MarkCancelled(Job& job, Time now);
+  // Ends a job before its tasks are done; one that has ended stays as it is.
+  void MarkEnded(Job& job, JobState state, Time now);
 
   // Counts a change that the stored progress does not show yet.
   void Touch(Job& job);
--- a/radishmoor/jobs/placement.cc
+++ b/radishmoor/jobs/placement.cc
@@ -28,13 +28,6 @@
          std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-Resources Counted(const StepSpec& step) {
-  Resources request = step.request;
-  if (step.uses_spare)
-    request.cpu_millis = 0;
-  return request;
-}
-
 bool MayRun(const PlacementTask& task, const PlacementServer& server) {
   const StepSpec& step = *task.step;
   if (!HasLabel(server.labels, step.requirement))
@@ -106,7 +99,7 @@
 
 std::optional<size_t> ChooseServer(const PlacementTask& task,
                                    std::span<const PlacementServer> servers) {
-  Resources request = Counted(*task.step);
+  Resources request = task.step->counted_request();
   std::optional<size_t> best;
   double least = 0;
   for (size_t i = 0; i < servers.size(); ++i) {
@@ -125,7 +118,7 @@
 std::optional<size_t> ChooseReservation(
     const PlacementTask& task,
     std::span<const PlacementServer> servers) {
-  Resources request = Counted(*task.step);
+  Resources request = task.step->counted_request();
   std::optional<size_t> best;
   for (size_t i = 0; i < servers.size(); ++i) {
     const PlacementServer& server = servers[i];
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -161,8 +161,8 @@
     for (Task& task : occurrence.tasks) {
       for (const Run& run : task.runs) {
         state_.servers.AddRun(run.server,
-                              {{id, number, task.step, task.index}, run.number},
-                              JobPoolState::CountedRequest(job.StepOf(task)));
+                              {job.IdOf(occurrence, task), run.number},
+                              job.StepOf(task).counted_request());
         state_.servers.Find(run.server)->inherited_until =
             options_.earlier_leases_until;
       }
@@ -194,17 +194,8 @@
   double slack = it == state_.queues.end() ? 1.0 : it->second.slack_factor;
   Duration goal = it == state_.queues.end() ? Duration::zero()
                                             : it->second.latency_objective;
-  std::vector<Duration> end(spec.steps.size(), Duration::zero());
-  Duration chain{};
-  for (size_t pass = 0; pass < spec.steps.size(); ++pass) {
-    for (size_t i = 0; i < spec.steps.size(); ++i) {
-      Duration before{};
-      for (uint32_t b : spec.steps[i].after)
-        before = std::max(before, end[b]);
-      end[i] = before + spec.steps[i].estimate;
-      chain = std::max(chain, end[i]);
-    }
-  }
+  Duration chain = LongestChain(
+      spec.steps, [&spec](size_t i) { return spec.steps[i].estimate; });
   return arrived + goal +
          Duration(
              static_cast<int64_t>(slack * static_cast<double>(chain.count())));
@@ -263,7 +254,7 @@
     return false;
   if (IsFinal(job->state))
     return true;
-  state_.jobs.MarkCancelled(*job, now);
+  state_.jobs.MarkEnded(*job, JobState::kCancelled, now);
   outbox.Log("job-cancelled", {{"job", id.str()}});
   runs_.StopJob(now, *job, "job-cancelled", outbox);
   return true;
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -103,14 +103,6 @@
     return queue;
   }
 
-  // What a task takes from its server's capacity.
-  static Resources CountedRequest(const StepSpec& step) {
-    Resources request = step.request;
-    if (step.uses_spare)
-      request.cpu_millis = 0;
-    return request;
-  }
-
   Duration ExpectedRunTime(const Job& job, const StepSpec& step) const {
     auto it = stats.find(job.spec.queue);
     double ratio = it == stats.end() ? 1.0 : it->second.run_time_ratio;
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -131,8 +131,8 @@
                              RunNumber number,
                              std::string_view reason,
                              Outbox& outbox) {
-  Task* task = state_.jobs.FindTask(task_id);
-  Run* run = task == nullptr ? nullptr : task->FindRun(number);
+  RunRef ref{task_id, number};
+  Run* run = state_.jobs.FindRun(ref);
   if (run == nullptr || run->stop_wanted)
     return;
   run->stop_wanted = true;
@@ -141,7 +141,6 @@
                           {"run", static_cast<int64_t>(number)},
                           {"server", run->server.str()},
                           {"reason", std::string(reason)}});
-  RunRef ref{task_id, number};
   if (run->phase == RunPhase::kPlanned && run->commit == 0) {
     RemoveRun(now, ref, "not-wanted", outbox);
     return;
@@ -158,7 +157,7 @@
   for (auto& [number, occurrence] : job.occurrences) {
     for (const Task& task : occurrence.tasks) {
       for (const Run& run : task.runs)
-        refs.push_back({{job.id, number, task.step, task.index}, run.number});
+        refs.push_back({job.IdOf(occurrence, task), run.number});
     }
   }
   for (const RunRef& ref : refs)
@@ -170,8 +169,7 @@
                          const RunRef& ref,
                          uint32_t percent,
                          Outbox& outbox) {
-  Task* task = state_.jobs.FindTask(ref.task);
-  Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+  Run* run = state_.jobs.FindRun(ref);
   if (run == nullptr || run->phase != RunPhase::kRunning)
     return;
   ServerState* server = state_.servers.Find(run->server);
@@ -257,8 +255,7 @@
     server.look_tag = 0;
   if (server.quick_look_tag == tag)
     server.quick_look_tag = 0;
-  Task* task = state_.jobs.FindTask(order.run.task);
-  Run* run = task == nullptr ? nullptr : task->FindRun(order.run.run);
+  Run* run = state_.jobs.FindRun(order.run);
   if (run == nullptr)
     return;
   if (order.kind == OrderKind::kStop)
@@ -295,8 +292,7 @@
                          Outbox& outbox) {
   std::vector<RunRef> runs = server.runs;
   for (const RunRef& ref : runs) {
-    Task* task = state_.jobs.FindTask(ref.task);
-    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    Run* run = state_.jobs.FindRun(ref);
     if (run == nullptr || run->phase == RunPhase::kPlanned)
       continue;
     if (run->phase == RunPhase::kRunning ||
@@ -328,8 +324,7 @@
                               const PendingOrder& order,
                               const ServerReply& reply,
                               Outbox& outbox) {
-  Task* task = state_.jobs.FindTask(order.run.task);
-  Run* run = task == nullptr ? nullptr : task->FindRun(order.run.run);
+  Run* run = state_.jobs.FindRun(order.run);
   if (run == nullptr || run->phase != RunPhase::kOrdered)
     return;
   ServerState& server = *state_.servers.Find(order.server);
@@ -380,8 +375,7 @@
                              const PendingOrder& order,
                              const ServerReply& reply,
                              Outbox& outbox) {
-  Task* task = state_.jobs.FindTask(order.run.task);
-  Run* run = task == nullptr ? nullptr : task->FindRun(order.run.run);
+  Run* run = state_.jobs.FindRun(order.run);
   if (run == nullptr)
     return;
   run->stop_tag = 0;
@@ -515,8 +509,7 @@
     for (const Run& run : other.runs)
       copies.push_back(run.number);
     for (RunNumber copy : copies)
-      RequestStop(now, {job.id, occurrence.number, other.step, other.index},
-                  copy, "copy-done", outbox);
+      RequestStop(now, job.IdOf(occurrence, other), copy, "copy-done", outbox);
   }
   if (job.state == JobState::kCompleted) {
     outbox.Log("job-completed", {{"job", job.id.str()},
@@ -551,7 +544,7 @@
   if (job.StepOf(task).long_running || task.failures < limit ||
       IsFinal(job.state))
     return;
-  state_.jobs.MarkFailed(job, now);
+  state_.jobs.MarkEnded(job, JobState::kFailed, now);
   outbox.Log("job-failed", {{"job", job.id.str()},
                             {"task", FormatTask(ref.task)},
                             {"failures", static_cast<int64_t>(task.failures)},
@@ -633,8 +626,7 @@
   for (const RunRef& ref : runs) {
     if (running.contains(ref))
       continue;
-    Task* task = state_.jobs.FindTask(ref.task);
-    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    Run* run = state_.jobs.FindRun(ref);
     if (run == nullptr)
       continue;
     bool stopped_before = run->stopped_at && *run->stopped_at <= look_sent;
@@ -682,7 +674,7 @@
                           {"reason", std::string(reason)},
                           {"ran_ms", ToMillis(now - run->ordered)}});
   state_.servers.RemoveRun(run->server, ref,
-                           JobPoolState::CountedRequest(job->StepOf(*task)));
+                           job->StepOf(*task).counted_request());
   if (job->StepOf(*task).long_running && !task->missing_since)
     task->missing_since = now;
   std::erase_if(task->runs,
@@ -813,8 +805,7 @@
   bool lapsed = server.LeasesLapsed(now);
   std::vector<RunRef> runs = server.runs;
   for (const RunRef& ref : runs) {
-    Task* task = state_.jobs.FindTask(ref.task);
-    Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
+    Run* run = state_.jobs.FindRun(ref);
     if (run == nullptr || run->phase == RunPhase::kPlanned)
       continue;
     if (lapsed && HasLapsed(*run, server, now)) {
--- a/radishmoor/jobs/server_book.h
+++ b/radishmoor/jobs/server_book.h
@@ -42,13 +42,6 @@
   ServerMillis clock_ = 0;
 };
 
-struct RunRef {
-  TaskId task;
-  RunNumber run = 0;
-
-  friend auto operator<=>(const RunRef&, const RunRef&) = default;
-};
-
 struct ServerState {
   ServerListing listing;
   bool listed = false;
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -77,33 +77,14 @@
 }
 
 Duration TaskDispatch::RemainingChain(const Job& job) const {
-  // Steps come after those they name, but not always in the order of their
-  // numbers; a few passes settle the longest path.
   const std::vector<StepSpec>& steps = job.spec.steps;
-  std::vector<Duration> end(steps.size(), Duration::zero());
   const Occurrence* occurrence =
       job.occurrences.empty() ? nullptr : &job.occurrences.begin()->second;
-  Duration longest{};
-  for (size_t pass = 0; pass < steps.size(); ++pass) {
-    bool changed = false;
-    for (size_t i = 0; i < steps.size(); ++i) {
-      bool done = occurrence != nullptr &&
-                  occurrence->done_in_step[i] == steps[i].count;
-      Duration own =
-          done ? Duration::zero() : state_.ExpectedRunTime(job, steps[i]);
-      Duration before{};
-      for (uint32_t b : steps[i].after)
-        before = std::max(before, end[b]);
-      if (before + own != end[i]) {
-        end[i] = before + own;
-        changed = true;
-      }
-      longest = std::max(longest, end[i]);
-    }
-    if (!changed)
-      break;
-  }
-  return longest;
+  return LongestChain(steps, [&](size_t i) {
+    bool done =
+        occurrence != nullptr && occurrence->done_in_step[i] == steps[i].count;
+    return done ? Duration::zero() : state_.ExpectedRunTime(job, steps[i]);
+  });
 }
 
 double TaskDispatch::RemainingWork(const Job& job) const {
@@ -195,7 +176,7 @@
         planned = false;
       } else if (advised) {
         std::vector<PlacementServer> admitted = servers;
-        Admit(now, {job.id, number, task.step, task.index}, admitted, outbox);
+        Admit(now, job.IdOf(occurrence, task), admitted, outbox);
         planned = step.gang
                       ? PlanGang(now, job, occurrence, task.step, admitted)
                       : PlanTask(now, job, occurrence, task, admitted);
@@ -308,7 +289,7 @@
                             Task& task,
                             std::vector<PlacementServer>& servers) {
   PlacementTask described = DescribeTask(job, task);
-  if (JobPoolState::CountedRequest(*described.step).cpu_millis > largest_room_)
+  if (described.step->counted_request().cpu_millis > largest_room_)
     return false;
   bool counted = described.step->max_per_server > 0 ||
                  described.step->colocated || !task.failed_on.empty();
@@ -362,7 +343,7 @@
     if (!chosen)
       return false;
     PlacementServer& server = trial[*chosen];
-    server.room -= JobPoolState::CountedRequest(*described.step);
+    server.room -= described.step->counted_request();
     ++server.same_step;
     if (described.step->colocated && described.preferred_rack.empty())
       described.preferred_rack = server.rack;
@@ -385,7 +366,7 @@
                           Task& task,
                           RunNumber number,
                           PlacementServer& server) {
-  Resources request = JobPoolState::CountedRequest(job.StepOf(task));
+  Resources request = job.StepOf(task).counted_request();
   Run run;
   run.number = number;
   run.server = server_ids_[server.position];
@@ -393,7 +374,7 @@
   run.ordered = now;
   run.percent_changed = now;
   task.last_run = number;
-  RunRef ref{{job.id, occurrence.number, task.step, task.index}, number};
+  RunRef ref{job.IdOf(occurrence, task), number};
   state_.servers.AddRun(run.server, ref, request);
   task.runs.push_back(std::move(run));
   server.room -= request;
@@ -499,7 +480,7 @@
   if (server == nullptr)
     return;
   const StepSpec& step = job.StepOf(task);
-  TaskId id{job.id, occurrence.number, task.step, task.index};
+  TaskId id = job.IdOf(occurrence, task);
   Duration age = now - run.since;
   Duration expected = state_.ExpectedRunTime(job, step);
   bool fresh = server->contact && now - *server->contact < kStandstill;
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -39,7 +39,7 @@
     task.runs.push_back(run);
     state_.servers.AddRun(run.server,
                           {{job_->id, 0, task.step, task.index}, run.number},
-                          JobPoolState::CountedRequest(job_->StepOf(task)));
+                          job_->StepOf(task).counted_request());
     return task.runs.back();
   }
 
