--- a/radishmoor/base/time.h
+++ b/radishmoor/base/time.h
@@ -41,6 +41,15 @@
   return static_cast<double>(d.count()) / 1e3;
 }
 
+// Towards zero, for the wire and the log.
+constexpr int64_t WholeMilliseconds(Duration d) {
+  return d.count() / 1000;
+}
+// Rounded up, as in a Retry-After header.
+constexpr int64_t SecondsRoundedUp(Duration d) {
+  return (d.count() + 999'999) / 1'000'000;
+}
+
 constexpr Time kTimeZero{};
 constexpr Time kTimeMax = Time::max();
 
--- a/radishmoor/claims/claims.cc
+++ b/radishmoor/claims/claims.cc
@@ -179,7 +179,7 @@
   claim.record.token = random_.Next();
   claim.record.body_hash = begin.body_hash;
   claim.valid_until = std::min(begin.deadline, now + kRight);
-  claim.record.deadline = wall + (claim.valid_until - now).count() / 1000;
+  claim.record.deadline = wall + WholeMilliseconds(claim.valid_until - now);
   claim.key_time = *key_time;
   claim.give_up = std::min(claim.valid_until, now + kClaimWait);
   waiting_.insert({claim.give_up, claim.request});
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -35,10 +35,6 @@
 // Hosts that are emptied ahead of their turn, beyond those that may be down.
 constexpr uint32_t kEmptiedAhead = 1;
 
-int64_t ToMillis(Duration d) {
-  return d.count() / 1000;
-}
-
 }  // namespace
 
 FleetKeeper::FleetKeeper(const FleetKeeperOptions& options, Outbox& outbox)
@@ -88,7 +84,7 @@
                {{"wave", static_cast<int64_t>(plan.number)},
                 {"hosts", static_cast<int64_t>(plan.hosts.size())},
                 {"at_once", static_cast<int64_t>(plan.max_at_once)},
-                {"length_ms", ToMillis(plan.length)}});
+                {"length_ms", WholeMilliseconds(plan.length)}});
   }
 }
 
@@ -215,10 +211,11 @@
                               Duty& duty,
                               HostOutcome outcome,
                               Outbox& outbox) {
-  outbox.Log("host-call", {{"host", host.str()},
-                           {"wave", static_cast<int64_t>(duty.wave)},
-                           {"outcome", static_cast<int64_t>(outcome)},
-                           {"emptied_ms", ToMillis(now - duty.started)}});
+  outbox.Log("host-call",
+             {{"host", host.str()},
+              {"wave", static_cast<int64_t>(duty.wave)},
+              {"outcome", static_cast<int64_t>(outcome)},
+              {"emptied_ms", WholeMilliseconds(now - duty.started)}});
   switch (outcome) {
     case HostOutcome::kDone:
       if (duty.kind == DutyKind::kMaintain) {
@@ -290,7 +287,7 @@
   wave.next_report = now;
   outbox.Log("wave-completed",
              {{"wave", static_cast<int64_t>(wave.plan.number)},
-              {"took_ms", ToMillis(now - wave.seen)}});
+              {"took_ms", WholeMilliseconds(now - wave.seen)}});
 }
 
 void FleetKeeper::OnVacateAnswer(Time now,
--- a/radishmoor/jobs/intake.cc
+++ b/radishmoor/jobs/intake.cc
@@ -252,7 +252,7 @@
               {"pool", call.pool.str()},
               {"repeat", repeat ? 1 : 0},
               {"by_owner", call.stage == Stage::kAskingOwner ? 1 : 0},
-              {"took_ms", (now - call.arrived).count() / 1000},
+              {"took_ms", WholeMilliseconds(now - call.arrived)},
               {"config", static_cast<int64_t>(config_.version)}});
   Finish(id, {.outcome = CallOutcome::kAccepted}, outbox);
 }
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -43,14 +43,14 @@
   wire.cpu_millis = static_cast<int32_t>(step.request.cpu_millis);
   wire.memory_mb = static_cast<int32_t>(step.request.memory_mb);
   wire.gpus = static_cast<int32_t>(step.request.gpus);
-  wire.estimate_ms = step.estimate.count() / 1000;
+  wire.estimate_ms = WholeMilliseconds(step.estimate);
   wire.after.assign(step.after.begin(), step.after.end());
   wire.flags = FlagsOf(step);
   wire.requirement = step.requirement;
   wire.data_rack = step.data_rack.str();
   wire.max_per_server = static_cast<int32_t>(step.max_per_server);
   wire.image = step.image;
-  wire.tail_limit_ms = step.tail_limit.count() / 1000;
+  wire.tail_limit_ms = WholeMilliseconds(step.tail_limit);
   wire.allowed_missing = static_cast<int32_t>(step.allowed_missing);
   return wire;
 }
@@ -150,7 +150,7 @@
     wire.steps.push_back(StepToWire(step));
   wire.repeat_count = static_cast<int32_t>(spec.repeat_count);
   wire.start_at_ms = spec.start_at;
-  wire.interval_ms = spec.interval.count() / 1000;
+  wire.interval_ms = WholeMilliseconds(spec.interval);
   wire.submitted_wall_ms = spec.submitted_at;
   return wire;
 }
@@ -223,7 +223,7 @@
   wire.sequence = static_cast<int64_t>(lease.sequence);
   wire.released = lease.released;
   wire.successor = lease.successor.str();
-  wire.earlier_leases_ms = lease.earlier_leases.count() / 1000;
+  wire.earlier_leases_ms = WholeMilliseconds(lease.earlier_leases);
   return ToBytes(wire);
 }
 
--- a/radishmoor/jobs/job_table.cc
+++ b/radishmoor/jobs/job_table.cc
@@ -183,8 +183,9 @@
     next = std::max(next, job.occurrences.rbegin()->first + 1);
   uint32_t created = 0;
   while (next < job.spec.repeat_count) {
-    WallMillis due = job.spec.start_at + static_cast<WallMillis>(next) *
-                                             (job.spec.interval.count() / 1000);
+    WallMillis due =
+        job.spec.start_at +
+        static_cast<WallMillis>(next) * WholeMilliseconds(job.spec.interval);
     if (due > wall || created == kMaxNewOccurrences)
       return due;
     AddOccurrence(job, next, now);
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -480,8 +480,9 @@
 void NodeCore::NoteStore(Time now, bool answered) {
   if (answered) {
     if (store_lost_logged_) {
-      outbox_.Log("store-regained",
-                  {{"silent_ms", (now - *store_silent_since_).count() / 1000}});
+      outbox_.Log(
+          "store-regained",
+          {{"silent_ms", WholeMilliseconds(now - *store_silent_since_)}});
     }
     store_silent_since_.reset();
     intake_.SetStoreLost(false);
--- a/radishmoor/jobs/peer_frames.cc
+++ b/radishmoor/jobs/peer_frames.cc
@@ -8,10 +8,6 @@
 namespace radishmoor {
 namespace {
 
-int64_t ToMillis(Duration d) {
-  return d.count() / 1000;
-}
-
 // To the wire, one overload for each message.
 
 void Put(const OwnerBeat& m, jobs_wire::Envelope& envelope) {
@@ -19,12 +15,12 @@
   w.pool = m.pool.str();
   w.token = static_cast<int64_t>(m.token);
   w.lease_version = static_cast<int64_t>(m.lease_version);
-  w.renewed_age_ms = ToMillis(m.renewed_age);
+  w.renewed_age_ms = WholeMilliseconds(m.renewed_age);
   for (const QueueLoad& load : m.queues) {
     jobs_wire::QueueLoad q;
     q.queue = load.queue.str();
     q.pending = static_cast<int32_t>(load.pending);
-    q.wait_ms = ToMillis(load.wait);
+    q.wait_ms = WholeMilliseconds(load.wait);
     w.queues.push_back(std::move(q));
   }
   w.released = m.released;
@@ -43,7 +39,7 @@
   w.pool = m.pool.str();
   w.job = m.job.str();
   w.definition = JobToWire(m.spec);
-  w.age_ms = ToMillis(m.age);
+  w.age_ms = WholeMilliseconds(m.age);
   w.request = static_cast<int64_t>(m.request);
   envelope.__set_job_notice(w);
 }
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -254,11 +254,12 @@
   transaction.writes.push_back({OwnerLeaseKey(pool), EncodeLease(lease)});
   watched.take_tag =
       outbox.Store(CommitRows{std::move(transaction)}, kTakeTimeout);
-  outbox.Log("pool-lease-expired",
-             {{"pool", pool.str()},
-              {"version", static_cast<int64_t>(watched.version)},
-              {"unchanged_ms", (now - watched.unchanged_since).count() / 1000},
-              {"holder", watched.row ? watched.row->holder.str() : ""}});
+  outbox.Log(
+      "pool-lease-expired",
+      {{"pool", pool.str()},
+       {"version", static_cast<int64_t>(watched.version)},
+       {"unchanged_ms", WholeMilliseconds(now - watched.unchanged_since)},
+       {"holder", watched.row ? watched.row->holder.str() : ""}});
 }
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -180,7 +180,7 @@
               {"jobs", static_cast<int64_t>(state_.jobs.size())},
               {"open", static_cast<int64_t>(state_.jobs.open().size())},
               {"inherited_runs", static_cast<int64_t>(inherited)},
-              {"took_ms", (now - options_.lease_taken).count() / 1000}});
+              {"took_ms", WholeMilliseconds(now - options_.lease_taken)}});
   load_.progress.clear();
   runs_.Wake(now);
   next_inbox_ = now + kInboxPeriod;
@@ -217,8 +217,8 @@
              {{"job", id.str()},
               {"queue", spec.queue.str()},
               {"tasks", static_cast<int64_t>(spec.tasks_per_occurrence())},
-              {"age_ms", age.count() / 1000},
-              {"objective_ms", (job.objective - now).count() / 1000}});
+              {"age_ms", WholeMilliseconds(age)},
+              {"objective_ms", WholeMilliseconds(job.objective - now)}});
 }
 
 void PoolScheduler::OnJobNotice(Time now,
@@ -379,7 +379,7 @@
     if (drains)
       outbox.Log("server-draining",
                  {{"server", listing.id.str()},
-                  {"remaining_ms", listing.remaining.count() / 1000}});
+                  {"remaining_ms", WholeMilliseconds(listing.remaining)}});
     if (listing.born != 0)
       runs_.OnBorn(now, listing.id, listing.born, outbox);
   }
@@ -607,11 +607,11 @@
               {"capacity_cpu", capacity.cpu_millis},
               {"demand_cpu", dispatch_.demand_cpu()},
               {"open_jobs", static_cast<int64_t>(state_.jobs.open().size())},
-              {"wait_ms", dispatch_.expected_wait().count() / 1000},
+              {"wait_ms", WholeMilliseconds(dispatch_.expected_wait())},
               {"starts", static_cast<int64_t>(state_.counters.starts)},
               {"looks", static_cast<int64_t>(state_.counters.looks)},
               {"commits", static_cast<int64_t>(state_.counters.commits)},
-              {"renewed_age_ms", renewed_age(now).count() / 1000}});
+              {"renewed_age_ms", WholeMilliseconds(renewed_age(now))}});
 }
 
 void PoolScheduler::Release(const MemberId& successor) {
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -42,10 +42,6 @@
 // full list may have ended all the same.
 constexpr size_t kFullEndList = 500;
 
-int64_t ToMillis(Duration d) {
-  return d.count() / 1000;
-}
-
 // Runs whose state a look does not settle by itself.
 bool NeedsCare(const Run& run) {
   return run.stop_wanted || run.phase == RunPhase::kUncertain;
@@ -101,7 +97,8 @@
   start.task = ref.task;
   start.run = ref.run;
   start.payload = job.spec.payload;
-  start.lease_until = server->clock.Nominal(now) + ToMillis(state_.lease());
+  start.lease_until =
+      server->clock.Nominal(now) + WholeMilliseconds(state_.lease());
   start.checkpoint = task->checkpoint;
   start.ticket = state_.advice.TicketFor(ref.task, run->server);
   server->lease_until = std::max(server->lease_until, start.lease_until);
@@ -119,11 +116,12 @@
   uint64_t tag = outbox.Order(server->listing.id, server->listing.address,
                               state_.token, std::move(start));
   orders_[tag] = {OrderKind::kStart, run->server, ref, now};
-  outbox.Log("run-started", {{"task", FormatTask(ref.task)},
-                             {"run", static_cast<int64_t>(ref.run)},
-                             {"server", run->server.str()},
-                             {"waited_ms", ToMillis(now - task->ready_since)},
-                             {"free_cpu", server->Room().cpu_millis}});
+  outbox.Log("run-started",
+             {{"task", FormatTask(ref.task)},
+              {"run", static_cast<int64_t>(ref.run)},
+              {"server", run->server.str()},
+              {"waited_ms", WholeMilliseconds(now - task->ready_since)},
+              {"free_cpu", server->Room().cpu_millis}});
 }
 
 void RunControl::RequestStop(Time now,
@@ -512,10 +510,11 @@
       RequestStop(now, job.IdOf(occurrence, other), copy, "copy-done", outbox);
   }
   if (job.state == JobState::kCompleted) {
-    outbox.Log("job-completed", {{"job", job.id.str()},
-                                 {"queue", job.spec.queue.str()},
-                                 {"took_ms", ToMillis(now - job.arrived)},
-                                 {"late_ms", ToMillis(now - job.objective)}});
+    outbox.Log("job-completed",
+               {{"job", job.id.str()},
+                {"queue", job.spec.queue.str()},
+                {"took_ms", WholeMilliseconds(now - job.arrived)},
+                {"late_ms", WholeMilliseconds(now - job.objective)}});
   }
   to_close_.insert(job.id);
 }
@@ -672,7 +671,7 @@
                           {"run", static_cast<int64_t>(ref.run)},
                           {"server", run->server.str()},
                           {"reason", std::string(reason)},
-                          {"ran_ms", ToMillis(now - run->ordered)}});
+                          {"ran_ms", WholeMilliseconds(now - run->ordered)}});
   state_.servers.RemoveRun(run->server, ref,
                            job->StepOf(*task).counted_request());
   if (job->StepOf(*task).long_running && !task->missing_since)
@@ -719,7 +718,8 @@
   // which its tasks can start elsewhere.
   bool answers = server.failed_looks == 0;
   if (extend && answers && server.clock.known() && !server.runs.empty()) {
-    look.lease_until = server.clock.Nominal(now) + ToMillis(state_.lease());
+    look.lease_until =
+        server.clock.Nominal(now) + WholeMilliseconds(state_.lease());
     server.lease_until = std::max(server.lease_until, look.lease_until);
   }
   look.acknowledged = server.ended_stored;
--- a/radishmoor/jobs/server_book.cc
+++ b/radishmoor/jobs/server_book.cc
@@ -12,10 +12,6 @@
 // Clocks count whole milliseconds.
 constexpr ServerMillis kClockGranularity = 1;
 
-ServerMillis ToMillis(Duration d) {
-  return d.count() / 1000;
-}
-
 }  // namespace
 
 void ServerClock::Observe(Time sent, Time received, ServerMillis clock) {
@@ -29,7 +25,7 @@
 }
 
 ServerMillis ServerClock::Nominal(Time now) const {
-  return clock_ + ToMillis(now - received_);
+  return clock_ + WholeMilliseconds(now - received_);
 }
 
 ServerMillis ServerClock::Earliest(Time now) const {
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -548,8 +548,8 @@
   if (PlanTask(now, job, occurrence, task, servers)) {
     ++state_.counters.copies;
     outbox.Log("copy-started", {{"task", FormatTask(id)},
-                                {"age_ms", age.count() / 1000},
-                                {"expected_ms", expected.count() / 1000}});
+                                {"age_ms", WholeMilliseconds(age)},
+                                {"expected_ms", WholeMilliseconds(expected)}});
   }
 }
 
--- a/radishmoor/net/frame_transport.cc
+++ b/radishmoor/net/frame_transport.cc
@@ -170,8 +170,8 @@
   }
 
   void SetUserTimeout() {
-    auto limit =
-        static_cast<unsigned>(transport_->unacknowledged_limit.count() / 1000);
+    auto limit = static_cast<unsigned>(
+        WholeMilliseconds(transport_->unacknowledged_limit));
     if (limit > 0)
       ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
                    &limit, sizeof(limit));
--- a/radishmoor/service/http_rules.cc
+++ b/radishmoor/service/http_rules.cc
@@ -132,7 +132,7 @@
                       {"Radishmoor-Reason", refusal.reason}};
   boost::json::object body{{"run", run}, {"reason", refusal.reason}};
   if (refusal.retry_after > Duration::zero()) {
-    int64_t seconds = (refusal.retry_after.count() + 999'999) / 1'000'000;
+    int64_t seconds = SecondsRoundedUp(refusal.retry_after);
     response.headers.emplace_back("Retry-After", std::to_string(seconds));
     body["retry_after_s"] = seconds;
   }
--- a/radishmoor/standins/load_generator.cc
+++ b/radishmoor/standins/load_generator.cc
@@ -121,7 +121,7 @@
       {"Host", record.service},
       {"Request-Id", record.request_id},
       {"Work-Us", std::to_string(work_us)},
-      {"Radishmoor-Deadline-Ms", std::to_string(deadline.count() / 1000)}};
+      {"Radishmoor-Deadline-Ms", std::to_string(WholeMilliseconds(deadline))}};
   if (keyed) {
     bool repeat = !recent_keys.empty() && random.Chance(options.repeat_share);
     record.key = repeat ? recent_keys[random.Below(recent_keys.size())]
