Split the keeper's duties into steps, and share a lease's announcement

Cause: FleetKeeper::Tick decided in one loop whether a duty is given up, with the same lookups twice; the request to vacate a server stood three times, the removal of a duty's row four times, the begin of a duty twice. Two classes filled the same five fields of an announcement. Prefixes of rows were spelled out beside the functions that make the keys. Two parameters were not used.

Change: MustGiveUp, GiveUp, RequestVacate, AddDuty and RemoveRow; CommitChain::LeaseBeat; keys with an empty id serve as prefixes. The tests drop the unused argument, their assertions stand.

No behaviour changes.

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -154,6 +154,16 @@
   }
 }
 
+OwnerBeat CommitChain::LeaseBeat(Time now) const {
+  OwnerBeat beat;
+  beat.pool = state_.pool;
+  beat.token = state_.token;
+  beat.lease_version = options_.lease_version;
+  beat.renewed_age = now - renewed_;
+  beat.released = released_;
+  return beat;
+}
+
 bool CommitChain::OnAnswer(Time now,
                            const StoreAnswer& answer,
                            Stored* stored) {
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -71,7 +71,8 @@
   // When the last stored renewal was sent.
   Time renewed() const { return renewed_; }
   void set_renewed(Time at) { renewed_ = at; }
-  RowVersion lease_version() const { return options_.lease_version; }
+  // What an owner announces of its lease; the rest is left empty.
+  OwnerBeat LeaseBeat(Time now) const;
 
  private:
   struct InFlight {
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -51,7 +51,7 @@
 
 void FleetKeeper::SendLoad(Outbox& outbox) {
   ScanRows scan;
-  scan.prefix = "duties/" + std::string(kFleetPool) + "/";
+  scan.prefix = DutyKey(state_.pool, HostId());
   scan.limit = 500;
   load_tag_ = outbox.Store(std::move(scan));
 }
@@ -114,9 +114,7 @@
   return down;
 }
 
-bool FleetKeeper::OnStoreAnswer(Time now,
-                                const StoreAnswer& answer,
-                                Outbox& outbox) {
+bool FleetKeeper::OnStoreAnswer(Time now, const StoreAnswer& answer) {
   CommitChain::Stored stored;
   if (chain_.OnAnswer(now, answer, &stored)) {
     for (const std::string& key : stored.rows) {
@@ -154,7 +152,6 @@
     wave.reported_start = true;
     return true;
   }
-  (void)outbox;
   return false;
 }
 
@@ -224,7 +221,7 @@
       }
       duty.stage = Stage::kReturning;
       duty.since = now;
-      chain_.Write({DutyKey(state_.pool, host), "", true});
+      RemoveRow(host);
       return;
     case HostOutcome::kFenced:
       fenced_ = true;
@@ -234,7 +231,7 @@
       if (duty.kind == DutyKind::kMaintain)
         return;
       // The host is not up: the move is not worth waiting for.
-      chain_.Write({DutyKey(state_.pool, host), "", true});
+      RemoveRow(host);
       duties_.erase(host);
       return;
     case HostOutcome::kWrongWave:
@@ -242,7 +239,7 @@
       auto wave = waves_.find(duty.wave);
       if (duty.kind == DutyKind::kMaintain && wave != waves_.end())
         wave->second.done.insert(host);
-      chain_.Write({DutyKey(state_.pool, host), "", true});
+      RemoveRow(host);
       duties_.erase(host);
       return;
     }
@@ -264,7 +261,7 @@
   duty.stage = Stage::kReturning;
   duty.since = now;
   DutyRow row{host, DutyKind::kMaintained, duty.pool, duty.wave, duty.server};
-  chain_.Write({DutyKey(state_.pool, host), "", true});
+  RemoveRow(host);
   chain_.Write({MaintainedKey(state_.pool, host, duty.wave), EncodeDuty(row)});
   auto it = waves_.find(duty.wave);
   if (it == waves_.end())
@@ -290,9 +287,7 @@
               {"took_ms", WholeMilliseconds(now - wave.seen)}});
 }
 
-void FleetKeeper::OnVacateAnswer(Time now,
-                                 const VacateAnswer& answer,
-                                 Outbox& outbox) {
+void FleetKeeper::OnVacateAnswer(Time now, const VacateAnswer& answer) {
   for (auto& [host, duty] : duties_) {
     bool waits = duty.stage != Stage::kReturning && duty.call_tag == 0;
     if (duty.server != answer.server || !waits)
@@ -308,7 +303,6 @@
       StoreDuty(now, host, duty);
     return;
   }
-  (void)outbox;
 }
 
 bool FleetKeeper::IsEmpty(Time now,
@@ -393,23 +387,28 @@
     for (const auto& [share, host] : choices) {
       if (open >= limit)
         break;
-      const HostListing& listing = hosts_.at(host);
-      Duty duty;
+      Duty& duty = AddDuty(now, host);
       duty.wave = number;
-      duty.pool = listing.pool;
-      duty.server = listing.server;
-      duty.since = duty.started = duty.next_try = now;
-      duties_[host] = duty;
       ++open;
       outbox.Log("host-chosen",
                  {{"host", host.str()},
                   {"wave", static_cast<int64_t>(number)},
-                  {"pool", listing.pool.str()},
+                  {"pool", duty.pool.str()},
                   {"demand_percent", static_cast<int64_t>(share * 100)}});
     }
   }
 }
 
+FleetKeeper::Duty& FleetKeeper::AddDuty(Time now, const HostId& host) {
+  const HostListing& listing = hosts_.at(host);
+  Duty& duty = duties_[host];
+  duty = Duty{};
+  duty.pool = listing.pool;
+  duty.server = listing.server;
+  duty.since = duty.started = duty.next_try = now;
+  return duty;
+}
+
 bool FleetKeeper::HasTime(Time now, const Wave& wave) const {
   size_t left = wave.plan.hosts.size() - wave.done.size();
   size_t rounds = left / std::max(1u, wave.plan.max_at_once) + 1;
@@ -492,13 +491,9 @@
                                      ToSeconds(kSizingPeriod));
   for (const HostMoves& moves : sizing_.Plan(now, sizes, limit)) {
     for (const HostId& host : Movable(moves.from, moves.count, contacts)) {
-      Duty duty;
+      Duty& duty = AddDuty(now, host);
       duty.kind = DutyKind::kMove;
-      duty.pool = moves.from;
       duty.target = moves.to;
-      duty.server = hosts_.at(host).server;
-      duty.since = duty.started = duty.next_try = now;
-      duties_[host] = duty;
       outbox.Log("host-move", {{"host", host.str()},
                                {"from", moves.from.str()},
                                {"to", moves.to.str()}});
@@ -536,23 +531,62 @@
       StoreDuty(now, host, duty);
     return;
   }
+  RequestVacate(duty, false, contacts, outbox);
+}
+
+bool FleetKeeper::RequestVacate(const Duty& duty,
+                                bool withdraw,
+                                const std::map<PoolId, PoolContact>& contacts,
+                                Outbox& outbox) {
   auto contact = contacts.find(duty.pool);
   if (contact == contacts.end())
-    return;
+    return false;
   outbox.Send(contact->second.node, contact->second.address,
-              VacateRequest{duty.pool, duty.server, false});
+              VacateRequest{duty.pool, duty.server, withdraw});
+  return true;
 }
 
 void FleetKeeper::KeepEmpty(Time now,
                             Duty& duty,
                             const std::map<PoolId, PoolContact>& contacts,
                             Outbox& outbox) {
-  auto contact = contacts.find(duty.pool);
-  if (now < duty.next_request || contact == contacts.end())
-    return;
-  duty.next_request = now + kKeepEmptyPeriod;
-  outbox.Send(contact->second.node, contact->second.address,
-              VacateRequest{duty.pool, duty.server, false});
+  if (now >= duty.next_request && RequestVacate(duty, false, contacts, outbox))
+    duty.next_request = now + kKeepEmptyPeriod;
+}
+
+bool FleetKeeper::MustGiveUp(
+    Time now,
+    const HostId& host,
+    const Duty& duty,
+    const std::map<PoolId, PoolContact>& contacts) const {
+  if (duty.stage != Stage::kEmptying)
+    return false;
+  bool moves = duty.kind == DutyKind::kMove;
+  if (now - duty.started > (moves ? kMovePatience : kEmptyingLimit))
+    return true;
+  auto listing = hosts_.find(host);
+  if (listing == hosts_.end() ||
+      listing->second.state != ListedHostState::kUp ||
+      listing->second.server != duty.server)
+    return true;
+  auto owner = contacts.find(duty.pool);
+  auto wave = waves_.find(duty.wave);
+  // The pool got busy, and the wave can wait.
+  return !moves && wave != waves_.end() && owner != contacts.end() &&
+         owner->second.demand_share() >= kBusyPool &&
+         HasTime(now, wave->second);
+}
+
+void FleetKeeper::GiveUp(Time now,
+                         const HostId& host,
+                         const Duty& duty,
+                         const std::map<PoolId, PoolContact>& contacts,
+                         Outbox& outbox) {
+  RequestVacate(duty, true, contacts, outbox);
+  auto wave = waves_.find(duty.wave);
+  if (duty.kind == DutyKind::kMaintain && wave != waves_.end())
+    wave->second.set_aside[host] = now + kSetAside;
+  duties_.erase(host);
 }
 
 void FleetKeeper::Tick(Time now,
@@ -581,31 +615,8 @@
     ids.push_back(host);
   for (const HostId& host : ids) {
     Duty& duty = duties_.at(host);
-    Duration patience =
-        duty.kind == DutyKind::kMove ? kMovePatience : kEmptyingLimit;
-    bool stuck =
-        duty.stage == Stage::kEmptying && now - duty.started > patience;
-    auto listing = hosts_.find(host);
-    bool changed = duty.stage == Stage::kEmptying &&
-                   (listing == hosts_.end() ||
-                    listing->second.state != ListedHostState::kUp ||
-                    listing->second.server != duty.server);
-    auto owner = contacts.find(duty.pool);
-    auto wave_of = waves_.find(duty.wave);
-    bool pool_got_busy = duty.stage == Stage::kEmptying &&
-                         duty.kind == DutyKind::kMaintain &&
-                         wave_of != waves_.end() && owner != contacts.end() &&
-                         owner->second.demand_share() >= kBusyPool &&
-                         HasTime(now, wave_of->second);
-    if (stuck || changed || pool_got_busy) {
-      auto contact = contacts.find(duty.pool);
-      if (contact != contacts.end())
-        outbox.Send(contact->second.node, contact->second.address,
-                    VacateRequest{duty.pool, duty.server, true});
-      auto wave = waves_.find(duty.wave);
-      if (duty.kind == DutyKind::kMaintain && wave != waves_.end())
-        wave->second.set_aside[host] = now + kSetAside;
-      duties_.erase(host);
+    if (MustGiveUp(now, host, duty, contacts)) {
+      GiveUp(now, host, duty, contacts, outbox);
       continue;
     }
     if (duty.stage != Stage::kEmptying && duty.stage != Stage::kReturning)
@@ -615,14 +626,4 @@
   chain_.Tick(now, outbox);
 }
 
-OwnerBeat FleetKeeper::Beat(Time now) const {
-  OwnerBeat beat;
-  beat.pool = state_.pool;
-  beat.token = state_.token;
-  beat.lease_version = chain_.lease_version();
-  beat.renewed_age = now - chain_.renewed();
-  beat.released = chain_.released();
-  return beat;
-}
-
 }  // namespace radishmoor
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -65,8 +65,8 @@
 
   void OnConfig(const JobConfig& config) { config_ = config; }
   void OnWaves(std::span<const KnownWave> waves, Outbox& outbox);
-  void OnVacateAnswer(Time now, const VacateAnswer& answer, Outbox& outbox);
-  bool OnStoreAnswer(Time now, const StoreAnswer& answer, Outbox& outbox);
+  void OnVacateAnswer(Time now, const VacateAnswer& answer);
+  bool OnStoreAnswer(Time now, const StoreAnswer& answer);
   bool OnHostReply(Time now, const HostReply& reply, Outbox& outbox);
   // The platform's list of hosts, asked for at `sent`.
   void OnHosts(Time sent, std::span<const HostListing> hosts, Outbox& outbox);
@@ -80,7 +80,7 @@
   void Release(const MemberId& successor) { chain_.Release(successor); }
   bool released() const { return chain_.released(); }
   bool lost() const { return chain_.lost() || fenced_; }
-  OwnerBeat Beat(Time now) const;
+  OwnerBeat Beat(Time now) const { return chain_.LeaseBeat(now); }
 
  private:
   enum class Stage : uint8_t {
@@ -128,6 +128,8 @@
   void StartMoves(Time now,
                   const std::map<PoolId, PoolContact>& contacts,
                   Outbox& outbox);
+  // Begins the emptying of a listed host; of maintenance, unless changed.
+  Duty& AddDuty(Time now, const HostId& host);
   std::vector<PoolSize> Sizes(
       const std::map<PoolId, PoolContact>& contacts) const;
   // Up to `count` hosts of the pool that can be moved.
@@ -140,10 +142,25 @@
   bool IsEmpty(Time now,
                const Duty& duty,
                const std::map<PoolId, PoolContact>& contacts) const;
+  // False if nobody is known to own the pool.
+  bool RequestVacate(const Duty& duty,
+                     bool withdraw,
+                     const std::map<PoolId, PoolContact>& contacts,
+                     Outbox& outbox);
   void KeepEmpty(Time now,
                  Duty& duty,
                  const std::map<PoolId, PoolContact>& contacts,
                  Outbox& outbox);
+  // The host cannot, or need not, be emptied now.
+  bool MustGiveUp(Time now,
+                  const HostId& host,
+                  const Duty& duty,
+                  const std::map<PoolId, PoolContact>& contacts) const;
+  void GiveUp(Time now,
+              const HostId& host,
+              const Duty& duty,
+              const std::map<PoolId, PoolContact>& contacts,
+              Outbox& outbox);
   // A wave can wait for the pools with little demand.
   bool HasTime(Time now, const Wave& wave) const;
   void AdvanceDuty(Time now,
@@ -156,6 +173,9 @@
                    Duty& duty,
                    HostOutcome outcome,
                    Outbox& outbox);
+  void RemoveRow(const HostId& host) {
+    chain_.Write({DutyKey(state_.pool, host), "", true});
+  }
   void StoreDuty(Time now, const HostId& host, Duty& duty);
   void MarkMaintained(Time now, const HostId& host, Duty& duty, Outbox& out);
   void CheckCompleted(Time now, Wave& wave, Outbox& outbox);
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -119,6 +119,10 @@
   return Key("inbox", pool.str(), std::string(1, kind) + ":" + job.str());
 }
 
+std::string InboxPrefix(const PoolId& pool) {
+  return Key("inbox", pool.str(), "");
+}
+
 std::string OwnerLeaseKey(const PoolId& pool) {
   return Key("owner", pool.str(), "lease");
 }
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -25,9 +25,11 @@
 
 namespace radishmoor {
 
+// With an empty id, the key is the prefix of the rows of its kind.
 std::string JobKey(const PoolId& pool, const JobId& job);
 std::string ProgressKey(const PoolId& pool, const JobId& job);
 std::string InboxKey(const PoolId& pool, char kind, const JobId& job);
+std::string InboxPrefix(const PoolId& pool);
 std::string OwnerLeaseKey(const PoolId& pool);
 std::string NodeKey(const MemberId& node);
 std::string DutyKey(const PoolId& pool, const HostId& host);
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -87,8 +87,7 @@
       OnNodes(now, rows->rows);
   } else if (!intake_.OnStoreAnswer(now, answer, outbox_) &&
              !leases_.OnStoreAnswer(now, answer, outbox_) &&
-             (fleet_ == nullptr ||
-              !fleet_->OnStoreAnswer(now, answer, outbox_))) {
+             (fleet_ == nullptr || !fleet_->OnStoreAnswer(now, answer))) {
     for (auto& [pool, scheduler] : schedulers_) {
       if (scheduler->OnStoreAnswer(now, wall, answer, outbox_))
         break;
@@ -258,7 +257,7 @@
       scheduler->OnVacateRequest(now, from, address, *request, outbox_);
   } else if (const auto* vacated = std::get_if<VacateAnswer>(&message)) {
     if (fleet_ != nullptr)
-      fleet_->OnVacateAnswer(now, *vacated, outbox_);
+      fleet_->OnVacateAnswer(now, *vacated);
   }
 }
 
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -71,10 +71,10 @@
   ScanRows scan;
   scan.limit = kLoadPage;
   scan.after = load_.after;
-  const char* table = load_.stage == LoadStage::kProgress ? "progress/"
-                      : load_.stage == LoadStage::kJobs   ? "jobs/"
-                                                          : "inbox/";
-  scan.prefix = table + state_.pool.str() + "/";
+  scan.prefix = load_.stage == LoadStage::kProgress
+                    ? ProgressKey(state_.pool, JobId())
+                : load_.stage == LoadStage::kJobs ? JobKey(state_.pool, JobId())
+                                                  : InboxPrefix(state_.pool);
   load_.tag = outbox.Store(std::move(scan));
 }
 
@@ -308,8 +308,7 @@
     return;
   }
   next_inbox_ = now + kInboxPeriod;
-  inbox_tag_ = outbox.Store(
-      ScanRows{"inbox/" + state_.pool.str() + "/", "", kInboxPage});
+  inbox_tag_ = outbox.Store(ScanRows{InboxPrefix(state_.pool), "", kInboxPage});
 }
 
 void PoolScheduler::OnInboxRow(Time now, const Row& row, Outbox& outbox) {
@@ -623,12 +622,7 @@
 }
 
 OwnerBeat PoolScheduler::Beat(Time now) const {
-  OwnerBeat beat;
-  beat.pool = state_.pool;
-  beat.token = state_.token;
-  beat.lease_version = chain_.lease_version();
-  beat.renewed_age = renewed_age(now);
-  beat.released = chain_.released();
+  OwnerBeat beat = chain_.LeaseBeat(now);
   std::map<QueueId, uint32_t> pending;
   for (const JobId& id : state_.jobs.open()) {
     const Job* job = state_.jobs.Find(id);
--- a/radishmoor/jobs/testing/fleet_keeper_test.cc
+++ b/radishmoor/jobs/testing/fleet_keeper_test.cc
@@ -95,22 +95,19 @@
 
   void Carry(const JobAction& action) {
     if (const auto* call = std::get_if<StoreCall>(&action)) {
-      keeper_->OnStoreAnswer(now_, {call->tag, table_.Handle(call->request)},
-                             outbox_);
+      keeper_->OnStoreAnswer(now_, {call->tag, table_.Handle(call->request)});
     } else if (const auto* report = std::get_if<ReportWave>(&action)) {
       if (report->completed)
         completed_.insert(report->wave);
-      keeper_->OnStoreAnswer(now_, {report->tag, CommittedReply{}}, outbox_);
+      keeper_->OnStoreAnswer(now_, {report->tag, CommittedReply{}});
     } else if (const auto* send = std::get_if<SendJobPeer>(&action)) {
       const auto& request = std::get<VacateRequest>(send->message);
       if (request.withdraw)
         return;
       bool busy = busy_.contains(request.server);
       keeper_->OnVacateAnswer(
-          now_,
-          {request.pool, request.server,
-           busy ? VacateState::kEmptying : VacateState::kEmpty, 1},
-          outbox_);
+          now_, {request.pool, request.server,
+                 busy ? VacateState::kEmptying : VacateState::kEmpty, 1});
     } else if (const auto* call = std::get_if<HostCall>(&action)) {
       keeper_->OnHostReply(now_, {call->tag, Apply(call->request), {}},
                            outbox_);
