--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -59,7 +59,7 @@
 void CommitChain::Send(Time now, Outbox& outbox) {
   commit_ = InFlight{};
   commit_.sent = now;
-  commit_.sequence = options_.sequence + 1;
+  commit_.sequence = sequence_ + 1;
   Transaction transaction;
   AddLease(now, commit_, transaction);
   AddJobs(commit_, transaction);
@@ -178,7 +178,6 @@
     OnConflict(now, conflict->rows);
   } else if (std::holds_alternative<UnknownReply>(answer.reply)) {
     ++state_.counters.commits_unknown;
-    ++unknown_in_a_row_;
     latency_ = std::min(latency_ * 2, kMaxTimeout / kTimeoutFactor);
   } else {
     not_before_ = now + kUnavailableDelay;
@@ -187,10 +186,9 @@
 }
 
 void CommitChain::OnStored(Time now, RowVersion version, Stored* stored) {
-  unknown_in_a_row_ = 0;
   latency_ += (now - commit_.sent - latency_) / 4;
   options_.lease_version = version;
-  options_.sequence = commit_.sequence;
+  sequence_ = commit_.sequence;
   renewed_ = commit_.sent;
   for (const InFlight::JobPart& part : commit_.jobs) {
     Job* job = state_.jobs.Find(part.job);
@@ -236,11 +234,10 @@
     bool own = lease && lease->holder == options_.node &&
                lease->token == state_.token && !lease->released;
     // An own commit whose answer was lost was carried out after all.
-    if (own && lease->sequence >= options_.sequence) {
+    if (own && lease->sequence >= sequence_) {
       options_.lease_version = row.version;
-      options_.sequence = lease->sequence;
+      sequence_ = lease->sequence;
       renewed_ = std::max(renewed_, commit_.sent - kMaxTimeout);
-      unknown_in_a_row_ = 0;
       return;
     }
     lost_ = true;
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -30,7 +30,6 @@
     MemberId node;
     std::string address;
     RowVersion lease_version = 0;
-    uint64_t sequence = 0;
     // Leases that earlier owners gave have lapsed by then.
     Time earlier_leases_until;
   };
@@ -117,7 +116,7 @@
   Time not_before_;
   Time next_wake_ = kTimeMax;
   Duration latency_ = kFirstLatency;
-  uint32_t unknown_in_a_row_ = 0;
+  uint64_t sequence_ = 0;  // Of the last commit that is known to be stored.
   bool lost_ = false;
   bool releasing_ = false;
   bool released_ = false;
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -40,9 +40,8 @@
 FleetKeeper::FleetKeeper(const FleetKeeperOptions& options, Outbox& outbox)
     : options_(options),
       state_(PoolId(kFleetPool), options.bounds),
-      chain_(
-          state_,
-          {options.node, options.address, options.lease_version, 0, kTimeZero}),
+      chain_(state_,
+             {options.node, options.address, options.lease_version, kTimeZero}),
       sizing_(options.first_owner) {
   state_.token = options.token;
   chain_.set_renewed(options.lease_taken);
--- a/radishmoor/jobs/job.h
+++ b/radishmoor/jobs/job.h
@@ -207,8 +207,6 @@
   PoolId id;
   // Hosts in this pool are switched off and cost nothing.
   bool standby = false;
-  // The backend servers refuse what does not fit.
-  bool guards_capacity = false;
 
   friend bool operator==(const PoolConfig&, const PoolConfig&) = default;
 };
--- a/radishmoor/jobs/job_table.cc
+++ b/radishmoor/jobs/job_table.cc
@@ -156,7 +156,6 @@
   if (!inserted)
     return occurrence;
   occurrence.number = number;
-  occurrence.due = now;
   occurrence.done_in_step.assign(job.spec.steps.size(), 0);
   occurrence.tasks.reserve(job.spec.tasks_per_occurrence());
   for (uint32_t step = 0; step < job.spec.steps.size(); ++step) {
--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -76,7 +76,6 @@
 
 struct Occurrence {
   uint32_t number = 0;
-  Time due;
   std::vector<Task> tasks;  // In the order of the steps.
   std::vector<uint32_t> done_in_step;
   bool finished = false;
@@ -120,8 +119,6 @@
 
 class JobTable {
  public:
-  explicit JobTable(PoolId pool) : pool_(std::move(pool)) {}
-
   // Adds a job without progress; does nothing if it is known.
   Job& Add(const JobId& id, JobSpec spec, Time arrived, Time objective);
   // Adds a job that ended before this process took over.
@@ -166,13 +163,10 @@
   std::vector<JobId> Purge(Time before, size_t limit);
 
   size_t size() const { return jobs_.size(); }
-  const std::map<JobId, Job>& jobs() const { return jobs_; }
-  const PoolId& pool() const { return pool_; }
 
  private:
   Occurrence& AddOccurrence(Job& job, uint32_t number, Time now);
 
-  PoolId pool_;
   std::map<JobId, Job> jobs_;
   std::set<JobId> open_;
   std::map<uint64_t, JobId> dirty_;
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -67,12 +67,10 @@
   bool ready(Time now) const;
   bool accepts_connections(Time now) const;
 
-  const JobConfig& config() const { return config_; }
   const Intake& intake() const { return intake_; }
   const std::map<PoolId, std::unique_ptr<PoolScheduler>>& pools() const {
     return schedulers_;
   }
-  bool keeps_fleet() const { return fleet_ != nullptr; }
 
  private:
   struct Node {
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -50,7 +50,7 @@
       dispatch_(state_, runs_),
       chain_(state_,
              {options.node, options.address, options.lease_version,
-              options.sequence, options.earlier_leases_until}) {
+              options.earlier_leases_until}) {
   state_.token = options.token;
   chain_.set_renewed(options.lease_taken);
   OnConfig(config);
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -38,7 +38,6 @@
   // Of the lease that was taken.
   FencingToken token = 0;
   RowVersion lease_version = 0;
-  uint64_t sequence = 0;
   Time lease_taken;
   // Leases that earlier owners gave have lapsed by then.
   Time earlier_leases_until;
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -22,18 +22,8 @@
 struct JobBounds {
   // Longest lease that a backend server grants.
   Duration max_lease = Seconds(6);
-  // A stop is over within this time.
-  Duration stop = Milliseconds(200);
-  // A member of a gang waits this long for the others.
-  Duration gang_wait = Seconds(3);
-  // An occurrence may start this much before its time.
-  Duration early_start = Milliseconds(250);
   // A task away from its data takes this many times as long.
   double far_factor = 1.5;
-  // An unavailable task counts as missing after this time.
-  Duration missing_notice = Milliseconds(4500);
-  // A tail above its limit is a breach after this time.
-  Duration tail_breach = Seconds(4);
   // States of ended jobs are kept at least this long.
   Duration status_retention = Seconds(120);
   // Two holders of a host's duties are at least this far apart.
@@ -71,7 +61,7 @@
 
 struct JobPoolState {
   JobPoolState(PoolId pool_id, JobBounds platform_bounds)
-      : pool(std::move(pool_id)), bounds(platform_bounds), jobs(pool) {}
+      : pool(std::move(pool_id)), bounds(platform_bounds) {}
 
   // Length of the leases that this owner gives.
   Duration lease() const { return std::min(bounds.max_lease, kLease); }
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -728,9 +728,8 @@
                   server.ended_seen == server.ended_stored &&
                   server.contact.has_value();
   look.wait = may_wait ? kBusyLookWait : Duration::zero();
-  (quick ? server.quick_look_sent : server.look_sent) = now;
   if (!quick)
-    server.look_waits = may_wait;
+    server.look_sent = now;
   ++state_.counters.looks;
   tag = outbox.Order(server.listing.id, server.listing.address, state_.token,
                      look);
--- a/radishmoor/jobs/server_book.h
+++ b/radishmoor/jobs/server_book.h
@@ -72,9 +72,7 @@
 
   uint64_t look_tag = 0;  // Of the look under way; 0: none.
   Time look_sent;
-  bool look_waits = false;  // The server may hold the answer back.
   uint64_t quick_look_tag = 0;
-  Time quick_look_sent;
   Time next_look;
   uint32_t failed_looks = 0;
   // A run on it has to be stopped, or may not be there.
--- a/radishmoor/jobs/testing/job_world.cc
+++ b/radishmoor/jobs/testing/job_world.cc
@@ -94,7 +94,7 @@
     : options_(options), random_(options.seed) {
   config_.version = 1;
   for (const char* name : {"alpha", "beta"}) {
-    config_.pools.push_back({PoolId(name), false, false});
+    config_.pools.push_back({PoolId(name), false});
     QueueConfig queue;
     queue.id = QueueId(std::string("q-") + name);
     queue.host = "jobs.example";
@@ -115,7 +115,7 @@
                   ServerId("s" + std::to_string(next_server_++)));
     }
   }
-  config_.pools.push_back({PoolId("spare"), true, false});
+  config_.pools.push_back({PoolId("spare"), true});
   for (int i = 0; i < options.nodes; ++i) {
     auto node = std::make_unique<Node>();
     node->name = MemberId("node-" + std::to_string(i));
