Send to a pool's owner, and time the reading of the platform, in one way

Cause: Intake chose three times between the own process and the owner that it heard of; NodeCore had five copies of 'one call at a time, not before its time, wake up then'. Two parameters were not used.

Change: Intake::SendToOwner, NodeCore::IsDue.

No behaviour changes.

--- a/radishmoor/jobs/intake.cc
+++ b/radishmoor/jobs/intake.cc
@@ -154,18 +154,27 @@
   bool local = local_beats_.contains(call.pool);
   bool heard = owner != nullptr && now - owner->heard < kMaxBeatAge;
   if (!local && !heard) {
-    Read(now, id, call, outbox);
+    Read(id, call, outbox);
     return;
   }
   call.stage = Stage::kAskingOwner;
   call.timeout = now + kOwnerTimeout;
   uint64_t request = next_request_++;
   owner_calls_[request] = id;
-  JobQuery query{request, call.pool, call.job, call.kind == Kind::kCancel};
-  if (local)
-    outbox.Send(node_, "", query);
-  else
-    outbox.Send(owner->node, owner->address, query);
+  SendToOwner(
+      call.pool,
+      JobQuery{request, call.pool, call.job, call.kind == Kind::kCancel},
+      outbox);
+}
+
+void Intake::SendToOwner(const PoolId& pool,
+                         JobPeerMessage message,
+                         Outbox& outbox) {
+  const PoolOwner* owner = leases_.OwnerOf(pool);
+  if (local_beats_.contains(pool))
+    outbox.Send(node_, "", std::move(message));
+  else if (owner != nullptr)
+    outbox.Send(owner->node, owner->address, std::move(message));
 }
 
 void Intake::Submit(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
@@ -188,11 +197,10 @@
   call.timeout = now + kHandOverTimeout;
   uint64_t request = next_request_++;
   owner_calls_[request] = id;
-  JobNotice notice{call.pool, call.job, call.spec, now - call.arrived, request};
-  if (local != local_beats_.end())
-    outbox.Send(node_, "", std::move(notice));
-  else
-    outbox.Send(owner->node, owner->address, std::move(notice));
+  SendToOwner(
+      call.pool,
+      JobNotice{call.pool, call.job, call.spec, now - call.arrived, request},
+      outbox);
   return true;
 }
 
@@ -219,12 +227,10 @@
   OpenCall& call = calls_.at(id);
   bool conflict = std::holds_alternative<ConflictReply>(reply);
   if (conflict || std::holds_alternative<CommittedReply>(reply)) {
-    JobNotice notice{call.pool, call.job, call.spec, now - call.arrived, 0};
-    const PoolOwner* owner = leases_.OwnerOf(call.pool);
-    if (local_beats_.contains(call.pool))
-      outbox.Send(node_, "", std::move(notice));
-    else if (owner != nullptr)
-      outbox.Send(owner->node, owner->address, std::move(notice));
+    SendToOwner(
+        call.pool,
+        JobNotice{call.pool, call.job, call.spec, now - call.arrived, 0},
+        outbox);
     OnAccepted(now, id, conflict, outbox);
     return;
   }
@@ -257,8 +263,7 @@
   Finish(id, {.outcome = CallOutcome::kAccepted}, outbox);
 }
 
-void Intake::Read(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
-  (void)now;
+void Intake::Read(JobCallId id, OpenCall& call, Outbox& outbox) {
   call.pools_to_read.clear();
   for (const QueueConfig& queue : config_.queues) {
     if (queue.pool != call.pool &&
@@ -325,13 +330,12 @@
     state = stored->state;
   }
   if (call.kind == Kind::kCancel && !IsFinal(state))
-    Mark(now, id, call, outbox);
+    Mark(id, call, outbox);
   else
     AnswerState(id, state, outbox);
 }
 
-void Intake::Mark(Time now, JobCallId id, OpenCall& call, Outbox& outbox) {
-  (void)now;
+void Intake::Mark(JobCallId id, OpenCall& call, Outbox& outbox) {
   call.stage = Stage::kMarking;
   Transaction transaction;
   transaction.writes.push_back(
@@ -396,7 +400,7 @@
     if (submits)
       Store(now, it->first, it->second, outbox);
     else
-      Read(now, it->first, it->second, outbox);
+      Read(it->first, it->second, outbox);
     return;
   }
   if (submits) {
@@ -521,16 +525,16 @@
           Store(now, id, call, outbox);
           break;
         }
-        Read(now, id, call, outbox);
+        Read(id, call, outbox);
         break;
       case Stage::kReading:
         if (call.kind == Kind::kSubmit)
           Start(now, id, call, outbox);
         else
-          Read(now, id, call, outbox);
+          Read(id, call, outbox);
         break;
       case Stage::kMarking:
-        Mark(now, id, call, outbox);
+        Mark(id, call, outbox);
         break;
     }
   }
--- a/radishmoor/jobs/intake.h
+++ b/radishmoor/jobs/intake.h
@@ -94,6 +94,8 @@
   void Start(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   // Hands a submission to the pool's owner; false if none is known to be well.
   void Submit(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
+  // Nothing is sent if no owner is known.
+  void SendToOwner(const PoolId& pool, JobPeerMessage message, Outbox& outbox);
   bool HandOver(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void Store(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void OnAccepted(Time now, JobCallId id, bool repeat, Outbox& outbox);
@@ -101,8 +103,8 @@
                 OpenCall& call,
                 const PoolId& pool,
                 Outbox& outbox);
-  void Read(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
-  void Mark(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
+  void Read(JobCallId id, OpenCall& call, Outbox& outbox);
+  void Mark(JobCallId id, OpenCall& call, Outbox& outbox);
   void OnStored(Time now, JobCallId id, const StoreReply& reply, Outbox& out);
   void OnRead(Time now, JobCallId id, const StoreReply& reply, Outbox& outbox);
   void OnMarked(Time now, JobCallId id, const StoreReply& reply, Outbox& out);
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -400,13 +400,17 @@
 
 // Reading the platform.
 
+bool NodeCore::IsDue(Time now, uint64_t tag, Time at) {
+  if (tag != 0)
+    return false;
+  if (now < at)
+    Wake(at);
+  return now >= at;
+}
+
 void NodeCore::FollowOperators(Time now) {
-  if (operators_tag_ != 0)
-    return;
-  if (now < operators_retry_) {
-    Wake(operators_retry_);
+  if (!IsDue(now, operators_tag_, operators_retry_))
     return;
-  }
   // A reading of all that is there, now and then, finds what the changes left
   // out.
   if (now >= next_full_read_) {
@@ -417,12 +421,8 @@
 }
 
 void NodeCore::RegisterNode(Time now) {
-  if (register_tag_ != 0)
-    return;
-  if (now < next_register_) {
-    Wake(next_register_);
+  if (!IsDue(now, register_tag_, next_register_))
     return;
-  }
   NodeRow row{options_.name,        options_.address,      options_.zone,
               options_.incarnation, shutdown_.has_value(), options_.capacity};
   Transaction transaction;
@@ -431,12 +431,8 @@
 }
 
 void NodeCore::ScanNodes(Time now) {
-  if (nodes_tag_ != 0)
+  if (!IsDue(now, nodes_tag_, next_nodes_))
     return;
-  if (now < next_nodes_) {
-    Wake(next_nodes_);
-    return;
-  }
   next_nodes_ = now + (nodes_.size() < 2 ? kFirstNodesPeriod : kNodesPeriod);
   ScanRows scan;
   scan.prefix = NodeKey(MemberId());
@@ -464,12 +460,8 @@
 }
 
 void NodeCore::ReadServers(Time now) {
-  if (schedulers_.empty() || servers_tag_ != 0)
-    return;
-  if (now < next_servers_) {
-    Wake(next_servers_);
+  if (schedulers_.empty() || !IsDue(now, servers_tag_, next_servers_))
     return;
-  }
   next_servers_ = now + std::clamp(kServersPeriodPerServer *
                                        static_cast<int64_t>(servers_.size()),
                                    kServersPeriod, kMaxServersPeriod);
@@ -501,12 +493,8 @@
   bool wanted = fleet_ != nullptr && fleet_->wants_hosts();
   for (const auto& [pool, scheduler] : schedulers_)
     wanted = wanted || scheduler->wants_hosts(now);
-  if (!wanted || hosts_tag_ != 0)
-    return;
-  if (now < next_hosts_) {
-    Wake(next_hosts_);
+  if (!wanted || !IsDue(now, hosts_tag_, next_hosts_))
     return;
-  }
   next_hosts_ = now + kHostsPeriod;
   hosts_sent_ = now;
   hosts_tag_ = outbox_.Host(0, radishmoor::ListHosts{});
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -89,6 +89,9 @@
   void DropLost(Time now);
   void SendBeats(Time now);
   void Announce(Time now, const OwnerBeat& beat);
+  // A call can be made: the one before is answered (`tag` is 0), and `at` has
+  // come. Otherwise sees to being woken then.
+  bool IsDue(Time now, uint64_t tag, Time at);
   void FollowOperators(Time now);
   void RegisterNode(Time now);
   void ScanNodes(Time now);
