Give late time-outs of HTTP calls as much time again

Cause: on a process that is kept from running, the timer of a call fires in the same pass of the loop that reads the first bytes of its answer.

Change: a time-out noticed more than 5 ms late is extended once by its delay, 500 ms at most.

--- a/radishmoor/net/http_client.cc
+++ b/radishmoor/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "radishmoor/net/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -239,6 +240,11 @@
 
 // Start line, blank line and the length header that Beast adds.
 constexpr uint64_t kFramingBytes = 40;
+// A time-out that is noticed this late shows that the process was kept from
+// running: the answer may have arrived and wait to be read. It then gets as much
+// time again, up to the limit.
+constexpr Duration kLateTimer = Milliseconds(5);
+constexpr Duration kMaxExtension = Milliseconds(500);
 
 uint64_t WireBytes(const HttpHeaders& headers, const std::string& body) {
   uint64_t bytes = kFramingBytes + body.size();
@@ -255,6 +261,8 @@
     HttpRequest request;
     Callback callback;
     TimerId timer = 0;
+    Time deadline;
+    bool extended = false;
     bool sent = false;
   };
 
@@ -302,6 +310,27 @@
       client.Close(id);
   }
 
+  void ArmTimer(ConnectionId id, Time deadline) {
+    Exchange& exchange = exchanges.at(id);
+    exchange.deadline = deadline;
+    exchange.timer = loop.RunAt(deadline, [this, id] { OnDeadline(id); });
+  }
+
+  void OnDeadline(ConnectionId id) {
+    Exchange& exchange = exchanges.at(id);
+    Time now = loop.now();
+    Duration late = now - exchange.deadline;
+    if (late > kLateTimer && !exchange.extended) {
+      exchange.extended = true;
+      ArmTimer(id, now + std::min(late, kMaxExtension));
+      return;
+    }
+    bool sent = exchange.sent;
+    client.Close(id);
+    DropIdle(exchange.endpoint);
+    Finish(id, Failure{sent, "timed out"});
+  }
+
   void Finish(ConnectionId id, Result result) {
     auto node = exchanges.extract(id);
     if (node.empty())
@@ -339,12 +368,7 @@
     idle.pop_back();
   Impl::Exchange& exchange = impl_->exchanges[id];
   exchange = {endpoint, std::move(request), std::move(callback)};
-  exchange.timer = impl_->loop.RunAfter(timeout, [impl = impl_.get(), id] {
-    bool sent = impl->exchanges.at(id).sent;
-    impl->client.Close(id);
-    impl->DropIdle(impl->exchanges.at(id).endpoint);
-    impl->Finish(id, Failure{sent, "timed out"});
-  });
+  impl_->ArmTimer(id, impl_->loop.now() + timeout);
   if (reuse) {
     impl_->Write(id);
   } else {
--- a/radishmoor/net/http_client.h
+++ b/radishmoor/net/http_client.h
@@ -73,7 +73,8 @@
   explicit HttpFetcher(EventLoop& loop);
   ~HttpFetcher();
 
-  // Calls `callback` exactly once, not before Fetch returns.
+  // Calls `callback` exactly once, not before Fetch returns. A process that is
+  // kept from running waits longer than `timeout`, by at most half a second.
   void Fetch(const Endpoint& endpoint,
              HttpRequest request,
              Duration timeout,
--- a/radishmoor/net/testing/http_test.cc
+++ b/radishmoor/net/testing/http_test.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "radishmoor/net/event_loop.h"
 #include "radishmoor/net/http_client.h"
@@ -75,5 +77,43 @@
   REQUIRE(std::holds_alternative<HttpFetcher::Failure>(result));
 }
 
+// Guards against a process that was kept from running and takes answers that
+// have arrived in the meantime for lost ones.
+TEST_CASE("an answer that came while the process stood still counts") {
+  constexpr size_t kBodyBytes = 200'000;  // Several reads.
+  EventLoop server_loop;
+  std::optional<HttpServer> server;
+  server.emplace(server_loop, HttpServerLimits{},
+                 HttpServerHandlers{
+                     .on_request =
+                         [&](ExchangeId id, const HttpRequest&) {
+                           server_loop.RunAfter(Milliseconds(50), [&, id] {
+                             server->Respond(
+                                 id, {200, {}, std::string(kBodyBytes, 'x')});
+                           });
+                         },
+                     .on_abandoned = [](ExchangeId) {}});
+  Endpoint endpoint = server->Listen({"127.0.0.1", 0});
+  std::thread server_thread([&] { server_loop.Run(); });
+
+  EventLoop loop;
+  HttpFetcher fetcher(loop);
+  HttpFetcher::Result result;
+  fetcher.Fetch(endpoint, {"GET", "/", {}, ""}, Milliseconds(200),
+                [&](HttpFetcher::Result r) {
+                  result = std::move(r);
+                  loop.Stop();
+                });
+  // From after the request was sent, and before its answer.
+  loop.RunAfter(Milliseconds(20), [] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  });
+  loop.Run();
+  server_loop.Post([&] { server_loop.Stop(); });
+  server_thread.join();
+  REQUIRE(std::holds_alternative<HttpResponse>(result));
+  REQUIRE(std::get<HttpResponse>(result).body.size() == kBodyBytes);
+}
+
 }  // namespace
 }  // namespace radishmoor
