--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -64,6 +64,7 @@
   5: bool released
   6: string successor
   7: i64 earlier_leases_ms
+  8: i64 store_clock_ms
 }
 
 struct Node {
@@ -103,6 +104,9 @@
   10: i32 servers
   11: i32 min_servers
   12: list<string> spare_servers
+  13: double offered_cores
+  14: i32 silent_servers
+  15: list<string> silent_zones
 }
 
 struct JobNotice {
--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -24,7 +24,7 @@
 constexpr Duration kGoneAfter = Seconds(4);
 // A host that cannot be emptied in this time stays in its pool.
 constexpr Duration kMovePatience = Milliseconds(2500);
-constexpr Duration kSizingPeriod = Milliseconds(200);
+constexpr Duration kSizingPeriod = Milliseconds(100);
 // Of the rate at which the platform takes calls; waves need the rest.
 constexpr double kMoveShare = 0.8;
 // Pools with a larger share of their cores in use are spared by waves that have
@@ -440,10 +440,17 @@
     }
     if (size.known) {
       size.demand_cores = contact->second.beat.demand_cores;
+      size.offered_cores = contact->second.beat.offered_cores;
+      size.silent = contact->second.beat.silent_servers;
       size.min_hosts = contact->second.beat.min_servers;
     }
-    size.spare_hosts =
-        static_cast<uint32_t>(Movable(config.id, UINT32_MAX, contacts).size());
+    size.spare_hosts = static_cast<uint32_t>(
+        Movable(config.id, UINT32_MAX, {}, contacts).size());
+    uint32_t emptying = EmptyingFor(config.id);
+    if (config.standby)
+      size.spare_hosts += emptying;
+    else
+      size.arriving = emptying;
     sizes.push_back(size);
   }
   return sizes;
@@ -452,10 +459,14 @@
 std::vector<HostId> FleetKeeper::Movable(
     const PoolId& pool,
     uint32_t count,
+    std::span<const ZoneId> avoid,
     const std::map<PoolId, PoolContact>& contacts) const {
   std::vector<HostId> movable;
-  auto usable = [this](const HostId& id, const HostListing& host) {
-    return host.state == ListedHostState::kUp && !duties_.contains(id);
+  auto usable = [this, avoid](const HostId& id, const HostListing& host) {
+    bool avoided =
+        std::find(avoid.begin(), avoid.end(), host.zone) != avoid.end();
+    return host.state == ListedHostState::kUp && !duties_.contains(id) &&
+           !avoided;
   };
   if (IsStandby(pool)) {
     for (const auto& [id, host] : hosts_) {
@@ -488,16 +499,66 @@
   std::vector<PoolSize> sizes = Sizes(contacts);
   auto limit = static_cast<uint32_t>(kMoveShare * options_.bounds.duty_rate *
                                      ToSeconds(kSizingPeriod));
-  for (const HostMoves& moves : sizing_.Plan(now, sizes, limit)) {
-    for (const HostId& host : Movable(moves.from, moves.count, contacts)) {
-      Duty& duty = AddDuty(now, host);
-      duty.kind = DutyKind::kMove;
-      duty.target = moves.to;
-      outbox.Log("host-move", {{"host", host.str()},
-                               {"from", moves.from.str()},
-                               {"to", moves.to.str()}});
-    }
+  for (const HostMoves& moves : sizing_.Plan(now, sizes, limit))
+    StartMove(now, moves, contacts, outbox);
+}
+
+void FleetKeeper::StartMove(Time now,
+                            const HostMoves& moves,
+                            const std::map<PoolId, PoolContact>& contacts,
+                            Outbox& outbox) {
+  // The owner of the pool would not reach servers in these zones.
+  std::vector<ZoneId> avoid;
+  auto target = contacts.find(moves.to);
+  if (target != contacts.end())
+    avoid = target->second.beat.silent_zones;
+  std::vector<HostId> movable =
+      Movable(moves.from, moves.count, avoid, contacts);
+  for (const HostId& host : movable) {
+    Duty& duty = AddDuty(now, host);
+    duty.kind = DutyKind::kMove;
+    duty.target = moves.to;
+    outbox.Log("host-move", {{"host", host.str()},
+                             {"from", moves.from.str()},
+                             {"to", moves.to.str()}});
   }
+  auto begun = static_cast<uint32_t>(movable.size());
+  if (begun < moves.count && IsStandby(moves.from))
+    RedirectMoves(now, moves.to, moves.count - begun, contacts, outbox);
+}
+
+void FleetKeeper::RedirectMoves(Time now,
+                                const PoolId& to,
+                                uint32_t count,
+                                const std::map<PoolId, PoolContact>& contacts,
+                                Outbox& outbox) {
+  std::vector<HostId> staying;
+  for (auto& [host, duty] : duties_) {
+    if (count == 0)
+      break;
+    if (duty.kind != DutyKind::kMove || duty.stage != Stage::kEmptying ||
+        !IsStandby(duty.target))
+      continue;
+    --count;
+    outbox.Log(
+        "host-move-redirected",
+        {{"host", host.str()}, {"from", duty.pool.str()}, {"to", to.str()}});
+    if (duty.pool == to)
+      staying.push_back(host);
+    else
+      duty.target = to;
+  }
+  for (const HostId& host : staying)
+    GiveUp(now, host, duties_.at(host), contacts, outbox);
+}
+
+uint32_t FleetKeeper::EmptyingFor(const PoolId& pool) const {
+  return static_cast<uint32_t>(
+      std::count_if(duties_.begin(), duties_.end(), [&pool](const auto& entry) {
+        const Duty& duty = entry.second;
+        return duty.kind == DutyKind::kMove && duty.stage == Stage::kEmptying &&
+               duty.target == pool;
+      }));
 }
 
 void FleetKeeper::AdvanceDuty(Time now,
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -128,14 +128,29 @@
   void StartMoves(Time now,
                   const std::map<PoolId, PoolContact>& contacts,
                   Outbox& outbox);
+  // Begins `moves` with hosts that can be emptied; if those of a standby pool
+  // do not suffice, with hosts that are being emptied to go there.
+  void StartMove(Time now,
+                 const HostMoves& moves,
+                 const std::map<PoolId, PoolContact>& contacts,
+                 Outbox& outbox);
+  void RedirectMoves(Time now,
+                     const PoolId& to,
+                     uint32_t count,
+                     const std::map<PoolId, PoolContact>& contacts,
+                     Outbox& outbox);
+  // Hosts that are being emptied to move to the pool.
+  uint32_t EmptyingFor(const PoolId& pool) const;
   // Begins the emptying of a listed host; of maintenance, unless changed.
   Duty& AddDuty(Time now, const HostId& host);
   std::vector<PoolSize> Sizes(
       const std::map<PoolId, PoolContact>& contacts) const;
-  // Up to `count` hosts of the pool that can be moved.
+  // Up to `count` hosts of the pool that can be moved, none of them in the
+  // zones of `avoid`.
   std::vector<HostId> Movable(
       const PoolId& pool,
       uint32_t count,
+      std::span<const ZoneId> avoid,
       const std::map<PoolId, PoolContact>& contacts) const;
   bool MayCall(const Duty& duty) const;
   // The present owner of the pool has said lately that the server is empty.
--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -10,6 +10,8 @@
 constexpr double kUsableShare = 0.8;
 // A host that moves serves its new pool after about this time.
 constexpr double kLeadSeconds = 2.5;
+// Hosts for a foreseen peak must first be emptied elsewhere.
+constexpr Duration kForecastLead = Milliseconds(2400);
 constexpr Duration kSurplusTime = Milliseconds(2200);
 // Queues are quiet before the first callers come: until a pool has this share
 // of its cores in use, or the time has passed, all pools keep their hosts.
@@ -42,7 +44,10 @@
   // One large job must not be taken for the beginning of a peak.
   double rise = std::min(std::max(0.0, history.slope) * kLeadSeconds,
                          kMaxRise * history.demand + pool.cores_per_host);
-  double expected = history.demand + rise;
+  forecast_.Observe(now, pool.pool, pool.offered_cores, pool.cores_per_host);
+  double foreseen = forecast_.ExpectedCores(now, kForecastLead, pool.pool);
+  double expected =
+      std::max({history.demand + rise, pool.offered_cores, foreseen});
   double usable = std::max(1.0, pool.cores_per_host * kUsableShare);
   auto needed = static_cast<uint32_t>(std::ceil(expected / usable));
   needed = std::max({needed, pool.min_hosts, kMinHosts});
@@ -94,8 +99,10 @@
       continue;
     uint32_t needed = Needed(now, pool);
     uint32_t lately = NeededLately(now, pool);
-    uint32_t staying = pool.hosts - std::min(pool.hosts, pool.leaving);
-    balance.short_by = needed > staying ? needed - staying : 0;
+    uint32_t staying =
+        pool.hosts - std::min(pool.hosts, pool.leaving + pool.silent);
+    uint32_t coming = staying + pool.arriving;
+    balance.short_by = needed > coming ? needed - coming : 0;
     if (!InStartTime(now) && staying > needed)
       balance.can_give = std::min(staying - needed, pool.spare_hosts);
     if (staying > lately)
--- a/radishmoor/jobs/fleet_sizing.h
+++ b/radishmoor/jobs/fleet_sizing.h
@@ -23,6 +23,7 @@
 
 #include "radishmoor/base/ids.h"
 #include "radishmoor/base/time.h"
+#include "radishmoor/jobs/turn_forecast.h"
 
 namespace radishmoor {
 
@@ -31,11 +32,16 @@
   bool standby = false;
   // Cores of running and ready tasks; of a pool with an owner that is heard.
   double demand_cores = 0;
+  // What the work that arrives now needs.
+  double offered_cores = 0;
   double cores_per_host = 1;
   uint32_t hosts = 0;      // In use, those on their way included.
+  uint32_t silent = 0;     // Of these, without answers to the owner.
   uint32_t leaving = 0;    // Of these, being emptied for a move.
+  uint32_t arriving = 0;   // Being emptied elsewhere for a move to this pool.
   uint32_t min_hosts = 0;  // Long-running tasks need as many.
-  // Hosts that can be emptied at once, with little or nothing on them.
+  // Hosts that can be emptied at once, with little or nothing on them. Of a
+  // standby pool, with those that are being emptied to go there.
   uint32_t spare_hosts = 0;
   bool known = true;  // The figures are recent.
 };
@@ -80,6 +86,7 @@
   bool new_site_;
   bool used_ = false;
   std::map<PoolId, History> history_;
+  TurnForecast forecast_;
   std::optional<Time> started_;
 };
 
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -1367,6 +1367,10 @@
 void Lease::__set_earlier_leases_ms(const int64_t val) {
   this->earlier_leases_ms = val;
 }
+
+void Lease::__set_store_clock_ms(const int64_t val) {
+  this->store_clock_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Lease& obj)
 {
   obj.printTo(out);
@@ -1451,6 +1455,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_clock_ms);
+          this->__isset.store_clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1496,6 +1508,10 @@
   xfer += oprot->writeI64(this->earlier_leases_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("store_clock_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->store_clock_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1510,6 +1526,7 @@
   swap(a.released, b.released);
   swap(a.successor, b.successor);
   swap(a.earlier_leases_ms, b.earlier_leases_ms);
+  swap(a.store_clock_ms, b.store_clock_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1521,6 +1538,7 @@
   released = other54.released;
   successor = other54.successor;
   earlier_leases_ms = other54.earlier_leases_ms;
+  store_clock_ms = other54.store_clock_ms;
   __isset = other54.__isset;
 }
 Lease::Lease(Lease&& other55) noexcept {
@@ -1531,6 +1549,7 @@
   released = other55.released;
   successor = std::move(other55.successor);
   earlier_leases_ms = other55.earlier_leases_ms;
+  store_clock_ms = other55.store_clock_ms;
   __isset = other55.__isset;
 }
 Lease& Lease::operator=(const Lease& other56) {
@@ -1541,6 +1560,7 @@
   released = other56.released;
   successor = other56.successor;
   earlier_leases_ms = other56.earlier_leases_ms;
+  store_clock_ms = other56.store_clock_ms;
   __isset = other56.__isset;
   return *this;
 }
@@ -1552,6 +1572,7 @@
   released = other57.released;
   successor = std::move(other57.successor);
   earlier_leases_ms = other57.earlier_leases_ms;
+  store_clock_ms = other57.store_clock_ms;
   __isset = other57.__isset;
   return *this;
 }
@@ -1565,6 +1586,7 @@
   out << ", " << "released=" << to_string(released);
   out << ", " << "successor=" << to_string(successor);
   out << ", " << "earlier_leases_ms=" << to_string(earlier_leases_ms);
+  out << ", " << "store_clock_ms=" << to_string(store_clock_ms);
   out << ")";
 }
 
@@ -2165,6 +2187,18 @@
 void OwnerBeat::__set_spare_servers(const std::vector<std::string> & val) {
   this->spare_servers = val;
 }
+
+void OwnerBeat::__set_offered_cores(const double val) {
+  this->offered_cores = val;
+}
+
+void OwnerBeat::__set_silent_servers(const int32_t val) {
+  this->silent_servers = val;
+}
+
+void OwnerBeat::__set_silent_zones(const std::vector<std::string> & val) {
+  this->silent_zones = val;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerBeat& obj)
 {
   obj.printTo(out);
@@ -2313,6 +2347,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->offered_cores);
+          this->__isset.offered_cores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->silent_servers);
+          this->__isset.silent_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->silent_zones.clear();
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->silent_zones.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
+            {
+              xfer += iprot->readString(this->silent_zones[_i84]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.silent_zones = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2349,10 +2419,10 @@
   xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
-    std::vector<QueueLoad> ::const_iterator _iter80;
-    for (_iter80 = this->queues.begin(); _iter80 != this->queues.end(); ++_iter80)
+    std::vector<QueueLoad> ::const_iterator _iter85;
+    for (_iter85 = this->queues.begin(); _iter85 != this->queues.end(); ++_iter85)
     {
-      xfer += (*_iter80).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2385,10 +2455,30 @@
   xfer += oprot->writeFieldBegin("spare_servers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->spare_servers.size()));
-    std::vector<std::string> ::const_iterator _iter81;
-    for (_iter81 = this->spare_servers.begin(); _iter81 != this->spare_servers.end(); ++_iter81)
+    std::vector<std::string> ::const_iterator _iter86;
+    for (_iter86 = this->spare_servers.begin(); _iter86 != this->spare_servers.end(); ++_iter86)
+    {
+      xfer += oprot->writeString((*_iter86));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offered_cores", ::apache::thrift::protocol::T_DOUBLE, 13);
+  xfer += oprot->writeDouble(this->offered_cores);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent_servers", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->silent_servers);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent_zones", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->silent_zones.size()));
+    std::vector<std::string> ::const_iterator _iter87;
+    for (_iter87 = this->silent_zones.begin(); _iter87 != this->silent_zones.end(); ++_iter87)
     {
-      xfer += oprot->writeString((*_iter81));
+      xfer += oprot->writeString((*_iter87));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2413,69 +2503,84 @@
   swap(a.servers, b.servers);
   swap(a.min_servers, b.min_servers);
   swap(a.spare_servers, b.spare_servers);
+  swap(a.offered_cores, b.offered_cores);
+  swap(a.silent_servers, b.silent_servers);
+  swap(a.silent_zones, b.silent_zones);
   swap(a.__isset, b.__isset);
 }
 
-OwnerBeat::OwnerBeat(const OwnerBeat& other82) {
-  pool = other82.pool;
-  token = other82.token;
-  lease_version = other82.lease_version;
-  renewed_age_ms = other82.renewed_age_ms;
-  queues = other82.queues;
-  released = other82.released;
-  successor = other82.successor;
-  demand_cores = other82.demand_cores;
-  capacity_cores = other82.capacity_cores;
-  servers = other82.servers;
-  min_servers = other82.min_servers;
-  spare_servers = other82.spare_servers;
-  __isset = other82.__isset;
-}
-OwnerBeat::OwnerBeat(OwnerBeat&& other83) noexcept {
-  pool = std::move(other83.pool);
-  token = other83.token;
-  lease_version = other83.lease_version;
-  renewed_age_ms = other83.renewed_age_ms;
-  queues = std::move(other83.queues);
-  released = other83.released;
-  successor = std::move(other83.successor);
-  demand_cores = other83.demand_cores;
-  capacity_cores = other83.capacity_cores;
-  servers = other83.servers;
-  min_servers = other83.min_servers;
-  spare_servers = std::move(other83.spare_servers);
-  __isset = other83.__isset;
-}
-OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other84) {
-  pool = other84.pool;
-  token = other84.token;
-  lease_version = other84.lease_version;
-  renewed_age_ms = other84.renewed_age_ms;
-  queues = other84.queues;
-  released = other84.released;
-  successor = other84.successor;
-  demand_cores = other84.demand_cores;
-  capacity_cores = other84.capacity_cores;
-  servers = other84.servers;
-  min_servers = other84.min_servers;
-  spare_servers = other84.spare_servers;
-  __isset = other84.__isset;
+OwnerBeat::OwnerBeat(const OwnerBeat& other88) {
+  pool = other88.pool;
+  token = other88.token;
+  lease_version = other88.lease_version;
+  renewed_age_ms = other88.renewed_age_ms;
+  queues = other88.queues;
+  released = other88.released;
+  successor = other88.successor;
+  demand_cores = other88.demand_cores;
+  capacity_cores = other88.capacity_cores;
+  servers = other88.servers;
+  min_servers = other88.min_servers;
+  spare_servers = other88.spare_servers;
+  offered_cores = other88.offered_cores;
+  silent_servers = other88.silent_servers;
+  silent_zones = other88.silent_zones;
+  __isset = other88.__isset;
+}
+OwnerBeat::OwnerBeat(OwnerBeat&& other89) noexcept {
+  pool = std::move(other89.pool);
+  token = other89.token;
+  lease_version = other89.lease_version;
+  renewed_age_ms = other89.renewed_age_ms;
+  queues = std::move(other89.queues);
+  released = other89.released;
+  successor = std::move(other89.successor);
+  demand_cores = other89.demand_cores;
+  capacity_cores = other89.capacity_cores;
+  servers = other89.servers;
+  min_servers = other89.min_servers;
+  spare_servers = std::move(other89.spare_servers);
+  offered_cores = other89.offered_cores;
+  silent_servers = other89.silent_servers;
+  silent_zones = std::move(other89.silent_zones);
+  __isset = other89.__isset;
+}
+OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other90) {
+  pool = other90.pool;
+  token = other90.token;
+  lease_version = other90.lease_version;
+  renewed_age_ms = other90.renewed_age_ms;
+  queues = other90.queues;
+  released = other90.released;
+  successor = other90.successor;
+  demand_cores = other90.demand_cores;
+  capacity_cores = other90.capacity_cores;
+  servers = other90.servers;
+  min_servers = other90.min_servers;
+  spare_servers = other90.spare_servers;
+  offered_cores = other90.offered_cores;
+  silent_servers = other90.silent_servers;
+  silent_zones = other90.silent_zones;
+  __isset = other90.__isset;
   return *this;
 }
-OwnerBeat& OwnerBeat::operator=(OwnerBeat&& other85) noexcept {
-  pool = std::move(other85.pool);
-  token = other85.token;
-  lease_version = other85.lease_version;
-  renewed_age_ms = other85.renewed_age_ms;
-  queues = std::move(other85.queues);
-  released = other85.released;
-  successor = std::move(other85.successor);
-  demand_cores = other85.demand_cores;
-  capacity_cores = other85.capacity_cores;
-  servers = other85.servers;
-  min_servers = other85.min_servers;
-  spare_servers = std::move(other85.spare_servers);
-  __isset = other85.__isset;
+OwnerBeat& OwnerBeat::operator=(OwnerBeat&& other91) noexcept {
+  pool = std::move(other91.pool);
+  token = other91.token;
+  lease_version = other91.lease_version;
+  renewed_age_ms = other91.renewed_age_ms;
+  queues = std::move(other91.queues);
+  released = other91.released;
+  successor = std::move(other91.successor);
+  demand_cores = other91.demand_cores;
+  capacity_cores = other91.capacity_cores;
+  servers = other91.servers;
+  min_servers = other91.min_servers;
+  spare_servers = std::move(other91.spare_servers);
+  offered_cores = other91.offered_cores;
+  silent_servers = other91.silent_servers;
+  silent_zones = std::move(other91.silent_zones);
+  __isset = other91.__isset;
   return *this;
 }
 void OwnerBeat::printTo(std::ostream& out) const {
@@ -2493,6 +2598,9 @@
   out << ", " << "servers=" << to_string(servers);
   out << ", " << "min_servers=" << to_string(min_servers);
   out << ", " << "spare_servers=" << to_string(spare_servers);
+  out << ", " << "offered_cores=" << to_string(offered_cores);
+  out << ", " << "silent_servers=" << to_string(silent_servers);
+  out << ", " << "silent_zones=" << to_string(silent_zones);
   out << ")";
 }
 
@@ -2640,38 +2748,38 @@
   swap(a.__isset, b.__isset);
 }
 
-JobNotice::JobNotice(const JobNotice& other86) {
-  pool = other86.pool;
-  job = other86.job;
-  definition = other86.definition;
-  age_ms = other86.age_ms;
-  request = other86.request;
-  __isset = other86.__isset;
+JobNotice::JobNotice(const JobNotice& other92) {
+  pool = other92.pool;
+  job = other92.job;
+  definition = other92.definition;
+  age_ms = other92.age_ms;
+  request = other92.request;
+  __isset = other92.__isset;
 }
-JobNotice::JobNotice(JobNotice&& other87) noexcept {
-  pool = std::move(other87.pool);
-  job = std::move(other87.job);
-  definition = std::move(other87.definition);
-  age_ms = other87.age_ms;
-  request = other87.request;
-  __isset = other87.__isset;
+JobNotice::JobNotice(JobNotice&& other93) noexcept {
+  pool = std::move(other93.pool);
+  job = std::move(other93.job);
+  definition = std::move(other93.definition);
+  age_ms = other93.age_ms;
+  request = other93.request;
+  __isset = other93.__isset;
 }
-JobNotice& JobNotice::operator=(const JobNotice& other88) {
-  pool = other88.pool;
-  job = other88.job;
-  definition = other88.definition;
-  age_ms = other88.age_ms;
-  request = other88.request;
-  __isset = other88.__isset;
+JobNotice& JobNotice::operator=(const JobNotice& other94) {
+  pool = other94.pool;
+  job = other94.job;
+  definition = other94.definition;
+  age_ms = other94.age_ms;
+  request = other94.request;
+  __isset = other94.__isset;
   return *this;
 }
-JobNotice& JobNotice::operator=(JobNotice&& other89) noexcept {
-  pool = std::move(other89.pool);
-  job = std::move(other89.job);
-  definition = std::move(other89.definition);
-  age_ms = other89.age_ms;
-  request = other89.request;
-  __isset = other89.__isset;
+JobNotice& JobNotice::operator=(JobNotice&& other95) noexcept {
+  pool = std::move(other95.pool);
+  job = std::move(other95.job);
+  definition = std::move(other95.definition);
+  age_ms = other95.age_ms;
+  request = other95.request;
+  __isset = other95.__isset;
   return *this;
 }
 void JobNotice::printTo(std::ostream& out) const {
@@ -2812,34 +2920,34 @@
   swap(a.__isset, b.__isset);
 }
 
-JobQuery::JobQuery(const JobQuery& other90) {
-  request = other90.request;
-  pool = other90.pool;
-  job = other90.job;
-  cancel = other90.cancel;
-  __isset = other90.__isset;
+JobQuery::JobQuery(const JobQuery& other96) {
+  request = other96.request;
+  pool = other96.pool;
+  job = other96.job;
+  cancel = other96.cancel;
+  __isset = other96.__isset;
 }
-JobQuery::JobQuery(JobQuery&& other91) noexcept {
-  request = other91.request;
-  pool = std::move(other91.pool);
-  job = std::move(other91.job);
-  cancel = other91.cancel;
-  __isset = other91.__isset;
+JobQuery::JobQuery(JobQuery&& other97) noexcept {
+  request = other97.request;
+  pool = std::move(other97.pool);
+  job = std::move(other97.job);
+  cancel = other97.cancel;
+  __isset = other97.__isset;
 }
-JobQuery& JobQuery::operator=(const JobQuery& other92) {
-  request = other92.request;
-  pool = other92.pool;
-  job = other92.job;
-  cancel = other92.cancel;
-  __isset = other92.__isset;
+JobQuery& JobQuery::operator=(const JobQuery& other98) {
+  request = other98.request;
+  pool = other98.pool;
+  job = other98.job;
+  cancel = other98.cancel;
+  __isset = other98.__isset;
   return *this;
 }
-JobQuery& JobQuery::operator=(JobQuery&& other93) noexcept {
-  request = other93.request;
-  pool = std::move(other93.pool);
-  job = std::move(other93.job);
-  cancel = other93.cancel;
-  __isset = other93.__isset;
+JobQuery& JobQuery::operator=(JobQuery&& other99) noexcept {
+  request = other99.request;
+  pool = std::move(other99.pool);
+  job = std::move(other99.job);
+  cancel = other99.cancel;
+  __isset = other99.__isset;
   return *this;
 }
 void JobQuery::printTo(std::ostream& out) const {
@@ -2945,26 +3053,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other94) noexcept {
-  request = other94.request;
-  state = other94.state;
-  __isset = other94.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other100) noexcept {
+  request = other100.request;
+  state = other100.state;
+  __isset = other100.__isset;
 }
-JobAnswer::JobAnswer(JobAnswer&& other95) noexcept {
-  request = other95.request;
-  state = other95.state;
-  __isset = other95.__isset;
+JobAnswer::JobAnswer(JobAnswer&& other101) noexcept {
+  request = other101.request;
+  state = other101.state;
+  __isset = other101.__isset;
 }
-JobAnswer& JobAnswer::operator=(const JobAnswer& other96) noexcept {
-  request = other96.request;
-  state = other96.state;
-  __isset = other96.__isset;
+JobAnswer& JobAnswer::operator=(const JobAnswer& other102) noexcept {
+  request = other102.request;
+  state = other102.state;
+  __isset = other102.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other97) noexcept {
-  request = other97.request;
-  state = other97.state;
-  __isset = other97.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other103) noexcept {
+  request = other103.request;
+  state = other103.state;
+  __isset = other103.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -3085,30 +3193,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VacateRequest::VacateRequest(const VacateRequest& other98) {
-  pool = other98.pool;
-  server = other98.server;
-  withdraw = other98.withdraw;
-  __isset = other98.__isset;
+VacateRequest::VacateRequest(const VacateRequest& other104) {
+  pool = other104.pool;
+  server = other104.server;
+  withdraw = other104.withdraw;
+  __isset = other104.__isset;
 }
-VacateRequest::VacateRequest(VacateRequest&& other99) noexcept {
-  pool = std::move(other99.pool);
-  server = std::move(other99.server);
-  withdraw = other99.withdraw;
-  __isset = other99.__isset;
+VacateRequest::VacateRequest(VacateRequest&& other105) noexcept {
+  pool = std::move(other105.pool);
+  server = std::move(other105.server);
+  withdraw = other105.withdraw;
+  __isset = other105.__isset;
 }
-VacateRequest& VacateRequest::operator=(const VacateRequest& other100) {
-  pool = other100.pool;
-  server = other100.server;
-  withdraw = other100.withdraw;
-  __isset = other100.__isset;
+VacateRequest& VacateRequest::operator=(const VacateRequest& other106) {
+  pool = other106.pool;
+  server = other106.server;
+  withdraw = other106.withdraw;
+  __isset = other106.__isset;
   return *this;
 }
-VacateRequest& VacateRequest::operator=(VacateRequest&& other101) noexcept {
-  pool = std::move(other101.pool);
-  server = std::move(other101.server);
-  withdraw = other101.withdraw;
-  __isset = other101.__isset;
+VacateRequest& VacateRequest::operator=(VacateRequest&& other107) noexcept {
+  pool = std::move(other107.pool);
+  server = std::move(other107.server);
+  withdraw = other107.withdraw;
+  __isset = other107.__isset;
   return *this;
 }
 void VacateRequest::printTo(std::ostream& out) const {
@@ -3247,34 +3355,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VacateAnswer::VacateAnswer(const VacateAnswer& other102) {
-  pool = other102.pool;
-  server = other102.server;
-  state = other102.state;
-  token = other102.token;
-  __isset = other102.__isset;
+VacateAnswer::VacateAnswer(const VacateAnswer& other108) {
+  pool = other108.pool;
+  server = other108.server;
+  state = other108.state;
+  token = other108.token;
+  __isset = other108.__isset;
 }
-VacateAnswer::VacateAnswer(VacateAnswer&& other103) noexcept {
-  pool = std::move(other103.pool);
-  server = std::move(other103.server);
-  state = other103.state;
-  token = other103.token;
-  __isset = other103.__isset;
+VacateAnswer::VacateAnswer(VacateAnswer&& other109) noexcept {
+  pool = std::move(other109.pool);
+  server = std::move(other109.server);
+  state = other109.state;
+  token = other109.token;
+  __isset = other109.__isset;
 }
-VacateAnswer& VacateAnswer::operator=(const VacateAnswer& other104) {
-  pool = other104.pool;
-  server = other104.server;
-  state = other104.state;
-  token = other104.token;
-  __isset = other104.__isset;
+VacateAnswer& VacateAnswer::operator=(const VacateAnswer& other110) {
+  pool = other110.pool;
+  server = other110.server;
+  state = other110.state;
+  token = other110.token;
+  __isset = other110.__isset;
   return *this;
 }
-VacateAnswer& VacateAnswer::operator=(VacateAnswer&& other105) noexcept {
-  pool = std::move(other105.pool);
-  server = std::move(other105.server);
-  state = other105.state;
-  token = other105.token;
-  __isset = other105.__isset;
+VacateAnswer& VacateAnswer::operator=(VacateAnswer&& other111) noexcept {
+  pool = std::move(other111.pool);
+  server = std::move(other111.server);
+  state = other111.state;
+  token = other111.token;
+  __isset = other111.__isset;
   return *this;
 }
 void VacateAnswer::printTo(std::ostream& out) const {
@@ -3494,50 +3602,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other106) {
-  sender = other106.sender;
-  address = other106.address;
-  owner_beat = other106.owner_beat;
-  job_notice = other106.job_notice;
-  job_query = other106.job_query;
-  job_answer = other106.job_answer;
-  vacate_request = other106.vacate_request;
-  vacate_answer = other106.vacate_answer;
-  __isset = other106.__isset;
-}
-Envelope::Envelope(Envelope&& other107) noexcept {
-  sender = std::move(other107.sender);
-  address = std::move(other107.address);
-  owner_beat = std::move(other107.owner_beat);
-  job_notice = std::move(other107.job_notice);
-  job_query = std::move(other107.job_query);
-  job_answer = std::move(other107.job_answer);
-  vacate_request = std::move(other107.vacate_request);
-  vacate_answer = std::move(other107.vacate_answer);
-  __isset = other107.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other108) {
-  sender = other108.sender;
-  address = other108.address;
-  owner_beat = other108.owner_beat;
-  job_notice = other108.job_notice;
-  job_query = other108.job_query;
-  job_answer = other108.job_answer;
-  vacate_request = other108.vacate_request;
-  vacate_answer = other108.vacate_answer;
-  __isset = other108.__isset;
+Envelope::Envelope(const Envelope& other112) {
+  sender = other112.sender;
+  address = other112.address;
+  owner_beat = other112.owner_beat;
+  job_notice = other112.job_notice;
+  job_query = other112.job_query;
+  job_answer = other112.job_answer;
+  vacate_request = other112.vacate_request;
+  vacate_answer = other112.vacate_answer;
+  __isset = other112.__isset;
+}
+Envelope::Envelope(Envelope&& other113) noexcept {
+  sender = std::move(other113.sender);
+  address = std::move(other113.address);
+  owner_beat = std::move(other113.owner_beat);
+  job_notice = std::move(other113.job_notice);
+  job_query = std::move(other113.job_query);
+  job_answer = std::move(other113.job_answer);
+  vacate_request = std::move(other113.vacate_request);
+  vacate_answer = std::move(other113.vacate_answer);
+  __isset = other113.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other114) {
+  sender = other114.sender;
+  address = other114.address;
+  owner_beat = other114.owner_beat;
+  job_notice = other114.job_notice;
+  job_query = other114.job_query;
+  job_answer = other114.job_answer;
+  vacate_request = other114.vacate_request;
+  vacate_answer = other114.vacate_answer;
+  __isset = other114.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other109) noexcept {
-  sender = std::move(other109.sender);
-  address = std::move(other109.address);
-  owner_beat = std::move(other109.owner_beat);
-  job_notice = std::move(other109.job_notice);
-  job_query = std::move(other109.job_query);
-  job_answer = std::move(other109.job_answer);
-  vacate_request = std::move(other109.vacate_request);
-  vacate_answer = std::move(other109.vacate_answer);
-  __isset = other109.__isset;
+Envelope& Envelope::operator=(Envelope&& other115) noexcept {
+  sender = std::move(other115.sender);
+  address = std::move(other115.address);
+  owner_beat = std::move(other115.owner_beat);
+  job_notice = std::move(other115.job_notice);
+  job_query = std::move(other115.job_query);
+  job_answer = std::move(other115.job_answer);
+  vacate_request = std::move(other115.vacate_request);
+  vacate_answer = std::move(other115.vacate_answer);
+  __isset = other115.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -517,7 +517,7 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _Lease__isset {
-  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false), earlier_leases_ms(false) {}
+  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false), earlier_leases_ms(false), store_clock_ms(false) {}
   bool holder :1;
   bool address :1;
   bool token :1;
@@ -525,6 +525,7 @@
   bool released :1;
   bool successor :1;
   bool earlier_leases_ms :1;
+  bool store_clock_ms :1;
 } _Lease__isset;
 
 class Lease : public virtual ::apache::thrift::TBase {
@@ -541,7 +542,8 @@
           sequence(0),
           released(0),
           successor(),
-          earlier_leases_ms(0) {
+          earlier_leases_ms(0),
+          store_clock_ms(0) {
   }
 
   virtual ~Lease() noexcept;
@@ -552,6 +554,7 @@
   bool released;
   std::string successor;
   int64_t earlier_leases_ms;
+  int64_t store_clock_ms;
 
   _Lease__isset __isset;
 
@@ -569,6 +572,8 @@
 
   void __set_earlier_leases_ms(const int64_t val);
 
+  void __set_store_clock_ms(const int64_t val);
+
   bool operator == (const Lease & rhs) const
   {
     if (!(holder == rhs.holder))
@@ -585,6 +590,8 @@
       return false;
     if (!(earlier_leases_ms == rhs.earlier_leases_ms))
       return false;
+    if (!(store_clock_ms == rhs.store_clock_ms))
+      return false;
     return true;
   }
   bool operator != (const Lease &rhs) const {
@@ -816,7 +823,7 @@
 std::ostream& operator<<(std::ostream& out, const QueueLoad& obj);
 
 typedef struct _OwnerBeat__isset {
-  _OwnerBeat__isset() : pool(false), token(false), lease_version(false), renewed_age_ms(false), queues(false), released(false), successor(false), demand_cores(false), capacity_cores(false), servers(false), min_servers(false), spare_servers(false) {}
+  _OwnerBeat__isset() : pool(false), token(false), lease_version(false), renewed_age_ms(false), queues(false), released(false), successor(false), demand_cores(false), capacity_cores(false), servers(false), min_servers(false), spare_servers(false), offered_cores(false), silent_servers(false), silent_zones(false) {}
   bool pool :1;
   bool token :1;
   bool lease_version :1;
@@ -829,6 +836,9 @@
   bool servers :1;
   bool min_servers :1;
   bool spare_servers :1;
+  bool offered_cores :1;
+  bool silent_servers :1;
+  bool silent_zones :1;
 } _OwnerBeat__isset;
 
 class OwnerBeat : public virtual ::apache::thrift::TBase {
@@ -848,7 +858,9 @@
               demand_cores(0),
               capacity_cores(0),
               servers(0),
-              min_servers(0) {
+              min_servers(0),
+              offered_cores(0),
+              silent_servers(0) {
   }
 
   virtual ~OwnerBeat() noexcept;
@@ -864,6 +876,9 @@
   int32_t servers;
   int32_t min_servers;
   std::vector<std::string>  spare_servers;
+  double offered_cores;
+  int32_t silent_servers;
+  std::vector<std::string>  silent_zones;
 
   _OwnerBeat__isset __isset;
 
@@ -891,6 +906,12 @@
 
   void __set_spare_servers(const std::vector<std::string> & val);
 
+  void __set_offered_cores(const double val);
+
+  void __set_silent_servers(const int32_t val);
+
+  void __set_silent_zones(const std::vector<std::string> & val);
+
   bool operator == (const OwnerBeat & rhs) const
   {
     if (!(pool == rhs.pool))
@@ -917,6 +938,12 @@
       return false;
     if (!(spare_servers == rhs.spare_servers))
       return false;
+    if (!(offered_cores == rhs.offered_cores))
+      return false;
+    if (!(silent_servers == rhs.silent_servers))
+      return false;
+    if (!(silent_zones == rhs.silent_zones))
+      return false;
     return true;
   }
   bool operator != (const OwnerBeat &rhs) const {
--- a/radishmoor/jobs/messages.h
+++ b/radishmoor/jobs/messages.h
@@ -251,10 +251,18 @@
   bool released = false;  // The lease was given up.
   MemberId successor;     // With `released`: who should take it.
   double demand_cores = 0;
+  // Work of the jobs that arrived lately, by the time in which they arrived:
+  // what the pool uses once it serves all of them.
+  double offered_cores = 0;
   double capacity_cores = 0;
-  uint32_t servers = 0;      // In use.
+  uint32_t servers = 0;  // In use.
+  // Of these, without an answer to the last look.
+  uint32_t silent_servers = 0;
+  // Zones with more silent servers than answering ones.
+  std::vector<ZoneId> silent_zones;
   uint32_t min_servers = 0;  // Long-running tasks need as many.
-  // Servers that can be emptied soon, those with the least work first.
+  // Servers that can be emptied soon, those with the least work first. Only the
+  // keeper is told.
   std::vector<ServerId> spare_servers;
 };
 
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -12,6 +12,11 @@
 constexpr Duration kFullReadPeriod = Seconds(5);
 constexpr Duration kOperatorsRetry = Milliseconds(150);
 constexpr Duration kBeatPeriod = Milliseconds(300);
+// Between announcements the keeper hears of a rise by this factor and so many
+// cores.
+constexpr double kRiseFactor = 1.25;
+constexpr double kRiseCores = 24;
+constexpr Duration kRiseGap = Milliseconds(60);
 constexpr Duration kRegisterPeriod = Seconds(15);
 constexpr Duration kRegisterRetry = Milliseconds(300);
 constexpr Duration kNodesPeriod = Seconds(4);
@@ -23,6 +28,8 @@
 // The list of many servers is long, so it is read less often.
 constexpr Duration kServersPeriodPerServer = Milliseconds(3);
 constexpr Duration kMaxServersPeriod = Milliseconds(1200);
+// While a pool lacks servers: those on their way are seen soon after they come.
+constexpr Duration kShortServersPeriod = Milliseconds(300);
 constexpr Duration kFleetTickGap = Milliseconds(20);
 constexpr Duration kServersRetry = Milliseconds(200);
 // After the signal to stop, callers with open connections are served this long.
@@ -349,10 +356,29 @@
 }
 
 void NodeCore::Announce(Time now, const OwnerBeat& beat) {
+  const PoolOwner* keeper = leases_.OwnerOf(PoolId(kFleetPool));
+  OwnerBeat brief = beat;
+  brief.spare_servers.clear();
   for (const auto& [name, node] : nodes_) {
-    if (name != options_.name && !node.row.leaving &&
-        now - node.changed < kNodeExpiry)
-      outbox_.Send(name, node.row.address, beat);
+    if (name == options_.name || node.row.leaving ||
+        now - node.changed >= kNodeExpiry)
+      continue;
+    bool keeps = keeper != nullptr && keeper->node == name;
+    outbox_.Send(name, node.row.address, keeps ? beat : brief);
+  }
+}
+
+void NodeCore::AnnounceRise(Time now) {
+  const PoolOwner* keeper = leases_.OwnerOf(PoolId(kFleetPool));
+  for (const auto& [pool, scheduler] : schedulers_) {
+    AnnouncedNeed& announced = announced_needs_[pool];
+    double cores = scheduler->needed_cores(now);
+    bool rose = cores > kRiseFactor * announced.cores + kRiseCores;
+    if (fleet_ != nullptr || keeper == nullptr || !rose ||
+        now - announced.at < kRiseGap)
+      continue;
+    announced = {cores, now};
+    outbox_.Send(keeper->node, keeper->address, scheduler->Beat(now));
   }
 }
 
@@ -368,6 +394,7 @@
   for (const auto& [pool, scheduler] : schedulers_) {
     OwnerBeat beat = scheduler->Beat(now);
     intake_.SetLocalBeat(beat, now);
+    announced_needs_[pool] = {scheduler->needed_cores(now), now};
     Announce(now, beat);
   }
   if (fleet_ != nullptr)
@@ -462,9 +489,13 @@
 void NodeCore::ReadServers(Time now) {
   if (schedulers_.empty() || !IsDue(now, servers_tag_, next_servers_))
     return;
-  next_servers_ = now + std::clamp(kServersPeriodPerServer *
-                                       static_cast<int64_t>(servers_.size()),
-                                   kServersPeriod, kMaxServersPeriod);
+  bool short_of = std::any_of(
+      schedulers_.begin(), schedulers_.end(),
+      [now](const auto& entry) { return entry.second->expects_servers(now); });
+  Duration period = std::clamp(
+      kServersPeriodPerServer * static_cast<int64_t>(servers_.size()),
+      kServersPeriod, kMaxServersPeriod);
+  next_servers_ = now + (short_of ? kShortServersPeriod : period);
   servers_tag_ = outbox_.Servers();
 }
 
@@ -531,6 +562,7 @@
   }
   intake_.Tick(now, outbox_);
   SendBeats(now);
+  AnnounceRise(now);
   DeliverLocal(now);
   DropLost(now);
   FollowOperators(now);
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -89,6 +89,8 @@
   void DropLost(Time now);
   void SendBeats(Time now);
   void Announce(Time now, const OwnerBeat& beat);
+  // Tells the keeper of a pool's demand at once when it has risen.
+  void AnnounceRise(Time now);
   // A call can be made: the one before is answered (`tag` is 0), and `at` has
   // come. Otherwise sees to being woken then.
   bool IsDue(Time now, uint64_t tag, Time at);
@@ -133,6 +135,11 @@
   Time next_hosts_;
   Time last_fleet_tick_;
   Time next_beat_;
+  struct AnnouncedNeed {
+    double cores = 0;
+    Time at;
+  };
+  std::map<PoolId, AnnouncedNeed> announced_needs_;
   std::optional<Time> shutdown_;
   bool ended_ = false;
   // Since when the store has not answered, and whether that was logged.
--- a/radishmoor/jobs/peer_frames.cc
+++ b/radishmoor/jobs/peer_frames.cc
@@ -26,7 +26,11 @@
   w.released = m.released;
   w.successor = m.successor.str();
   w.demand_cores = m.demand_cores;
+  w.offered_cores = m.offered_cores;
   w.capacity_cores = m.capacity_cores;
+  w.silent_servers = static_cast<int32_t>(m.silent_servers);
+  for (const ZoneId& zone : m.silent_zones)
+    w.silent_zones.push_back(zone.str());
   w.servers = static_cast<int32_t>(m.servers);
   w.min_servers = static_cast<int32_t>(m.min_servers);
   for (const ServerId& server : m.spare_servers)
@@ -92,7 +96,11 @@
   m.released = w.released;
   m.successor = MemberId(w.successor);
   m.demand_cores = w.demand_cores;
+  m.offered_cores = w.offered_cores;
   m.capacity_cores = w.capacity_cores;
+  m.silent_servers = static_cast<uint32_t>(w.silent_servers);
+  for (const std::string& zone : w.silent_zones)
+    m.silent_zones.emplace_back(zone);
   m.servers = static_cast<uint32_t>(w.servers);
   m.min_servers = static_cast<uint32_t>(w.min_servers);
   for (const std::string& server : w.spare_servers)
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -31,7 +31,11 @@
 constexpr Duration kPurgePeriod = Seconds(10);
 constexpr size_t kPurgeBatch = 20;
 // Named in an announcement.
-constexpr size_t kMaxSpareNamed = 16;
+constexpr size_t kMaxSpareNamed = 64;
+// A pool is short of servers when it needs this share of their cores.
+constexpr double kShortShare = 0.8;
+// Without an answer for this long a server does not count as capacity.
+constexpr Duration kSilentServer = Milliseconds(800);
 // A submission time that another process wrote is believed up to this age.
 constexpr Duration kMaxBelievedAge = Seconds(60);
 
@@ -213,6 +217,9 @@
   if (spec.scheduled())
     scheduled_.insert(id);
   plan_needed_ = true;
+  // Jobs of an earlier owner have shown their load before.
+  if (loaded() && !spec.scheduled() && !spec.long_running())
+    offered_.Add(now, dispatch_.TotalWork(job));
   outbox.Log("job-taken-up",
              {{"job", id.str()},
               {"queue", spec.queue.str()},
@@ -548,7 +555,9 @@
     if (now - last_review_ >= kReviewPeriod) {
       last_review_ = now;
       for (auto& [id, server] : state_.servers.all()) {
-        if (server.vacating && now - server.vacate_asked > kVacateHold)
+        // One that went silent while it was emptied has moved away.
+        if (server.vacating && server.failed_looks == 0 &&
+            now - server.vacate_asked > kVacateHold)
           server.vacating = false;
       }
       dispatch_.Review(now, outbox);
@@ -605,6 +614,7 @@
               {"used_cpu", used.cpu_millis},
               {"capacity_cpu", capacity.cpu_millis},
               {"demand_cpu", dispatch_.demand_cpu()},
+              {"offered_cpu", static_cast<int64_t>(offered_.Cores(now) * 1000)},
               {"open_jobs", static_cast<int64_t>(state_.jobs.open().size())},
               {"wait_ms", WholeMilliseconds(dispatch_.expected_wait())},
               {"starts", static_cast<int64_t>(state_.counters.starts)},
@@ -636,16 +646,41 @@
       beat.queues.push_back({id, pending[id], dispatch_.expected_wait()});
   }
   beat.demand_cores = static_cast<double>(dispatch_.demand_cpu()) / 1000;
-  DescribeServers(beat);
+  beat.offered_cores = offered_.Cores(now);
+  DescribeServers(now, beat);
   return beat;
 }
 
-void PoolScheduler::DescribeServers(OwnerBeat& beat) const {
+double PoolScheduler::needed_cores(Time now) const {
+  return std::max(static_cast<double>(dispatch_.demand_cpu()) / 1000,
+                  offered_.Cores(now));
+}
+
+int64_t PoolScheduler::CapacityCpu() const {
+  int64_t capacity = 0;
+  for (const auto& [id, server] : state_.servers.all()) {
+    if (server.Serves(state_.pool))
+      capacity += server.listing.capacity.cpu_millis;
+  }
+  return capacity;
+}
+
+bool PoolScheduler::expects_servers(Time now) const {
+  return loaded() && needed_cores(now) * 1000 >
+                         kShortShare * static_cast<double>(CapacityCpu());
+}
+
+void PoolScheduler::DescribeServers(Time now, OwnerBeat& beat) const {
   std::vector<std::pair<int64_t, ServerId>> spare;
+  std::map<ZoneId, int> silence;  // Silent servers less answering ones.
   for (const auto& [id, server] : state_.servers.all()) {
     if (!server.Serves(state_.pool))
       continue;
     ++beat.servers;
+    bool silent = server.failed_looks > 0 && server.contact &&
+                  now - *server.contact > kSilentServer && !server.vacating;
+    beat.silent_servers += silent ? 1 : 0;
+    silence[server.listing.zone] += silent ? 1 : -1;
     beat.capacity_cores +=
         static_cast<double>(server.listing.capacity.cpu_millis) / 1000;
     bool long_running = std::any_of(
@@ -656,6 +691,10 @@
     if (!long_running && !server.vacating)
       spare.emplace_back(server.used.cpu_millis, id);
   }
+  for (const auto& [zone, balance] : silence) {
+    if (balance > 0)
+      beat.silent_zones.push_back(zone);
+  }
   std::sort(spare.begin(), spare.end());
   for (size_t i = 0; i < spare.size() && i < kMaxSpareNamed; ++i)
     beat.spare_servers.push_back(spare[i].second);
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -24,6 +24,7 @@
 #include <vector>
 
 #include "radishmoor/jobs/commit_chain.h"
+#include "radishmoor/jobs/offered_load.h"
 #include "radishmoor/jobs/pool_state.h"
 #include "radishmoor/jobs/run_control.h"
 #include "radishmoor/jobs/task_dispatch.h"
@@ -97,6 +98,10 @@
   void Resumed();
 
   OwnerBeat Beat(Time now) const;
+  // Cores that running, ready and arriving tasks need.
+  double needed_cores(Time now) const;
+  // Its servers do not suffice, so more may be on their way.
+  bool expects_servers(Time now) const;
   bool loaded() const { return load_.stage == LoadStage::kDone; }
   const JobPoolState& state() const { return state_; }
   FencingToken token() const { return state_.token; }
@@ -138,8 +143,9 @@
   void AnswerWaiters(Outbox& outbox);
   // One line each second on how full the pool is.
   void LogLoad(Time now, Outbox& outbox);
-  // Servers that long-running tasks need, and those without any.
-  void DescribeServers(OwnerBeat& beat) const;
+  // Servers that long-running tasks need, those without any, and silent ones.
+  void DescribeServers(Time now, OwnerBeat& beat) const;
+  int64_t CapacityCpu() const;
   Time ObjectiveOf(const JobSpec& spec, Time arrived) const;
   void UpdateScheduled(Time now, WallMillis wall);
   void RemoveRow(const std::string& key) { chain_.Write({key, "", true}); }
@@ -150,6 +156,7 @@
   RunControl runs_;
   TaskDispatch dispatch_;
   CommitChain chain_;
+  OfferedLoad offered_;
   Load load_;
 
   uint64_t inbox_tag_ = 0;
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -32,6 +32,8 @@
   // Cores of running tasks, and of ready tasks of jobs that can still meet
   // their objective, in thousandths.
   int64_t demand_cpu() const { return demand_cpu_; }
+  // Core-seconds of all tasks of a job, by observed run times.
+  double TotalWork(const Job& job) const { return RemainingWork(job); }
   // How long a job that arrives now waits for its first start.
   Duration expected_wait() const { return expected_wait_; }
 
--- a/radishmoor/jobs/testing/fleet_sizing_test.cc
+++ b/radishmoor/jobs/testing/fleet_sizing_test.cc
@@ -107,6 +107,43 @@
   REQUIRE(pools[0].hosts == hosts);
 }
 
+// Guards against a shortage that is met again and again while hosts are being
+// emptied for it: 2.5 times as many hosts as needed came to a pool.
+TEST_CASE("hosts that are being emptied for a pool count for it", "[sizing]") {
+  FleetSizing sizing(false);
+  std::vector<PoolSize> pools = {Pool("a", 400, 9), Standby(200)};
+  uint32_t moved = 0;
+  for (int i = 0; i < 10; ++i) {
+    for (const HostMoves& move : sizing.Plan(kStart + kPeriod * i, pools, 50))
+      moved += move.count;
+    pools[0].arriving = moved;
+  }
+  // 400 cores at 80% use, and what the rise adds.
+  REQUIRE(moved > 20);
+  REQUIRE(moved <= 40);
+}
+
+// Guards against a pool that is taken for large while half of its servers
+// cannot be reached.
+TEST_CASE("silent servers are no capacity", "[sizing]") {
+  FleetSizing sizing(false);
+  std::vector<PoolSize> pools = {Pool("a", 100, 8), Standby(20)};
+  REQUIRE(sizing.Plan(kStart, pools, 8).empty());
+  pools[0].silent = 4;
+  REQUIRE_FALSE(sizing.Plan(kStart + kPeriod, pools, 8).empty());
+}
+
+// Guards against hosts that come only once tasks pile up.
+TEST_CASE("work that arrives is met before it piles up", "[sizing]") {
+  FleetSizing sizing(false);
+  std::vector<PoolSize> pools = {Pool("a", 20, 4), Standby(200)};
+  pools[0].offered_cores = 600;
+  uint32_t moved = 0;
+  for (const HostMoves& move : sizing.Plan(kStart, pools, 100))
+    moved += move.count;
+  REQUIRE(moved >= 40);
+}
+
 // Guards against emptying pools before the first callers come, and against a
 // successor that waits in the same way while a pool is short of hosts.
 TEST_CASE("a new site keeps its pools until it is used", "[sizing]") {
