Let a new keeper act at once on hosts without recent calls; favour owners after an outage

Cause: a successor of the keeper moved no host for 3 s, the time by which two holders of one host's duties have to be apart. After an outage of the store others took leases from owners that were about to renew them.

Change: the row of a call stays for 5 s after it, and only hosts with such a row have to wait. A lease is not taken within 0.5 s of the first reading after failed ones. Hosts for a foreseen turn are asked for 1.8 s ahead (2.4 s).

Test: "a successor waits only for hosts with recent calls".

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -11,6 +11,9 @@
 constexpr Duration kVacateRepeat = Milliseconds(250);
 // A host that cannot be emptied in this time makes room for others.
 constexpr Duration kEmptyingLimit = Seconds(9);
+// Rows of calls that are over are kept longer than two holders of a host's
+// duties have to be apart, by the time of an answer.
+constexpr Duration kSettledMargin = Seconds(2);
 constexpr Duration kSetAside = Seconds(3);
 // While a call is under way, so that a new owner learns of it as well.
 constexpr Duration kKeepEmptyPeriod = Milliseconds(200);
@@ -67,7 +70,26 @@
   }
   // What an earlier keeper intended is decided anew: its server may be in use
   // again. If its call was carried out, a repeated one has no effect.
-  chain_.Write({row.key, "", true});
+  called_before_.insert(stored->host);
+  Settle(options_.lease_taken, stored->host);
+}
+
+bool FleetKeeper::MayCallFor(Time now, const HostId& host) const {
+  return now - options_.lease_taken > options_.bounds.duty_lease ||
+         !called_before_.contains(host);
+}
+
+void FleetKeeper::RemoveSettledRows(Time now) {
+  Duration kept = options_.bounds.duty_lease + kSettledMargin;
+  while (!settled_.empty() && now - settled_.front().first > kept) {
+    const HostId& host = settled_.front().second;
+    auto duty = duties_.find(host);
+    bool in_use =
+        duty != duties_.end() && duty->second.stage != Stage::kEmptying;
+    if (!in_use)
+      RemoveRow(host);
+    settled_.pop_front();
+  }
 }
 
 void FleetKeeper::OnWaves(std::span<const KnownWave> waves, Outbox& outbox) {
@@ -220,7 +242,7 @@
       }
       duty.stage = Stage::kReturning;
       duty.since = now;
-      RemoveRow(host);
+      Settle(now, host);
       return;
     case HostOutcome::kFenced:
       fenced_ = true;
@@ -230,7 +252,7 @@
       if (duty.kind == DutyKind::kMaintain)
         return;
       // The host is not up: the move is not worth waiting for.
-      RemoveRow(host);
+      Settle(now, host);
       duties_.erase(host);
       return;
     case HostOutcome::kWrongWave:
@@ -238,7 +260,7 @@
       auto wave = waves_.find(duty.wave);
       if (duty.kind == DutyKind::kMaintain && wave != waves_.end())
         wave->second.done.insert(host);
-      RemoveRow(host);
+      Settle(now, host);
       duties_.erase(host);
       return;
     }
@@ -260,7 +282,7 @@
   duty.stage = Stage::kReturning;
   duty.since = now;
   DutyRow row{host, DutyKind::kMaintained, duty.pool, duty.wave, duty.server};
-  RemoveRow(host);
+  Settle(now, host);
   chain_.Write({MaintainedKey(state_.pool, host, duty.wave), EncodeDuty(row)});
   auto it = waves_.find(duty.wave);
   if (it == waves_.end())
@@ -369,6 +391,7 @@
       wave.missing.erase(host);
       auto aside = wave.set_aside.find(host);
       if (wave.done.contains(host) || duties_.contains(host) ||
+          !MayCallFor(now, host) ||
           listing->second.state != ListedHostState::kUp ||
           (aside != wave.set_aside.end() && now < aside->second))
         continue;
@@ -416,6 +439,7 @@
 }
 
 std::vector<PoolSize> FleetKeeper::Sizes(
+    Time now,
     const std::map<PoolId, PoolContact>& contacts) const {
   std::vector<PoolSize> sizes;
   for (const PoolConfig& config : config_.pools) {
@@ -445,7 +469,7 @@
       size.min_hosts = contact->second.beat.min_servers;
     }
     size.spare_hosts = static_cast<uint32_t>(
-        Movable(config.id, UINT32_MAX, {}, contacts).size());
+        Movable(now, config.id, UINT32_MAX, {}, contacts).size());
     uint32_t emptying = EmptyingFor(config.id);
     if (config.standby)
       size.spare_hosts += emptying;
@@ -457,16 +481,17 @@
 }
 
 std::vector<HostId> FleetKeeper::Movable(
+    Time now,
     const PoolId& pool,
     uint32_t count,
     std::span<const ZoneId> avoid,
     const std::map<PoolId, PoolContact>& contacts) const {
   std::vector<HostId> movable;
-  auto usable = [this, avoid](const HostId& id, const HostListing& host) {
+  auto usable = [this, now, avoid](const HostId& id, const HostListing& host) {
     bool avoided =
         std::find(avoid.begin(), avoid.end(), host.zone) != avoid.end();
     return host.state == ListedHostState::kUp && !duties_.contains(id) &&
-           !avoided;
+           !avoided && MayCallFor(now, id);
   };
   if (IsStandby(pool)) {
     for (const auto& [id, host] : hosts_) {
@@ -496,7 +521,7 @@
     return;
   }
   next_sizing_ = now + kSizingPeriod;
-  std::vector<PoolSize> sizes = Sizes(contacts);
+  std::vector<PoolSize> sizes = Sizes(now, contacts);
   auto limit = static_cast<uint32_t>(kMoveShare * options_.bounds.duty_rate *
                                      ToSeconds(kSizingPeriod));
   for (const HostMoves& moves : sizing_.Plan(now, sizes, limit))
@@ -513,7 +538,7 @@
   if (target != contacts.end())
     avoid = target->second.beat.silent_zones;
   std::vector<HostId> movable =
-      Movable(moves.from, moves.count, avoid, contacts);
+      Movable(now, moves.from, moves.count, avoid, contacts);
   for (const HostId& host : movable) {
     Duty& duty = AddDuty(now, host);
     duty.kind = DutyKind::kMove;
@@ -662,11 +687,9 @@
   if (!loaded_ || lost() || released())
     return;
   ReportWaves(now, outbox);
-  // Two holders of the duties must be this far apart.
-  bool may_act = options_.first_owner ||
-                 now - options_.lease_taken > options_.bounds.duty_lease;
+  RemoveSettledRows(now);
   bool lease_fresh = now - chain_.renewed() < options_.bounds.duty_lease / 2;
-  if (!may_act || !lease_fresh || hosts_.empty())
+  if (!lease_fresh || hosts_.empty())
     return;
   StartDuties(now, contacts, outbox);
   StartMoves(now, contacts, outbox);
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -14,11 +14,13 @@
 #define RADISHMOOR_JOBS_FLEET_KEEPER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "radishmoor/jobs/commit_chain.h"
@@ -144,10 +146,12 @@
   // Begins the emptying of a listed host; of maintenance, unless changed.
   Duty& AddDuty(Time now, const HostId& host);
   std::vector<PoolSize> Sizes(
+      Time now,
       const std::map<PoolId, PoolContact>& contacts) const;
   // Up to `count` hosts of the pool that can be moved, none of them in the
   // zones of `avoid`.
   std::vector<HostId> Movable(
+      Time now,
       const PoolId& pool,
       uint32_t count,
       std::span<const ZoneId> avoid,
@@ -191,6 +195,14 @@
   void RemoveRow(const HostId& host) {
     chain_.Write({DutyKey(state_.pool, host), "", true});
   }
+  // The call for the host is over. Its row goes later: as long as it is there,
+  // a successor leaves the host alone for a while.
+  void Settle(Time now, const HostId& host) {
+    settled_.emplace_back(now, host);
+  }
+  void RemoveSettledRows(Time now);
+  // No earlier keeper can have made a call for the host lately.
+  bool MayCallFor(Time now, const HostId& host) const;
   void StoreDuty(Time now, const HostId& host, Duty& duty);
   void MarkMaintained(Time now, const HostId& host, Duty& duty, Outbox& out);
   void CheckCompleted(Time now, Wave& wave, Outbox& outbox);
@@ -214,6 +226,9 @@
   FleetSizing sizing_;
   Time next_sizing_;
   std::map<HostId, std::set<uint64_t>> stored_done_;
+  std::deque<std::pair<Time, HostId>> settled_;
+  // Hosts for which an earlier keeper may have made calls lately.
+  std::set<HostId> called_before_;
   bool fenced_ = false;
   Time next_wake_ = kTimeMax;
 };
--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -11,7 +11,7 @@
 // A host that moves serves its new pool after about this time.
 constexpr double kLeadSeconds = 2.5;
 // Hosts for a foreseen peak must first be emptied elsewhere.
-constexpr Duration kForecastLead = Milliseconds(2400);
+constexpr Duration kForecastLead = Milliseconds(1800);
 constexpr Duration kSurplusTime = Milliseconds(1700);
 // Queues are quiet before the first callers come: until a pool has this share
 // of its cores in use, or the time has passed, all pools keep their hosts.
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -21,6 +21,8 @@
 constexpr Duration kReadPeriod = Milliseconds(300);
 constexpr Duration kReadTimeout = Milliseconds(800);
 constexpr Duration kTakeTimeout = Milliseconds(1200);
+// An owner repeats a failed commit within this time.
+constexpr Duration kReturnGrace = Milliseconds(500);
 // Of the processes that could take a lease, each waits for those before it.
 constexpr Duration kRankDelay = Milliseconds(60);
 constexpr Duration kMaxRankDelay = Milliseconds(420);
@@ -74,8 +76,13 @@
       watched.read_tag = 0;
       if (const auto* rows = std::get_if<RowsReply>(&answer.reply)) {
         read_latency_ = now - watched.read_sent;
+        if (watched.read_failed)
+          watched.hold_until = now + kReturnGrace;
+        watched.read_failed = false;
         if (!rows->rows.empty())
           OnRead(now, pool, watched, rows->rows.front(), rows->clock);
+      } else {
+        watched.read_failed = true;
       }
       return true;
     }
@@ -224,7 +231,7 @@
     if (released)
       due = watched.row->successor == node_ ? now : watched.take_after;
     else if (!vacant)
-      due += StandBack(pool);
+      due = std::max(due, watched.hold_until) + StandBack(pool);
     if (now >= due) {
       Take(now, pool, watched, outbox);
       return;
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -96,6 +96,10 @@
     Time store_clock_at;
     Time watched_since;
     Time next_read;
+    // The last reading failed. After an outage the owner renews as soon as
+    // others can read, so the lease is not taken before `hold_until`.
+    bool read_failed = false;
+    Time hold_until;
     uint64_t read_tag = 0;
     Time read_sent;
     uint64_t take_tag = 0;
--- a/radishmoor/jobs/testing/fleet_keeper_test.cc
+++ b/radishmoor/jobs/testing/fleet_keeper_test.cc
@@ -1,5 +1,6 @@
 #include "radishmoor/jobs/fleet_keeper.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <set>
@@ -218,5 +219,29 @@
   REQUIRE(site.maintained_.size() == 1);
 }
 
+// Guards against a successor that leaves all hosts alone for the time that two
+// holders of one host's duties must be apart: no pool grew for 3 s. Only hosts
+// that were called lately have to wait.
+TEST_CASE("a successor waits only for hosts with recent calls", "[keeper]") {
+  KeeperSite site;
+  site.waves_ = {WaveOver({HostId("h8")})};
+  site.TakeOver();
+  site.demand_[PoolId("a")] = 10;
+  site.Run(Seconds(1));
+  REQUIRE(site.maintained_ == std::vector<HostId>{HostId("h8")});
+  site.waves_.clear();
+  site.demand_[PoolId("a")] = 150;
+  site.moved_.clear();
+  site.TakeOver();
+  site.Run(Seconds(1));
+  REQUIRE(site.moved_.size() >= 3);
+  auto called = [&] {
+    return std::count(site.moved_.begin(), site.moved_.end(), HostId("h8"));
+  };
+  REQUIRE(called() == 0);
+  site.Run(Milliseconds(1800));
+  REQUIRE(called() == 0);
+}
+
 }  // namespace
 }  // namespace radishmoor
