radishmoorctl explain: what the logs say of one job, and why

The walk of docs/OPERATIONS.md from a job's id to its cause took a search in the logs of all processes and the knowledge of the lines. The command joins, orders and sums them up; it needs no platform.

--- a/radishmoor/ctl/ctl.cc
+++ b/radishmoor/ctl/ctl.cc
@@ -14,6 +14,7 @@
 #include "radishmoor/config/errors.h"
 #include "radishmoor/config/inventory.h"
 #include "radishmoor/config/plan.h"
+#include "radishmoor/ctl/job_explanation.h"
 #include "radishmoor/ctl/members.h"
 #include "radishmoor/ctl/text_table.h"
 #include "radishmoor/membership/member.h"
@@ -39,6 +40,7 @@
     {"forget", 1, "forget MEMBER"},
     {"status", 0, "status"},
     {"timeline", 0, "timeline"},
+    {"explain", 2, "explain JOB LOGFILE"},
 };
 
 const char* ResultName(ApplyResult result) {
@@ -95,6 +97,26 @@
   return text;
 }
 
+int Explain(const std::string& job,
+            const std::string& path,
+            std::ostream& out,
+            std::ostream& err) {
+  std::ifstream logs(path, std::ios::binary);
+  if (!logs) {
+    err << path << ": cannot be read; check the path\n";
+    return kCtlUsage;
+  }
+  JobExplanation explanation = ExplainJob(job, logs);
+  out << explanation.text;
+  if (explanation.unreadable > 0)
+    err << "warning: " << explanation.unreadable
+        << " lines of the job cannot be read\n";
+  if (explanation.cut)
+    err << "warning: only the first " << kMaxExplainedLines
+        << " lines of the job were used\n";
+  return explanation.lines > 0 ? kCtlDone : kCtlRefused;
+}
+
 class Commands {
  public:
   Commands(const CtlSettings& settings, std::ostream& out, std::ostream& err)
@@ -108,6 +130,8 @@
       if (auto code = ReadInventory(settings_.command[1]))
         return *code;
     }
+    if (command == "explain")
+      return Explain(settings_.command[1], settings_.command[2], out_, err_);
     try {
       io_ = connect(settings_);
       return Dispatch(command);
@@ -431,6 +455,9 @@
       return kCtlDone;
     }
   }
+  // Reads files only, so it needs no settings.
+  if (argc == 4 && std::string_view(argv[1]) == "explain")
+    return Explain(argv[2], argv[3], out, err);
   ParseResult parsed = CtlSettingsTable().Parse(argc, argv, environment);
   if (auto code = parsed.Report(out, err))
     return *code;
--- a/radishmoor/ctl/testing/ctl_test.cc
+++ b/radishmoor/ctl/testing/ctl_test.cc
@@ -1,5 +1,7 @@
 #include "radishmoor/ctl/ctl.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
@@ -267,5 +269,24 @@
   REQUIRE(Has(f.err, "5 older batches were not read"));
 }
 
+// Guards against a command that needs the platform to read a file of logs.
+TEST_CASE("explain reads a file and opens no connection", "[ctl]") {
+  Fixture fixture;
+  REQUIRE(fixture.Run({"explain", "d6ed3325345ee648", "/nonexistent"}) ==
+          kCtlUsage);
+  auto path = std::filesystem::temp_directory_path() /
+              ("explain-" + std::to_string(::getpid()) + ".log");
+  std::ofstream(path) << R"({"time":"1","event":"job-stored",)"
+                      << R"("job":"d6ed3325345ee648"})"
+                      << "\n";
+  REQUIRE(fixture.Run({"explain", "d6ed3325345ee648", path.string()}) ==
+          kCtlDone);
+  REQUIRE(Has(fixture.out, "job-stored"));
+  REQUIRE(fixture.Run({"explain", "0000000000000000", path.string()}) ==
+          kCtlRefused);
+  std::filesystem::remove(path);
+  REQUIRE(fixture.connects == 0);
+}
+
 }  // namespace
 }  // namespace radishmoor
--- a/radishmoor/ops/program_settings.cc
+++ b/radishmoor/ops/program_settings.cc
@@ -269,7 +269,9 @@
       "  forget MEMBER             remove the row of a process that ended for "
       "good\n"
       "  status                    show all processes and their version\n"
-      "  timeline                  merge the events of all processes\n\n"
+      "  timeline                  merge the events of all processes\n"
+      "  explain JOB LOGFILE       what the logs of the job scheduler say of "
+      "JOB\n\n"
       "Exit codes: 0 done, 1 refused or conflict, 2 usage, 3 unreachable, "
       "4 unknown outcome\n"
       "(repeat the command with the --operation that it printed)");
@@ -282,6 +284,10 @@
   table.AddExample("what happened to a host",
                    "radishmoorctl --platform-address 127.0.0.1:9000 "
                    "--host nh-quoting-01 timeline");
+  table.AddExample(
+      "why a job was late; the file holds the logs of all "
+      "processes",
+      "radishmoorctl explain d6ed3325345ee648 jobs.log");
   table.AddExample("save the accepted inventory in the form of the file",
                    "radishmoorctl --platform-address 127.0.0.1:9000 --json "
                    "show config > site.json");
