--- a/radishmoor/jobs/testing/job_world.cc
+++ b/radishmoor/jobs/testing/job_world.cc
@@ -505,6 +505,8 @@
     if (server->address == order.address)
       target = server.get();
   }
+  if (target != nullptr && std::holds_alternative<StartRun>(order.order))
+    last_start_by_[{index, target->pool}] = now_;
   bool late = look == nullptr && random_.Chance(options_.late_orders);
   bool cut = now_ < nodes_[static_cast<size_t>(index)]->servers_cut_until;
   if (target == nullptr || cut) {
@@ -971,6 +973,11 @@
   });
 }
 
+std::optional<Time> JobWorld::LastStartBy(int node, const PoolId& pool) const {
+  auto it = last_start_by_.find({node, pool});
+  return it == last_start_by_.end() ? std::nullopt : std::optional(it->second);
+}
+
 void JobWorld::SlowStore(double factor, Duration length) {
   store_factor_ = factor;
   store_slow_until_ = now_ + length;
--- a/radishmoor/jobs/testing/job_world.h
+++ b/radishmoor/jobs/testing/job_world.h
@@ -81,6 +81,8 @@
   void SlowStore(double factor, Duration length);
 
   Time now() const { return now_; }
+  // When the node last gave an order to start a run in the pool, if ever.
+  std::optional<Time> LastStartBy(int node, const PoolId& pool) const;
   // The node that owns the pool, or -1.
   int OwnerOf(const PoolId& pool) const;
   // The node takes itself for the pool's owner.
@@ -151,6 +153,7 @@
   std::map<JobId, std::unique_ptr<Caller>> callers_;
   std::map<JobCallId, JobId> calls_;
   std::map<JobCallId, Time> call_sent_;
+  std::map<std::pair<int, PoolId>, Time> last_start_by_;
   JobCallId next_call_ = 1;
   uint64_t next_server_ = 1;
   Time store_down_until_;
--- a/radishmoor/jobs/testing/job_world_test.cc
+++ b/radishmoor/jobs/testing/job_world_test.cc
@@ -134,5 +134,37 @@
   }
 }
 
+// Guards against running tasks whose leases lapse since their pool's owner is
+// lost: a successor must extend them in time.
+TEST_CASE("the loss of an owner ends no run", "[world]") {
+  for (int kind = 0; kind < 4; ++kind) {
+    INFO("kind " << kind);
+    JobWorld world({.seed = 21,
+                    .nodes = 6,
+                    .servers_per_pool = 12,
+                    .jobs_per_second = 30});
+    world.Run(Seconds(8));
+    int owner = world.OwnerOf(PoolId("alpha"));
+    switch (kind) {
+      case 0:
+        world.KillNode(owner, Seconds(8));
+        break;
+      case 1:
+        world.FreezeNode(owner, Seconds(8));
+        break;
+      case 2:
+        world.CutNodeOff(owner, Seconds(8));
+        break;
+      default:
+        world.StopNode(owner);
+        break;
+    }
+    world.Run(Seconds(8));
+    REQUIRE(world.counts().lapsed == 0);
+    world.Settle();
+    RequireSound(world);
+  }
+}
+
 }  // namespace
 }  // namespace radishmoor
