Repeat a failed scan of the member rows soon

Cause: one failed scan put the next one off by 2.5 to 5 s, which lengthens each takeover that needs it.

Change: the first repeat comes after 0.25 to 0.5 s; the time doubles with each further failure, up to the period.

Test: "a failed scan is repeated soon, and then less often", failed before.

--- a/radishmoor/membership/peers.cc
+++ b/radishmoor/membership/peers.cc
@@ -93,7 +93,8 @@
     OnRows(now, rows->rows, out);
   } else {
     ++counters_.scan_failures;
-    next_scan_ = now + random_.Between(kScanPeriod / 2, kScanPeriod);
+    next_scan_ = now + random_.Between(scan_retry_ / 2, scan_retry_);
+    scan_retry_ = std::min(scan_retry_ * 2, kScanPeriod);
   }
   return out;
 }
@@ -135,6 +136,7 @@
 // Drops peers whose row is gone, unless heartbeats still arrive.
 void Peers::EndScan(Time now, Actions& out) {
   ++counters_.scans;
+  scan_retry_ = kFirstScanRetry;
   counters_.scan_bytes += static_cast<uint64_t>(scan_bytes_);
   scanned_ = true;
   Duration by_bytes = Seconds(1) * scan_bytes_ / ScanBytesPerSecond();
--- a/radishmoor/membership/peers.h
+++ b/radishmoor/membership/peers.h
@@ -90,6 +90,8 @@
   static constexpr Duration kHeartbeatTerm = Seconds(3);
   static constexpr Duration kScanPeriod = Seconds(5);
   static constexpr Duration kCallTimeout = Seconds(2);
+  // After a failed scan; doubled with each further one, up to the period.
+  static constexpr Duration kFirstScanRetry = Milliseconds(500);
   static constexpr size_t kOtherZoneTargets = 3;
   // Scans become rarer so that they read no more than this: a node may use
   // 9 KB/s for both of its processes (1.4). Control processes get more, since
@@ -164,6 +166,7 @@
   Time scan_sent_;
   std::string scan_after_;
   int64_t scan_bytes_ = 0;
+  Duration scan_retry_ = kFirstScanRetry;
   std::set<MemberId> seen_;
 
   Counters counters_;
--- a/radishmoor/membership/testing/membership_test.cc
+++ b/radishmoor/membership/testing/membership_test.cc
@@ -466,6 +466,26 @@
   REQUIRE(peers.counters().old_heartbeats == 1);
 }
 
+// Guards against a takeover that is delayed by seconds since one scan failed,
+// and against scans without a pause while the store is away.
+TEST_CASE("a failed scan is repeated soon, and then less often") {
+  Peers peers(
+      {MemberId("self"), MemberRole::kControl, ZoneId("z0"), "a:1", 1});
+  Time start = kTimeZero + Seconds(1);
+  std::vector<Duration> scans;
+  for (Time now = start; now < start + Seconds(30); now += Milliseconds(10)) {
+    auto actions = peers.Tick(now, {});
+    for (const StoreCall& call : All<StoreCall>(actions)) {
+      scans.push_back(now - start);
+      peers.Handle(now, StoreAnswer{call.tag, UnavailableReply{"down"}});
+    }
+  }
+  REQUIRE(scans.size() >= 3);
+  REQUIRE(scans[1] <= Milliseconds(510));
+  REQUIRE(scans[2] <= Milliseconds(1520));
+  REQUIRE(scans.size() <= 16);
+}
+
 // Guards against a lease taken from a holder that renewed just before.
 TEST_CASE("taking a lease expects the holder's row as observed") {
   bool renews = GENERATE(true, false);
