radishmoorctl jobs: pools, queues and open jobs of a process; pages for operators

The job scheduler showed its beliefs in logs and counters only. /pools on the readiness address lists each owned pool, its queues, servers and its oldest 100 open jobs; the command prints it.

Tests: "the report lists open jobs, the oldest first", "jobs shows the pools of one process".

--- a/radishmoor/ctl/ctl.cc
+++ b/radishmoor/ctl/ctl.cc
@@ -41,6 +41,7 @@
     {"status", 0, "status"},
     {"timeline", 0, "timeline"},
     {"explain", 2, "explain JOB LOGFILE"},
+    {"jobs", 1, "jobs ADDRESS"},
 };
 
 const char* ResultName(ApplyResult result) {
@@ -204,6 +205,8 @@
       return Intend(HostIntent::kRetire);
     if (command == "forget")
       return Forget(MemberId(settings_.command[1]));
+    if (command == "jobs")
+      return Jobs(settings_.command[1]);
     if (command == "show")
       return Show(settings_.command[1]);
     return command == "status" ? Status() : Timeline();
@@ -422,6 +425,18 @@
     return kCtlDone;
   }
 
+  // Pools, queues and open jobs of one process of the job scheduler.
+  int Jobs(const std::string& address) {
+    std::optional<std::string> page = io_.fetch(address, "/pools");
+    if (!page) {
+      err_ << "no answer from " << address
+           << "; give the readiness address of a radishmoor-jobs process\n";
+      return kCtlUnreachable;
+    }
+    out_ << (page->empty() ? "The process owns no pool.\n" : *page);
+    return kCtlDone;
+  }
+
   int Timeline() {
     MergedTimeline timeline =
         ReadTimeline(io_.store, io_.fetch, ReadMembers(io_.store),
--- a/radishmoor/ctl/testing/ctl_test.cc
+++ b/radishmoor/ctl/testing/ctl_test.cc
@@ -288,5 +288,18 @@
   REQUIRE(fixture.connects == 0);
 }
 
+// Guards against a page of the job scheduler that is shown for a process that
+// did not answer.
+TEST_CASE("jobs shows the pools of one process", "[ctl]") {
+  Fixture fixture;
+  fixture.admin["10.0.0.1:7/pools"] = "pool p token=3\n";
+  fixture.admin["10.0.0.2:7/pools"] = "";
+  REQUIRE(fixture.Run({"jobs", "10.0.0.1:7"}) == kCtlDone);
+  REQUIRE(fixture.out == "pool p token=3\n");
+  REQUIRE(fixture.Run({"jobs", "10.0.0.2:7"}) == kCtlDone);
+  REQUIRE(Has(fixture.out, "owns no pool"));
+  REQUIRE(fixture.Run({"jobs", "10.0.0.3:7"}) == kCtlUnreachable);
+}
+
 }  // namespace
 }  // namespace radishmoor
--- a/radishmoor/jobs/testing/pool_scheduler_test.cc
+++ b/radishmoor/jobs/testing/pool_scheduler_test.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <utility>
 
+#include "radishmoor/jobs/pool_report.h"
 #include "radishmoor/store/memory_table.h"
 
 namespace radishmoor {
@@ -154,5 +155,26 @@
   REQUIRE(site.owner_->state().counters.unreadable_rows == 3);
 }
 
+// Guards against a report that leaves out open jobs without a word, or lists
+// ended ones.
+TEST_CASE("the report lists open jobs, the oldest first", "[scheduler]") {
+  OwnerSite site;
+  site.TakeOver();
+  site.Run(Seconds(1));
+  for (size_t i = 0; i < kMaxReportedJobs + 5; ++i) {
+    site.owner_->OnJobNotice(
+        site.now_, MemberId("m"), "",
+        {site.pool_, JobId("job" + std::to_string(1000 + i)), OneTask(), {}, 1},
+        site.outbox_);
+    site.Run(Milliseconds(5));
+  }
+  std::string report = PoolReport(site.now_, *site.owner_);
+  REQUIRE(report.starts_with("pool a token=1 loaded=1"));
+  REQUIRE(report.find("queue q pending=105") != std::string::npos);
+  REQUIRE(report.find("job job1000 ") < report.find("job job1001 "));
+  REQUIRE(report.find("and 5 more jobs") != std::string::npos);
+  REQUIRE(report.find("job job1104 ") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace radishmoor
--- a/radishmoor/ops/program_settings.cc
+++ b/radishmoor/ops/program_settings.cc
@@ -270,6 +270,8 @@
       "good\n"
       "  status                    show all processes and their version\n"
       "  timeline                  merge the events of all processes\n"
+      "  jobs ADDRESS              pools, queues and open jobs of a process of "
+      "the job scheduler\n"
       "  explain JOB LOGFILE       what the logs of the job scheduler say of "
       "JOB\n\n"
       "Exit codes: 0 done, 1 refused or conflict, 2 usage, 3 unreachable, "
