Foresee demand for the time that a host takes to come; do not call hosts that are down

Cause: the rise of demand was carried on for 2.5 s; a host serves 1.8 s after it is asked for.

Change: 1.8 s; a host that the platform lists as down is not called.

Test: "a host that is down is not called", failed before.

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -596,6 +596,14 @@
     return;
   }
   if (duty.stage == Stage::kCalling && duty.call_tag == 0) {
+    auto listing = hosts_.find(host);
+    if (listing != hosts_.end() &&
+        listing->second.state == ListedHostState::kDown) {
+      // The platform would refuse the call; one that was lost was carried out
+      // before the host went down, or never is.
+      duty.next_try = now + kBusyRepeat;
+      return;
+    }
     if (!duty.called && !IsEmpty(now, duty, contacts)) {
       duty.next_try = now + kTickPeriod;
       return;
--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -9,7 +9,7 @@
 // Share of a pool's cores that tasks can fill before short ones have to wait.
 constexpr double kUsableShare = 0.8;
 // A host that moves serves its new pool after about this time.
-constexpr double kLeadSeconds = 2.5;
+constexpr double kLeadSeconds = 1.8;
 // Hosts for a foreseen peak must first be emptied elsewhere.
 constexpr Duration kForecastLead = Milliseconds(1800);
 constexpr Duration kSurplusTime = Milliseconds(1700);
--- a/radishmoor/jobs/testing/fleet_keeper_test.cc
+++ b/radishmoor/jobs/testing/fleet_keeper_test.cc
@@ -74,6 +74,8 @@
   // Servers that the pools' owners do not say to be empty.
   std::set<ServerId> busy_;
   std::vector<std::string> faults_;
+  std::set<HostId> down_;  // Listed so; the API refuses calls for them.
+  int refused_ = 0;
 
  private:
   std::map<PoolId, PoolContact> Contacts() {
@@ -121,6 +123,14 @@
     const auto* maintain = std::get_if<MaintainHost>(&request);
     const auto* move = std::get_if<MoveHost>(&request);
     HostId id = maintain != nullptr ? maintain->host : move->host;
+    if (down_.contains(id)) {
+      ++refused_;
+      for (HostListing& host : hosts_) {
+        if (host.host == id)
+          host.state = ListedHostState::kDown;
+      }
+      return HostOutcome::kBusy;
+    }
     for (HostListing& host : hosts_) {
       if (host.host != id)
         continue;
@@ -243,5 +253,17 @@
   REQUIRE(called() == 0);
 }
 
+// Guards against calls each half second for a host that is lost: 50 in one
+// incident, each of which is paid for.
+TEST_CASE("a host that is down is not called", "[keeper]") {
+  KeeperSite site;
+  site.waves_ = {WaveOver({HostId("h8"), HostId("h9")})};
+  site.down_ = {HostId("h8")};
+  site.TakeOver();
+  site.Run(Seconds(10));
+  REQUIRE(site.maintained_ == std::vector<HostId>{HostId("h9")});
+  REQUIRE(site.refused_ == 1);
+}
+
 }  // namespace
 }  // namespace radishmoor
