Follow turns on each process, so that a new keeper foresees them

Cause: a new keeper knew nothing of earlier turns and met four of them late.

Change: each process follows the announced load; the keeper uses what its process knows.

Test: "a successor brings hosts ahead of a turn".

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -40,12 +40,14 @@
 
 }  // namespace
 
-FleetKeeper::FleetKeeper(const FleetKeeperOptions& options, Outbox& outbox)
+FleetKeeper::FleetKeeper(const FleetKeeperOptions& options,
+                         const TurnForecast& forecast,
+                         Outbox& outbox)
     : options_(options),
       state_(PoolId(kFleetPool), options.bounds),
       chain_(state_,
              {options.node, options.address, options.lease_version, kTimeZero}),
-      sizing_(options.first_owner) {
+      sizing_(options.first_owner, forecast) {
   state_.token = options.token;
   chain_.set_renewed(options.lease_taken);
   SendLoad(outbox);
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -63,7 +63,10 @@
 
 class FleetKeeper {
  public:
-  FleetKeeper(const FleetKeeperOptions& options, Outbox& outbox);
+  // `forecast` outlives the keeper.
+  FleetKeeper(const FleetKeeperOptions& options,
+              const TurnForecast& forecast,
+              Outbox& outbox);
 
   void OnConfig(const JobConfig& config) { config_ = config; }
   void OnWaves(std::span<const KnownWave> waves, Outbox& outbox);
--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -44,7 +44,6 @@
   // One large job must not be taken for the beginning of a peak.
   double rise = std::min(std::max(0.0, history.slope) * kLeadSeconds,
                          kMaxRise * history.demand + pool.cores_per_host);
-  forecast_.Observe(now, pool.pool, pool.offered_cores, pool.cores_per_host);
   double foreseen = forecast_.ExpectedCores(now, kForecastLead, pool.pool);
   double expected =
       std::max({history.demand + rise, pool.offered_cores, foreseen});
--- a/radishmoor/jobs/fleet_sizing.h
+++ b/radishmoor/jobs/fleet_sizing.h
@@ -54,8 +54,10 @@
 
 class FleetSizing {
  public:
-  // `new_site`: the queues have not been used yet.
-  explicit FleetSizing(bool new_site) : new_site_(new_site) {}
+  // `new_site`: the queues have not been used yet. `forecast` is kept up to
+  // date by its owner and outlives this object.
+  FleetSizing(bool new_site, const TurnForecast& forecast)
+      : new_site_(new_site), forecast_(forecast) {}
 
   // The moves to begin now. At most `limit` hosts.
   std::vector<HostMoves> Plan(Time now,
@@ -86,7 +88,7 @@
   bool new_site_;
   bool used_ = false;
   std::map<PoolId, History> history_;
-  TurnForecast forecast_;
+  const TurnForecast& forecast_;
   std::optional<Time> started_;
 };
 
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -247,6 +247,7 @@
   };
   if (const auto* beat = std::get_if<OwnerBeat>(&message)) {
     leases_.OnBeat(now, from, address, *beat);
+    ObserveDemand(now, *beat);
   } else if (const auto* notice = std::get_if<JobNotice>(&message)) {
     if (PoolScheduler* scheduler = find(notice->pool))
       scheduler->OnJobNotice(now, from, address, *notice, outbox_);
@@ -305,7 +306,7 @@
       options.lease_version = lease.version;
       options.lease_taken = lease.sent;
       options.first_owner = lease.first_owner;
-      fleet_ = std::make_unique<FleetKeeper>(options, outbox_);
+      fleet_ = std::make_unique<FleetKeeper>(options, forecast_, outbox_);
       fleet_->OnConfig(config_);
       std::vector<KnownWave> waves;
       for (const auto& [number, wave] : waves_)
@@ -368,6 +369,13 @@
   }
 }
 
+void NodeCore::ObserveDemand(Time now, const OwnerBeat& beat) {
+  if (beat.released || beat.servers == 0)
+    return;
+  forecast_.Observe(now, beat.pool, beat.offered_cores,
+                    beat.capacity_cores / beat.servers);
+}
+
 void NodeCore::AnnounceRise(Time now) {
   const PoolOwner* keeper = leases_.OwnerOf(PoolId(kFleetPool));
   for (const auto& [pool, scheduler] : schedulers_) {
@@ -394,6 +402,7 @@
   for (const auto& [pool, scheduler] : schedulers_) {
     OwnerBeat beat = scheduler->Beat(now);
     intake_.SetLocalBeat(beat, now);
+    ObserveDemand(now, beat);
     announced_needs_[pool] = {scheduler->needed_cores(now), now};
     Announce(now, beat);
   }
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -89,6 +89,7 @@
   void DropLost(Time now);
   void SendBeats(Time now);
   void Announce(Time now, const OwnerBeat& beat);
+  void ObserveDemand(Time now, const OwnerBeat& beat);
   // Tells the keeper of a pool's demand at once when it has risen.
   void AnnounceRise(Time now);
   // A call can be made: the one before is answered (`tag` is 0), and `at` has
@@ -115,6 +116,9 @@
   PoolLeases leases_;
   Intake intake_;
   std::map<PoolId, std::unique_ptr<PoolScheduler>> schedulers_;
+  // Each process follows the demand of all pools, so that a new keeper knows
+  // whose turn is next.
+  TurnForecast forecast_;
   std::unique_ptr<FleetKeeper> fleet_;
   std::map<MemberId, Node> nodes_;
 
--- a/radishmoor/jobs/testing/fleet_keeper_test.cc
+++ b/radishmoor/jobs/testing/fleet_keeper_test.cc
@@ -44,7 +44,7 @@
     options.lease_version =
         std::get<CommittedReply>(table_.Handle(CommitRows{transaction}))
             .versions[0];
-    keeper_ = std::make_unique<FleetKeeper>(options, outbox_);
+    keeper_ = std::make_unique<FleetKeeper>(options, forecast_, outbox_);
     keeper_->OnConfig(config_);
     std::vector<KnownWave> known;
     for (const MaintenanceWave& wave : waves_)
@@ -52,6 +52,8 @@
     keeper_->OnWaves(known, outbox_);
   }
 
+  Time now() const { return now_; }
+
   void Run(Duration length) {
     for (Time end = now_ + length; now_ < end; now_ += kStep) {
       keeper_->Tick(now_, Contacts(), outbox_);
@@ -74,6 +76,7 @@
   // Servers that the pools' owners do not say to be empty.
   std::set<ServerId> busy_;
   std::vector<std::string> faults_;
+  TurnForecast forecast_;
   std::set<HostId> down_;  // Listed so; the API refuses calls for them.
   int refused_ = 0;
 
@@ -265,5 +268,25 @@
   REQUIRE(site.refused_ == 1);
 }
 
+// Guards against a successor that meets a regular peak late since it has not
+// seen the turns before.
+TEST_CASE("a successor brings hosts ahead of a turn", "[keeper]") {
+  constexpr Duration kTurn = Milliseconds(4500);
+  KeeperSite site;
+  site.demand_[PoolId("a")] = 10;
+  site.demand_[PoolId("b")] = 10;
+  Time start = site.now() - kTurn * 4;
+  const char* names[] = {"a", "b", "c", "d"};
+  for (Time at = start; at < site.now(); at += Milliseconds(300)) {
+    auto turn = (at - start) / kTurn;
+    for (int i = 0; i < 4; ++i) {
+      site.forecast_.Observe(at, PoolId(names[i]), i == turn ? 150 : 5, 16);
+    }
+  }
+  site.TakeOver();
+  site.Run(Seconds(1));
+  REQUIRE(site.moved_.size() >= 2);
+}
+
 }  // namespace
 }  // namespace radishmoor
--- a/radishmoor/jobs/testing/fleet_sizing_test.cc
+++ b/radishmoor/jobs/testing/fleet_sizing_test.cc
@@ -57,7 +57,8 @@
   std::vector<PoolSize> pools = {Pool("a", 5, 9), Pool("b", 5, 9),
                                  Pool("c", 5, 11), Pool("d", 5, 12),
                                  Standby(8)};
-  FleetSizing sizing(false);
+  TurnForecast forecast;
+  FleetSizing sizing(false, forecast);
   Played played;
   int steps = static_cast<int>(Seconds(34) / kPeriod);
   for (int step = 0; step < steps; ++step) {
@@ -95,7 +96,8 @@
 
 // Guards against hosts that go to and fro.
 TEST_CASE("a short lull moves nothing", "[sizing]") {
-  FleetSizing sizing(false);
+  TurnForecast forecast;
+  FleetSizing sizing(false, forecast);
   std::vector<PoolSize> pools = {Pool("a", 120, 9), Standby(4)};
   Time now = kStart;
   for (int i = 0; i < 10; ++i, now += kPeriod)
@@ -110,7 +112,8 @@
 // Guards against a shortage that is met again and again while hosts are being
 // emptied for it: 2.5 times as many hosts as needed came to a pool.
 TEST_CASE("hosts that are being emptied for a pool count for it", "[sizing]") {
-  FleetSizing sizing(false);
+  TurnForecast forecast;
+  FleetSizing sizing(false, forecast);
   std::vector<PoolSize> pools = {Pool("a", 400, 9), Standby(200)};
   uint32_t moved = 0;
   for (int i = 0; i < 10; ++i) {
@@ -126,7 +129,8 @@
 // Guards against a pool that is taken for large while half of its servers
 // cannot be reached.
 TEST_CASE("silent servers are no capacity", "[sizing]") {
-  FleetSizing sizing(false);
+  TurnForecast forecast;
+  FleetSizing sizing(false, forecast);
   std::vector<PoolSize> pools = {Pool("a", 100, 8), Standby(20)};
   REQUIRE(sizing.Plan(kStart, pools, 8).empty());
   pools[0].silent = 4;
@@ -135,7 +139,8 @@
 
 // Guards against hosts that come only once tasks pile up.
 TEST_CASE("work that arrives is met before it piles up", "[sizing]") {
-  FleetSizing sizing(false);
+  TurnForecast forecast;
+  FleetSizing sizing(false, forecast);
   std::vector<PoolSize> pools = {Pool("a", 20, 4), Standby(200)};
   pools[0].offered_cores = 600;
   uint32_t moved = 0;
@@ -148,8 +153,9 @@
 // successor that waits in the same way while a pool is short of hosts.
 TEST_CASE("a new site keeps its pools until it is used", "[sizing]") {
   std::vector<PoolSize> pools = {Pool("a", 0, 9), Pool("b", 10, 9)};
-  FleetSizing fresh(true);
-  FleetSizing successor(false);
+  TurnForecast forecast;
+  FleetSizing fresh(true, forecast);
+  FleetSizing successor(false, forecast);
   for (int i = 0; i < 20; ++i)
     REQUIRE(fresh.Plan(kStart + kPeriod * i, pools, 8).empty());
   pools[1].demand_cores = 300;
@@ -160,7 +166,8 @@
 // Guards against taking hosts that long-running tasks need, or that cannot be
 // emptied.
 TEST_CASE("a pool gives only what it can spare", "[sizing]") {
-  FleetSizing sizing(false);
+  TurnForecast forecast;
+  FleetSizing sizing(false, forecast);
   std::vector<PoolSize> pools = {Pool("a", 0, 9), Pool("b", 400, 9)};
   pools[0].min_hosts = 7;
   uint32_t given = 0;
@@ -178,7 +185,8 @@
 
 // Guards against decisions from figures of an owner that is not heard.
 TEST_CASE("pools with unknown demand are left alone", "[sizing]") {
-  FleetSizing sizing(false);
+  TurnForecast forecast;
+  FleetSizing sizing(false, forecast);
   std::vector<PoolSize> pools = {Pool("a", 0, 9), Pool("b", 400, 9)};
   pools[0].known = false;
   for (int i = 0; i < 30; ++i)
