Read all rows of earlier keepers

Cause: a keeper read one page of 500 rows. Since the rows of calls stay for 5 s a grown site can have more; the marks of maintained hosts come last and would be lost, so that hosts were maintained again.

Change: all pages are read before the keeper acts.

Test: "a successor reads all rows of earlier keepers", failed before.

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -7,6 +7,8 @@
 namespace radishmoor {
 namespace {
 
+// Rows in one answer of the store.
+constexpr uint32_t kLoadPage = 500;
 constexpr Duration kTickPeriod = Milliseconds(100);
 constexpr Duration kVacateRepeat = Milliseconds(250);
 // A host that cannot be emptied in this time makes room for others.
@@ -56,7 +58,8 @@
 void FleetKeeper::SendLoad(Outbox& outbox) {
   ScanRows scan;
   scan.prefix = DutyKey(state_.pool, HostId());
-  scan.limit = 500;
+  scan.after = load_after_;
+  scan.limit = kLoadPage;
   load_tag_ = outbox.Store(std::move(scan));
 }
 
@@ -159,7 +162,11 @@
     }
     for (const Row& row : rows->rows)
       OnLoadRow(row);
-    loaded_ = true;
+    loaded_ = !rows->more || rows->rows.empty();
+    if (!loaded_) {
+      load_after_ = rows->rows.back().key;
+      load_retry_ = now;
+    }
     return true;
   }
   for (auto& [number, wave] : waves_) {
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -220,6 +220,7 @@
   JobPoolState state_;  // Without jobs; the chain needs one.
   CommitChain chain_;
   uint64_t load_tag_ = 0;
+  std::string load_after_;  // The last row of the page before.
   bool loaded_ = false;
   Time load_retry_ = kTimeMax;
 
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -378,12 +378,14 @@
 
 void NodeCore::AnnounceRise(Time now) {
   const PoolOwner* keeper = leases_.OwnerOf(PoolId(kFleetPool));
+  // A keeper in this process asks the pools itself.
+  if (fleet_ != nullptr || keeper == nullptr)
+    return;
   for (const auto& [pool, scheduler] : schedulers_) {
     AnnouncedNeed& announced = announced_needs_[pool];
     double cores = scheduler->needed_cores(now);
     bool rose = cores > kRiseFactor * announced.cores + kRiseCores;
-    if (fleet_ != nullptr || keeper == nullptr || !rose ||
-        now - announced.at < kRiseGap)
+    if (!rose || now - announced.at < kRiseGap)
       continue;
     announced = {cores, now};
     outbox_.Send(keeper->node, keeper->address, scheduler->Beat(now));
--- a/radishmoor/jobs/testing/fleet_keeper_test.cc
+++ b/radishmoor/jobs/testing/fleet_keeper_test.cc
@@ -54,6 +54,13 @@
 
   Time now() const { return now_; }
 
+  // A row that an earlier keeper has left.
+  void PutDuty(const std::string& key, const DutyRow& row) {
+    Transaction transaction;
+    transaction.writes.push_back({key, EncodeDuty(row)});
+    table_.Handle(CommitRows{transaction});
+  }
+
   void Run(Duration length) {
     for (Time end = now_ + length; now_ < end; now_ += kStep) {
       keeper_->Tick(now_, Contacts(), outbox_);
@@ -288,5 +295,24 @@
   REQUIRE(site.moved_.size() >= 2);
 }
 
+// Guards against a successor that reads only the first page of the rows: it
+// would maintain hosts again, and call others too soon after an earlier call.
+TEST_CASE("a successor reads all rows of earlier keepers", "[keeper]") {
+  KeeperSite site;
+  PoolId fleet(kFleetPool);
+  for (int i = 0; i < 1200; ++i) {
+    HostId host("a" + std::to_string(i));
+    site.PutDuty(DutyKey(fleet, host), {host, DutyKind::kMove, PoolId("a")});
+  }
+  HostId done("h8");
+  site.PutDuty(MaintainedKey(fleet, done, 1),
+               {done, DutyKind::kMaintained, PoolId("spare"), 1});
+  site.waves_ = {WaveOver({done, HostId("h9")})};
+  site.TakeOver();
+  site.Run(Seconds(6));
+  REQUIRE(site.maintained_ == std::vector<HostId>{HostId("h9")});
+  REQUIRE(site.completed_.contains(1));
+}
+
 }  // namespace
 }  // namespace radishmoor
