Save tasks with checkpoints from servers that leave, however often they moved

Cause: the bound on moves of a task also held on draining servers, which take the work with them. Found in the reading of the change.

Change: the bound holds for servers that are emptied. Rows of calls that are over are called old rows in the keeper; another method settles.

Test: an addition to "a task is moved off emptied servers a few times only".

--- a/radishmoor/jobs/fleet_keeper.cc
+++ b/radishmoor/jobs/fleet_keeper.cc
@@ -15,7 +15,7 @@
 constexpr Duration kEmptyingLimit = Seconds(9);
 // Rows of calls that are over are kept longer than two holders of a host's
 // duties have to be apart, by the time of an answer.
-constexpr Duration kSettledMargin = Seconds(2);
+constexpr Duration kOldRowMargin = Seconds(2);
 constexpr Duration kSetAside = Seconds(3);
 // While a call is under way, so that a new owner learns of it as well.
 constexpr Duration kKeepEmptyPeriod = Milliseconds(200);
@@ -76,7 +76,7 @@
   // What an earlier keeper intended is decided anew: its server may be in use
   // again. If its call was carried out, a repeated one has no effect.
   called_before_.insert(stored->host);
-  Settle(options_.lease_taken, stored->host);
+  RetireRow(options_.lease_taken, stored->host);
 }
 
 bool FleetKeeper::MayCallFor(Time now, const HostId& host) const {
@@ -84,16 +84,16 @@
          !called_before_.contains(host);
 }
 
-void FleetKeeper::RemoveSettledRows(Time now) {
-  Duration kept = options_.bounds.duty_lease + kSettledMargin;
-  while (!settled_.empty() && now - settled_.front().first > kept) {
-    const HostId& host = settled_.front().second;
+void FleetKeeper::RemoveOldRows(Time now) {
+  Duration kept = options_.bounds.duty_lease + kOldRowMargin;
+  while (!old_rows_.empty() && now - old_rows_.front().first > kept) {
+    const HostId& host = old_rows_.front().second;
     auto duty = duties_.find(host);
     bool in_use =
         duty != duties_.end() && duty->second.stage != Stage::kEmptying;
     if (!in_use)
       RemoveRow(host);
-    settled_.pop_front();
+    old_rows_.pop_front();
   }
 }
 
@@ -251,7 +251,7 @@
       }
       duty.stage = Stage::kReturning;
       duty.since = now;
-      Settle(now, host);
+      RetireRow(now, host);
       return;
     case HostOutcome::kFenced:
       fenced_ = true;
@@ -261,7 +261,7 @@
       if (duty.kind == DutyKind::kMaintain)
         return;
       // The host is not up: the move is not worth waiting for.
-      Settle(now, host);
+      RetireRow(now, host);
       duties_.erase(host);
       return;
     case HostOutcome::kWrongWave:
@@ -269,7 +269,7 @@
       auto wave = waves_.find(duty.wave);
       if (duty.kind == DutyKind::kMaintain && wave != waves_.end())
         wave->second.done.insert(host);
-      Settle(now, host);
+      RetireRow(now, host);
       duties_.erase(host);
       return;
     }
@@ -291,7 +291,7 @@
   duty.stage = Stage::kReturning;
   duty.since = now;
   DutyRow row{host, DutyKind::kMaintained, duty.pool, duty.wave, duty.server};
-  Settle(now, host);
+  RetireRow(now, host);
   chain_.Write({MaintainedKey(state_.pool, host, duty.wave), EncodeDuty(row)});
   auto it = waves_.find(duty.wave);
   if (it == waves_.end())
@@ -704,7 +704,7 @@
   if (!loaded_ || lost() || released())
     return;
   ReportWaves(now, outbox);
-  RemoveSettledRows(now);
+  RemoveOldRows(now);
   bool lease_fresh = now - chain_.renewed() < options_.bounds.duty_lease / 2;
   if (!lease_fresh || hosts_.empty())
     return;
--- a/radishmoor/jobs/fleet_keeper.h
+++ b/radishmoor/jobs/fleet_keeper.h
@@ -200,10 +200,10 @@
   }
   // The call for the host is over. Its row goes later: as long as it is there,
   // a successor leaves the host alone for a while.
-  void Settle(Time now, const HostId& host) {
-    settled_.emplace_back(now, host);
+  void RetireRow(Time now, const HostId& host) {
+    old_rows_.emplace_back(now, host);
   }
-  void RemoveSettledRows(Time now);
+  void RemoveOldRows(Time now);
   // No earlier keeper can have made a call for the host lately.
   bool MayCallFor(Time now, const HostId& host) const;
   void StoreDuty(Time now, const HostId& host, Duty& duty);
@@ -230,7 +230,7 @@
   FleetSizing sizing_;
   Time next_sizing_;
   std::map<HostId, std::set<uint64_t>> stored_done_;
-  std::deque<std::pair<Time, HostId>> settled_;
+  std::deque<std::pair<Time, HostId>> old_rows_;
   // Hosts for which an earlier keeper may have made calls lately.
   std::set<HostId> called_before_;
   bool fenced_ = false;
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -531,8 +531,10 @@
   Duration remaining(static_cast<int64_t>(static_cast<double>(age.count()) *
                                           (1 - progress) / progress));
   if (server->vacating || server->listing.draining) {
-    bool saves = step.checkpointing && remaining > kCheckpointPatience &&
-                 task.relocations < kMaxRelocations;
+    bool may_move =
+        server->listing.draining || task.relocations < kMaxRelocations;
+    bool saves =
+        step.checkpointing && remaining > kCheckpointPatience && may_move;
     bool overdue =
         server->vacating && now - server->vacate_started > kEmptyPatience;
     if (!saves && !overdue)
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -203,6 +203,10 @@
     pool.state_.jobs.FindTask({JobId("j"), 0, 0, 0})->runs.clear();
   }
   REQUIRE(stops == 2);
+  // A server that leaves for good takes the work with it.
+  pool.AddServer("s6").listing.draining = true;
+  pool.AddRun(0, "s6", 2);
+  REQUIRE(pool.Stops() == 1);
 }
 
 // Guards against tasks that are started anew on other servers since their step
