--- a/radishmoor/membership/testing/membership_test.cc
+++ b/radishmoor/membership/testing/membership_test.cc
@@ -469,8 +469,7 @@
 // Guards against a takeover that is delayed by seconds since one scan failed,
 // and against scans without a pause while the store is away.
 TEST_CASE("a failed scan is repeated soon, and then less often") {
-  Peers peers(
-      {MemberId("self"), MemberRole::kControl, ZoneId("z0"), "a:1", 1});
+  Peers peers({MemberId("self"), MemberRole::kControl, ZoneId("z0"), "a:1", 1});
   Time start = kTimeZero + Seconds(1);
   std::vector<Duration> scans;
   for (Time now = start; now < start + Seconds(30); now += Milliseconds(10)) {
--- a/radishmoor/net/http_client.cc
+++ b/radishmoor/net/http_client.cc
@@ -241,8 +241,8 @@
 // Start line, blank line and the length header that Beast adds.
 constexpr uint64_t kFramingBytes = 40;
 // A time-out that is noticed this late shows that the process was kept from
-// running: the answer may have arrived and wait to be read. It then gets as much
-// time again, up to the limit.
+// running: the answer may have arrived and wait to be read. It then gets as
+// much time again, up to the limit.
 constexpr Duration kLateTimer = Milliseconds(5);
 constexpr Duration kMaxExtension = Milliseconds(500);
 
