Extend deadlines of attempts that passed while the process did not run

Cause: BackendPool compared deadlines of probes (50 ms) and attempts with the clock only. Change: if Tick() comes later than 5 ms after the earliest deadline, deadlines that have passed are extended once by that delay, up to 500 ms. Measured: the new case fails without the change (an attempt becomes suspect after a pause of 2 s) and passes with it; 16 of 16 cases of backend_pool_test pass.

--- a/radishmoor/backend/backend_pool.cc
+++ b/radishmoor/backend/backend_pool.cc
@@ -24,6 +24,12 @@
 // An exchange that takes this many times the 95th percentile of run times
 // causes a probe on an idle connection to the same host.
 constexpr double kEarlyProbeFactor = 1.5;
+// If Tick() is called later than the earliest deadline by more than
+// kLateTickThreshold, the process was not running in the meantime, and answers
+// may have arrived without being read. Deadlines that have passed are then
+// extended once by that delay, up to kMaxDeadlineExtension.
+constexpr Duration kLateTickThreshold = Milliseconds(5);
+constexpr Duration kMaxDeadlineExtension = Milliseconds(500);
 
 Duration Scale(Duration d, double factor) {
   return Duration(
@@ -317,6 +323,7 @@
   connection.for_host_check = for_host_check;
   connection.attempt = std::move(attempt);
   connection.started_at = now;
+  connection.deadline_extended = false;
   if (connection.attempt)
     ++host.in_flight;
   host.connections.push_back(connection_id);
@@ -367,6 +374,7 @@
   idle_order_.erase({connection.idle_since, id});
   connection.state = ConnectionState::kBusy;
   connection.started_at = now;
+  connection.deadline_extended = false;
   connection.suspect_reported = false;
   connection.early_probe_done = false;
   // Keeps the connections ordered by last use, the most recent one last.
@@ -386,6 +394,7 @@
   idle_order_.erase({connection.idle_since, id});
   connection.state = ConnectionState::kProbing;
   connection.started_at = now;
+  connection.deadline_extended = false;
   SetConnectionTimer(id, connection, now + options_.probe_timeout);
   ++counters_.probes;
   actions_.emplace_back(ProbeConnection{connection.host, id});
@@ -1134,7 +1143,32 @@
     host_timers_.insert({at, id});
 }
 
+void BackendPool::ExtendMissedDeadlines(Time now) {
+  if (connection_timers_.empty())
+    return;
+  Duration late = now - connection_timers_.begin()->first;
+  if (late <= kLateTickThreshold)
+    return;
+  std::vector<ConnectionId> due;
+  for (const auto& [at, id] : connection_timers_) {
+    if (at > now)
+      break;
+    due.push_back(id);
+  }
+  Time extended = now + std::min(late, kMaxDeadlineExtension);
+  for (ConnectionId id : due) {
+    Connection& connection = connections_.at(id);
+    if (connection.state == ConnectionState::kIdle ||
+        std::exchange(connection.deadline_extended, true))
+      continue;
+    if (connection.suspect_at <= now)
+      connection.suspect_at = extended;
+    SetConnectionTimer(id, connection, extended);
+  }
+}
+
 BackendActions BackendPool::Tick(Time now) {
+  ExtendMissedDeadlines(now);
   while (!connection_timers_.empty() &&
          connection_timers_.begin()->first <= now) {
     ConnectionId id = connection_timers_.begin()->second;
--- a/radishmoor/backend/backend_pool.h
+++ b/radishmoor/backend/backend_pool.h
@@ -359,6 +359,9 @@
     // This exchange causes no early probe any more: the probe was due already,
     // or another connection to the host proved silent.
     bool early_probe_done = false;
+    // The deadline of the opening, the exchange or the probe in progress was
+    // extended because the process was not running when it passed.
+    bool deadline_extended = false;
     Time timer_at = kTimeMax;
   };
 
@@ -443,6 +446,8 @@
   Duration AttemptTimeout(Time now, const AcquireRequest& attempt) const;
   Duration EarlyProbeAfter(const PoolId& pool) const;
   Duration TypicalRunTime(const PoolId& pool) const;
+  // Extends deadlines that passed while the process was not running.
+  void ExtendMissedDeadlines(Time now);
   void SetConnectionTimer(ConnectionId id, Connection& connection, Time at);
 
   void DecayRates(Time now, Host& host);
--- a/radishmoor/backend/testing/backend_pool_test.cc
+++ b/radishmoor/backend/testing/backend_pool_test.cc
@@ -154,6 +154,47 @@
   REQUIRE(*f.StartExchangeOn(HostName(0)) != b);
 }
 
+// Guards against attempts at a healthy server that are cut and run elsewhere
+// because the process itself did not run when their deadlines passed: the
+// answers have arrived but are not read yet.
+TEST_CASE("a pause of the process makes no attempt suspect") {
+  Fixture f(2);
+  for (int i = 0; i < 30; ++i)
+    f.RunExchange(HostName(0), ExchangeResult::kSuccess, 0, Milliseconds(400));
+  ConnectionId idle = *f.StartExchangeOn(HostName(0));
+  ConnectionId busy = *f.StartExchangeOn(HostName(0));
+  f.FinishExchange(idle, ExchangeResult::kSuccess);
+  // The exchange takes long, so the idle connection is probed.
+  std::vector<ProbeConnection> probes;
+  while (probes.empty()) {
+    f.now = f.pool.next_wake();
+    probes = ActionsOf<ProbeConnection>(f.pool.Tick(f.now));
+  }
+  REQUIRE(probes[0].connection == idle);
+  // The pause covers the deadlines of the probe and of the exchange.
+  f.now += Seconds(2);
+  REQUIRE(ActionsOf<AttemptSuspect>(f.pool.Tick(f.now)).empty());
+  f.pool.OnProbeAnswered(f.now, idle, false);
+  f.pool.OnExchangeFinished(f.now, {busy, ExchangeResult::kSuccess});
+  REQUIRE(f.pool.counters().probe_timeouts == 0);
+  REQUIRE(f.pool.counters().attempt_timeouts == 0);
+}
+
+// Guards against a pause that keeps a silent connection in use for good.
+TEST_CASE("a silent connection is found soon after a pause of the process") {
+  Fixture f(2);
+  REQUIRE(f.StartExchangeOn(HostName(0)));
+  f.now = f.pool.next_wake() + Seconds(2);
+  std::vector<AttemptSuspect> suspects =
+      ActionsOf<AttemptSuspect>(f.pool.Tick(f.now));
+  Time resumed = f.now;
+  while (suspects.empty()) {
+    f.now = f.pool.next_wake();
+    suspects = ActionsOf<AttemptSuspect>(f.pool.Tick(f.now));
+  }
+  REQUIRE(f.now - resumed <= Milliseconds(500));
+}
+
 // Guards against a server attracting requests because it fails fast and so is
 // idle more often than the others.
 TEST_CASE("a server that fails fast gets under 2% of the attempts") {
