Discard undelivered requests and count suspension in the loop's clock

Cause: HttpFetcher closed a connection after a timeout without a reset, so the kernel went on delivering what waited in the send buffer. An exception in a callback ended the process. The loop's clock did not count a suspension of the host. Ruled out: shorter leases (the buffer outlives any of them); a successor that waits longer (a cut has no bound). Change: client connections are reset when they are closed, also by the end of the process, and by the kernel if nothing is acknowledged for 1.5 s. A request can be given an end of its validity: it is not sent afterwards and its connection is reset then. The loop reads CLOCK_BOOTTIME.

--- a/radishmoor/net/event_loop.cc
+++ b/radishmoor/net/event_loop.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <ctime>
 #include <list>
 #include <map>
 #include <utility>
@@ -23,6 +24,7 @@
   TimerId next_timer = 1;
   Time armed_for = kTimeMax;  // Expiry of `timer`; kTimeMax if it is not set.
   std::list<asio::signal_set> signals;
+  std::function<void(const std::exception&)> report_exception;
 
   void Arm();
   void RunDueTasks();
@@ -35,9 +37,12 @@
 // starve the other work of the loop.
 constexpr Duration kMinWakeDelay = Microseconds(200);
 
+// std::chrono::steady_clock does not count the time for which the host was
+// suspended.
 Time MonotonicNow() {
-  return Time(std::chrono::duration_cast<Duration>(
-      std::chrono::steady_clock::now().time_since_epoch()));
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return Time(Seconds(time.tv_sec) + Microseconds(time.tv_nsec / 1000));
 }
 
 }  // namespace
@@ -49,12 +54,17 @@
   if (earliest >= armed_for)
     return;
   armed_for = earliest;
-  timer.expires_at(asio::steady_timer::time_point(earliest.time_since_epoch()));
+  timer.expires_after(std::max(earliest - MonotonicNow(), Duration::zero()));
   timer.async_wait([this](const boost::system::error_code& error) {
     if (error)
       return;
     armed_for = kTimeMax;
-    RunDueTasks();
+    try {
+      RunDueTasks();
+    } catch (...) {
+      Arm();
+      throw;
+    }
     Arm();
   });
 }
@@ -74,8 +84,8 @@
                       const boost::system::error_code& error, int) mutable {
     if (error)
       return;
+    WaitForSignal(set, task);
     task();
-    WaitForSignal(set, std::move(task));
   });
 }
 
@@ -125,7 +135,19 @@
   // Allows run() after an earlier stop().
   impl_->io.restart();
   auto guard = asio::make_work_guard(impl_->io);
-  impl_->io.run();
+  while (!impl_->io.stopped()) {
+    try {
+      impl_->io.run();
+    } catch (const std::exception& error) {
+      if (!impl_->report_exception)
+        throw;
+      impl_->report_exception(error);
+    }
+  }
+}
+
+void EventLoop::OnException(std::function<void(const std::exception&)> report) {
+  impl_->report_exception = std::move(report);
 }
 
 void EventLoop::Stop() {
--- a/radishmoor/net/event_loop.h
+++ b/radishmoor/net/event_loop.h
@@ -12,6 +12,7 @@
 #define RADISHMOOR_NET_EVENT_LOOP_H_
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <memory>
 
@@ -32,13 +33,15 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  // Monotonic time. Reads the clock at each call.
+  // Monotonic time, which also counts the time for which the host was
+  // suspended: a lease runs out in that time too. Reads the clock at each call.
   Time now() const;
   // Unix time in ms. May jump.
   WallMillis wall_now() const;
 
   // Runs `task` once at `when`, or soon after RunAt() returns if that time has
-  // passed. Costs O(log n) for n pending timers.
+  // passed. A timer runs late by the time for which the host was suspended
+  // before it. Costs O(log n) for n pending timers.
   TimerId RunAt(Time when, std::function<void()> task);
   TimerId RunAfter(Duration delay, std::function<void()> task);
   // Does nothing if the timer has run or was cancelled.
@@ -50,8 +53,12 @@
   // Calls `task` at each arrival of `signal`, on the loop's thread.
   void OnSignal(int signal, std::function<void()> task);
 
-  // Runs until Stop(); may be called again afterwards.
+  // Runs until Stop(); may be called again afterwards. An exception that leaves
+  // a callback ends only that callback if OnException() was called, otherwise
+  // it leaves Run().
   void Run();
+  // Passes each std::exception that leaves a callback to `report`.
+  void OnException(std::function<void(const std::exception&)> report);
   void Stop();
 
   boost::asio::io_context& io_context();
--- a/radishmoor/net/http_client.cc
+++ b/radishmoor/net/http_client.cc
@@ -1,5 +1,8 @@
 #include "radishmoor/net/http_client.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -56,6 +59,9 @@
 
   void Open(const Endpoint& endpoint) {
     tcp::endpoint address(asio::ip::make_address(endpoint.ip), endpoint.port);
+    error_code ignored;
+    socket_.open(address.protocol(), ignored);
+    DiscardUndeliveredBytes();
     socket_.async_connect(address,
                           [self = shared_from_this()](error_code error) {
                             self->OnConnected(error);
@@ -95,13 +101,24 @@
   void Close() {
     state_ = State::kClosed;
     error_code ignored;
-    socket_.shutdown(LoopSocket::shutdown_both, ignored);
     socket_.close(ignored);
   }
 
  private:
   enum class State { kConnecting, kIdle, kBusy, kClosed };
 
+  // Sets the socket options that keep the kernel from delivering a request
+  // after the connection was closed, the process has ended, or the peer was
+  // unreachable for long.
+  void DiscardUndeliveredBytes() {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    int timeout_ms =
+        static_cast<int>(WholeMilliseconds(kMaxUnacknowledgedTime));
+    ::setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                 &timeout_ms, sizeof(timeout_ms));
+  }
+
   // Closes the connection. Completions that are still pending see kClosed and
   // do nothing.
   void CloseAndRemove() {
@@ -268,6 +285,7 @@
     Callback callback;
     TimerId timer = 0;
     Time deadline;
+    Time valid_until = kTimeMax;
     bool extended = false;
     bool sent = false;
   };
@@ -302,6 +320,9 @@
     auto it = exchanges.find(id);
     if (it == exchanges.end())
       return;
+    // The timer, whose deadline is not later, ends the exchange.
+    if (loop.now() >= it->second.valid_until)
+      return;
     it->second.sent = true;
     const HttpRequest& request = it->second.request;
     counters.bytes_sent +=
@@ -329,9 +350,11 @@
     Exchange& exchange = exchanges.at(id);
     Time now = loop.now();
     Duration late = now - exchange.deadline;
-    if (late > kLateTimerThreshold && !exchange.extended) {
+    if (late > kLateTimerThreshold && !exchange.extended &&
+        now < exchange.valid_until) {
       exchange.extended = true;
-      ArmTimer(id, now + std::min(late, kMaxDeadlineExtension));
+      ArmTimer(id, std::min(now + std::min(late, kMaxDeadlineExtension),
+                            exchange.valid_until));
       return;
     }
     bool sent = exchange.sent;
@@ -369,7 +392,8 @@
 void HttpFetcher::Fetch(const Endpoint& endpoint,
                         HttpRequest request,
                         Duration timeout,
-                        Callback callback) {
+                        Callback callback,
+                        Time valid_until) {
   std::vector<ConnectionId>& idle = impl_->idle[endpoint];
   bool reuse = !idle.empty();
   ConnectionId id = reuse ? idle.back() : ConnectionId{impl_->next_id++};
@@ -377,7 +401,8 @@
     idle.pop_back();
   Impl::Exchange& exchange = impl_->exchanges[id];
   exchange = {endpoint, std::move(request), std::move(callback)};
-  impl_->ArmTimer(id, impl_->loop.now() + timeout);
+  exchange.valid_until = valid_until;
+  impl_->ArmTimer(id, std::min(impl_->loop.now() + timeout, valid_until));
   if (reuse) {
     impl_->SendRequest(id);
   } else {
--- a/radishmoor/net/http_client.h
+++ b/radishmoor/net/http_client.h
@@ -6,6 +6,10 @@
 //   client.Close(id);
 //
 // HttpClient has no timeouts; its user decides when to close a connection.
+// Closing resets the connection, also when the process dies: bytes that the
+// peer has not received by then are discarded, not delivered later. The kernel
+// does the same if the peer acknowledges nothing for kMaxUnacknowledgedTime,
+// so that a stopped process leaves no request in transit for longer than that.
 // After Close(id) no handler is called for that connection. A response without
 // a length is reported as a failed exchange: it ends with the connection, so a
 // truncated one cannot be told from a complete one.
@@ -37,6 +41,11 @@
   std::function<void(ConnectionId)> on_closed;
 };
 
+// Limit on the time for which sent bytes wait for an acknowledgement of the
+// peer's host. Network round trips take some milliseconds; a partition that
+// lasts longer than this ends the connection.
+inline constexpr Duration kMaxUnacknowledgedTime = Milliseconds(1500);
+
 class HttpClient {
  public:
   HttpClient(EventLoop& loop,
@@ -78,10 +87,15 @@
   // Calls `callback` exactly once, after Fetch() has returned. If the process
   // was not running when `timeout` passed, the request gets up to 500 ms more,
   // so that a response that arrived in the meantime is read.
+  //
+  // The request is not sent at or after `valid_until`, and its connection is
+  // reset then, without the additional time: the server receives the request
+  // before that time or never.
   void Fetch(const Endpoint& endpoint,
              HttpRequest request,
              Duration timeout,
-             Callback callback);
+             Callback callback,
+             Time valid_until = kTimeMax);
 
   // Estimated numbers of bytes, with headers. Sent bytes are counted when a
   // request is written, received bytes when a response is complete.
--- a/radishmoor/net/testing/http_test.cc
+++ b/radishmoor/net/testing/http_test.cc
@@ -1,3 +1,7 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <optional>
@@ -118,6 +122,106 @@
   REQUIRE(std::get<HttpResponse>(result).body.size() == kBodyBytes);
 }
 
+// Accepts connections whose receive buffer holds only the first part of a large
+// request. The rest waits in the sender's kernel until the test reads.
+class SlowReader {
+ public:
+  SlowReader() : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    int bytes = 4096;
+    ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    ::listen(listener_, 4);
+    socklen_t length = sizeof(address);
+    ::getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
+    endpoint_ = {"127.0.0.1", ntohs(address.sin_port)};
+  }
+  ~SlowReader() { ::close(listener_); }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+
+  // Accepts one connection and reads until its end. Returns the number of bytes
+  // that were received.
+  size_t ReadConnection() const {
+    int connection = ::accept(listener_, nullptr, nullptr);
+    char buffer[65536];
+    size_t received = 0;
+    ssize_t n = 0;
+    while ((n = ::read(connection, buffer, sizeof(buffer))) > 0)
+      received += static_cast<size_t>(n);
+    ::close(connection);
+    return received;
+  }
+
+ private:
+  int listener_;
+  Endpoint endpoint_;
+};
+
+constexpr size_t kLargeBodyBytes = 200'000;
+
+// Guards against a request that waits in the send buffer of a connection behind
+// a partition and is carried out seconds after its sender has given up.
+TEST_CASE("a request that timed out is not delivered later") {
+  SlowReader server;
+  EventLoop loop;
+  HttpFetcher fetcher(loop);
+  HttpFetcher::Result result;
+  fetcher.Fetch(server.endpoint(),
+                {"POST", "/", {}, std::string(kLargeBodyBytes, 'x')},
+                Milliseconds(100), [&](HttpFetcher::Result r) {
+                  result = std::move(r);
+                  loop.Stop();
+                });
+  loop.Run();
+  REQUIRE(std::get<HttpFetcher::Failure>(result).sent);
+  REQUIRE(server.ReadConnection() < kLargeBodyBytes);
+}
+
+// Guards against the same for a process that ends while a request is in its
+// send buffer.
+TEST_CASE("a request in transit is lost when its sender ends") {
+  SlowReader server;
+  EventLoop loop;
+  {
+    HttpFetcher fetcher(loop);
+    fetcher.Fetch(server.endpoint(),
+                  {"POST", "/", {}, std::string(kLargeBodyBytes, 'x')},
+                  Seconds(5), [](const HttpFetcher::Result&) {});
+    loop.RunAfter(Milliseconds(100), [&] { loop.Stop(); });
+    loop.Run();
+  }
+  REQUIRE(server.ReadConnection() < kLargeBodyBytes);
+}
+
+// Guards against a request that is sent although the permission that it relies
+// on ran out while the connection was set up.
+TEST_CASE("a request is not sent after the end of its validity") {
+  size_t requests = 0;
+  EventLoop loop;
+  HttpServer server(
+      loop, HttpServerLimits{},
+      HttpServerHandlers{
+          .on_request = [&](ExchangeId, const HttpRequest&) { ++requests; },
+          .on_abandoned = [](ExchangeId) {}});
+  Endpoint endpoint = server.Listen({"127.0.0.1", 0});
+  HttpFetcher fetcher(loop);
+  HttpFetcher::Result result;
+  Time valid_until = loop.now() + Milliseconds(50);
+  fetcher.Fetch(
+      endpoint, {"POST", "/", {}, "x"}, Seconds(5),
+      [&](HttpFetcher::Result r) { result = std::move(r); }, valid_until);
+  // The process does not run until the connection is set up and the validity
+  // has ended.
+  std::this_thread::sleep_for(std::chrono::milliseconds(80));
+  loop.RunAfter(Milliseconds(100), [&] { loop.Stop(); });
+  loop.Run();
+  REQUIRE(requests == 0);
+  REQUIRE_FALSE(std::get<HttpFetcher::Failure>(result).sent);
+}
+
 // Guards against callers that stay connected to a process that cannot serve
 // them.
 TEST_CASE("a response with the close flag closes its connection") {
--- a/radishmoor/service/run_service.h
+++ b/radishmoor/service/run_service.h
@@ -34,6 +34,10 @@
     return 1;
   }
   std::cout << service.Addresses() << std::endl;
+  // An unexpected error loses the message that caused it, not the process.
+  loop.OnException([](const std::exception& error) {
+    LogError("handler-failed", {{"reason", error.what()}});
+  });
   loop.Run();
   return 0;
 }
