End each call to the host API with the fleet lease

A call had no end of its validity, and a coordinator went on calling while its release was under way. Change: a call is valid until the lease time after the coordinator's last renewal; a successor makes no call for the same host before that time. No call starts once the release was sent. The simulation moves hosts, holds calls on cut connections, and checks that tokens for a host never fall and that two coordinators do not call within the lease.

--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -667,12 +667,12 @@
     }
     operation.call_may_be_executed = true;
     operation.next_try_at = now + kUnansweredCallRetry;
+    HostRequest request = MoveHost{host, operation.target_pool};
     if (operation.kind == HostOperationKind::kMaintain)
-      operation.call_tag =
-          outbox.CallHostApi(state_.token, MaintainHost{host, operation.wave});
-    else
-      operation.call_tag = outbox.CallHostApi(
-          state_.token, MoveHost{host, operation.target_pool});
+      request = MaintainHost{host, operation.wave};
+    operation.call_tag = outbox.CallHostApi(
+        state_.token, std::move(request),
+        chain_.renewed() + options_.bounds.host_operation_lease);
     return;
   }
   if (operation.stage != Stage::kEmptying)
@@ -762,7 +762,7 @@
   RemoveDueRows(now);
   bool lease_fresh =
       now - chain_.renewed() < options_.bounds.host_operation_lease / 2;
-  if (!lease_fresh || hosts_.empty())
+  if (!lease_fresh || chain_.release_sent() || hosts_.empty())
     return;
   StartMaintenance(now, contacts, outbox);
   StartMoves(now, contacts, outbox);
--- a/radishmoor/jobs/messages.h
+++ b/radishmoor/jobs/messages.h
@@ -213,10 +213,17 @@
 // Requests to the platform's host API.
 using HostRequest = std::variant<ListHosts, MoveHost, MaintainHost>;
 
+// A call that moves or maintains a host must reach the platform while its
+// sender can hold the fleet lease, since the platform may not check tokens. It
+// is not sent at or after `valid_until`, and its connection is reset then, so
+// that a call that waits in a send buffer behind a partition is lost. A
+// successor makes no call for the host before that time. A call that was
+// carried out but not answered is repeated, which has no effect.
 struct HostCall {
   uint64_t tag = 0;
   FencingToken token = 0;
   HostRequest request;
+  Time valid_until = kTimeMax;
 };
 
 enum class HostOutcome : uint8_t {
--- a/radishmoor/jobs/outbox.cc
+++ b/radishmoor/jobs/outbox.cc
@@ -39,9 +39,11 @@
   return tag;
 }
 
-uint64_t Outbox::CallHostApi(FencingToken token, HostRequest request) {
+uint64_t Outbox::CallHostApi(FencingToken token,
+                             HostRequest request,
+                             Time valid_until) {
   uint64_t tag = next_tag_++;
-  actions_.emplace_back(HostCall{tag, token, std::move(request)});
+  actions_.emplace_back(HostCall{tag, token, std::move(request), valid_until});
   return tag;
 }
 
--- a/radishmoor/jobs/outbox.h
+++ b/radishmoor/jobs/outbox.h
@@ -28,7 +28,9 @@
   uint64_t RequestAdvice(PlacementAdviceRequest advice_request);
   uint64_t RequestServerList();
   uint64_t WatchOperators(RowVersion after, Duration wait);
-  uint64_t CallHostApi(FencingToken token, HostRequest request);
+  uint64_t CallHostApi(FencingToken token,
+                       HostRequest request,
+                       Time valid_until = kTimeMax);
   uint64_t SendWaveReport(uint64_t wave, bool completed);
 
   void SendToPeer(const MemberId& to,
--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -14,6 +14,8 @@
 constexpr Duration kMaxPartitionWait = Seconds(1);
 constexpr Duration kRunStopTime = Milliseconds(100);
 constexpr Duration kMaintenanceTime = Seconds(2);
+constexpr Duration kMoveTime = Milliseconds(1500);
+constexpr Duration kHostCallTimeout = Milliseconds(1500);
 // A server that has ended is listed for this long.
 constexpr Duration kListingExpiry = Milliseconds(4500);
 // The clock of each server runs at a constant rate between this and 1.
@@ -40,6 +42,7 @@
   Time servers_cut_until;
   Time peers_cut_until;
   Time wake_at = kTimeMax;
+  Duration processor_time{};
 };
 
 struct JobSimulation::Server {
@@ -62,6 +65,11 @@
   Resources capacity{16000, 65536, 0};
   bool up = false;
   bool maintenance = false;
+  bool moving = false;
+  // The fleet coordinator's last call for the host that was carried out.
+  FencingToken last_call_token = 0;
+  MemberId last_caller;
+  Time last_call_at;
   uint64_t incarnation_number = 0;
   WallMillis incarnation_started_at = 0;
   Time started_at;
@@ -203,7 +211,13 @@
     });
     return;
   }
-  callback(*node.core);
+  if (options_.processor_time == nullptr) {
+    callback(*node.core);
+  } else {
+    Duration start = options_.processor_time();
+    callback(*node.core);
+    node.processor_time += options_.processor_time() - start;
+  }
   for (JobAction& action : node.core->TakeActions()) {
     if (!node.up || node.incarnation_number != incarnation_number)
       return;
@@ -390,60 +404,161 @@
 void JobSimulation::PerformHostCall(int index,
                                     uint64_t incarnation_number,
                                     const HostCall& call) {
+  auto answer = [this, index, incarnation_number](Duration delay,
+                                                  HostReply reply) {
+    ScheduleAfter(
+        delay, [this, index, incarnation_number, reply = std::move(reply)] {
+          RunOnNode(index, incarnation_number, [this, reply](NodeCore& core) {
+            core.OnHostReply(now_, wall(), reply);
+          });
+        });
+  };
+  const Node& node = *nodes_[static_cast<size_t>(index)];
+  // A call on a connection that is cut waits in the send buffer. It is
+  // delivered when the cut heals, unless the connection was reset before.
+  Time reset_at = std::min(now_ + kHostCallTimeout, call.valid_until);
+  Time delivered_at = std::max(now_, node.store_cut_until);
+  if (delivered_at >= reset_at) {
+    answer(std::max(reset_at - now_, Duration::zero()), {call.tag});
+    return;
+  }
+  if (delivered_at == now_) {
+    answer(RandomLatency() * 2, ExecuteHostCall(node.name, call));
+    return;
+  }
+  ++counts_.delayed_host_calls;
+  ScheduleAt(delivered_at, [this, answer, caller = node.name, call] {
+    answer(RandomLatency(), ExecuteHostCall(caller, call));
+  });
+}
+
+HostReply JobSimulation::ExecuteHostCall(const MemberId& caller,
+                                         const HostCall& call) {
   HostReply reply;
   reply.tag = call.tag;
   reply.outcome = HostOutcome::kDone;
-  if (const auto* maintain = std::get_if<MaintainHost>(&call.request)) {
-    for (size_t i = 0; i < servers_.size(); ++i) {
-      Server& server = *servers_[i];
-      if (server.host != maintain->host)
-        continue;
-      if (!server.up) {
-        reply.outcome = HostOutcome::kBusy;
-        continue;
-      }
-      for (const auto& [task, run] : server.running) {
-        auto caller = callers_.find(task.job);
-        if (caller != callers_.end() && !caller->second->cancelled &&
-            caller->second->spec.long_running())
-          AddViolation("maintenance ends a long-running task");
-      }
-      int down = 0;
-      for (const auto& other : servers_)
-        down += other->maintenance ? 1 : 0;
-      if (down >= static_cast<int>(waves_.front().max_at_once))
-        AddViolation("more hosts under maintenance than the wave allows");
-      ++counts_.maintained_hosts;
-      EndServer(server);
-      server.maintenance = true;
-      ScheduleAfter(kMaintenanceTime, [this, i] {
-        servers_[i]->maintenance = false;
-        StartServer(i, ServerId("s" + std::to_string(next_server_++)));
-      });
-    }
-  } else if (std::holds_alternative<MoveHost>(call.request)) {
-    reply.outcome = HostOutcome::kRefused;  // Moves are not modelled.
-  } else {
-    for (const auto& server : servers_) {
-      HostListing host;
-      host.host = server->host;
-      host.pool = server->pool;
-      host.state = server->up            ? ListedHostState::kUp
-                   : server->maintenance ? ListedHostState::kMaintenance
-                                         : ListedHostState::kDown;
-      host.capacity = server->capacity;
-      if (server->up)
-        host.server = server->id;
-      reply.hosts.push_back(std::move(host));
-    }
+  const auto* maintain = std::get_if<MaintainHost>(&call.request);
+  const auto* move = std::get_if<MoveHost>(&call.request);
+  if (maintain == nullptr && move == nullptr) {
+    reply.hosts = HostListings();
+    return reply;
   }
-  ScheduleAfter(RandomLatency() * 2, [this, index, incarnation_number, reply] {
-    RunOnNode(index, incarnation_number, [this, reply](NodeCore& core) {
-      core.OnHostReply(now_, wall(), reply);
-    });
+  const HostId& host = maintain != nullptr ? maintain->host : move->host;
+  auto found = std::find_if(
+      servers_.begin(), servers_.end(),
+      [&host](const auto& server) { return server->host == host; });
+  if (found == servers_.end()) {
+    reply.outcome = HostOutcome::kRefused;
+    return reply;
+  }
+  Server& server = **found;
+  CheckHostCall(server, caller, call.token);
+  if (move != nullptr && move->pool == server.pool)
+    return reply;  // The host has been moved already.
+  bool standby = server.pool == PoolId("spare");
+  if (server.maintenance || server.moving || (!server.up && !standby)) {
+    reply.outcome = HostOutcome::kBusy;
+    return reply;
+  }
+  for (const auto& [task, run] : server.running) {
+    auto job = callers_.find(task.job);
+    if (job != callers_.end() && !job->second->cancelled &&
+        job->second->spec.long_running())
+      AddViolation(maintain != nullptr ? "maintenance ends a long-running task"
+                                       : "a move ends a long-running task");
+  }
+  if (server.up)
+    EndServer(server);
+  auto index = static_cast<size_t>(found - servers_.begin());
+  if (maintain != nullptr)
+    MaintainServer(index);
+  else
+    MoveServer(index, move->pool);
+  return reply;
+}
+
+void JobSimulation::CheckHostCall(Server& server,
+                                  const MemberId& caller,
+                                  FencingToken token) {
+  if (token < server.last_call_token) {
+    AddViolation("a call for host " + server.host.str() + " with token " +
+                 std::to_string(token) + " is carried out after one with " +
+                 std::to_string(server.last_call_token));
+  }
+  bool other_caller =
+      server.last_call_token != 0 &&
+      (server.last_caller != caller || server.last_call_token != token);
+  if (other_caller &&
+      now_ - server.last_call_at < PlatformBounds{}.host_operation_lease) {
+    AddViolation("two coordinators call for host " + server.host.str() +
+                 " within the lease");
+  }
+  server.last_call_token = std::max(server.last_call_token, token);
+  server.last_caller = caller;
+  server.last_call_at = now_;
+}
+
+void JobSimulation::MaintainServer(size_t index) {
+  int down = 0;
+  for (const auto& other : servers_)
+    down += other->maintenance ? 1 : 0;
+  if (down >= static_cast<int>(waves_.front().max_at_once))
+    AddViolation("more hosts under maintenance than the wave allows");
+  ++counts_.maintained_hosts;
+  servers_[index]->maintenance = true;
+  ScheduleAfter(kMaintenanceTime, [this, index] {
+    servers_[index]->maintenance = false;
+    StartServerUnlessStandby(index);
+  });
+}
+
+void JobSimulation::MoveServer(size_t index, const PoolId& pool) {
+  ++counts_.moved_hosts;
+  servers_[index]->moving = true;
+  servers_[index]->pool = pool;
+  ScheduleAfter(kMoveTime, [this, index] {
+    servers_[index]->moving = false;
+    StartServerUnlessStandby(index);
   });
 }
 
+void JobSimulation::StartServerUnlessStandby(size_t index) {
+  if (servers_[index]->pool != PoolId("spare"))
+    StartServer(index, ServerId("s" + std::to_string(next_server_++)));
+}
+
+std::vector<HostListing> JobSimulation::HostListings() const {
+  std::vector<HostListing> hosts;
+  for (const auto& server : servers_) {
+    HostListing host;
+    host.host = server->host;
+    host.pool = server->pool;
+    bool usable = server->up || server->pool == PoolId("spare");
+    host.state = server->maintenance ? ListedHostState::kMaintenance
+                 : server->moving    ? ListedHostState::kMoving
+                 : usable            ? ListedHostState::kUp
+                                     : ListedHostState::kDown;
+    host.capacity = server->capacity;
+    if (server->up)
+      host.server = server->id;
+    hosts.push_back(std::move(host));
+  }
+  return hosts;
+}
+
+Duration JobSimulation::ProcessorTimeOf(int index) const {
+  return nodes_[static_cast<size_t>(index)]->processor_time;
+}
+
+int JobSimulation::FleetCoordinatorNode() const {
+  for (int i = 0; i < options_.nodes; ++i) {
+    const Node& node = *nodes_[static_cast<size_t>(i)];
+    if (node.up && node.core->coordinates_fleet())
+      return i;
+  }
+  return -1;
+}
+
 int JobSimulation::OwnerOf(const PoolId& pool) const {
   for (int i = 0; i < options_.nodes; ++i) {
     if (Owns(i, pool))
@@ -1014,7 +1129,7 @@
   EndServer(server);
   ScheduleAfter(down, [this, i, same_id] {
     Server& s = *servers_[i];
-    if (s.up || s.maintenance)
+    if (s.up || s.maintenance || s.moving || s.pool == PoolId("spare"))
       return;
     StartServer(
         i, same_id ? s.id : ServerId("s" + std::to_string(next_server_++)));
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -39,6 +39,9 @@
   double late_order_share = 0;
   // Adds a maintenance wave over every second server's host.
   bool wave = false;
+  // If set, returns the processor time that the simulation has used. The time
+  // in each node's core is then added up.
+  Duration (*processor_time)() = nullptr;
 };
 
 struct JobSimulationCounts {
@@ -52,6 +55,9 @@
   uint64_t runs_lease_expired = 0;
   uint64_t faults = 0;
   uint64_t maintained_hosts = 0;  // Maintenance calls that were performed.
+  uint64_t moved_hosts = 0;       // Moves that were performed.
+  // Calls to the host API that were delivered when a cut healed.
+  uint64_t delayed_host_calls = 0;
 };
 
 class JobSimulation {
@@ -92,6 +98,10 @@
   int OwnerOf(const PoolId& pool) const;
   // Returns whether the node acts as the pool's owner.
   bool Owns(int node, const PoolId& pool) const;
+  // Returns the processor time that the core of the node has used.
+  Duration ProcessorTimeOf(int node) const;
+  // Returns a node that acts as the fleet coordinator, or -1.
+  int FleetCoordinatorNode() const;
 
  private:
   struct Node;
@@ -138,6 +148,18 @@
   void PerformHostCall(int index,
                        uint64_t incarnation_number,
                        const HostCall& call);
+  // Carries out a call without checking its fencing token, as a platform may
+  // do.
+  HostReply ExecuteHostCall(const MemberId& caller, const HostCall& call);
+  // Checks that the fencing tokens of the calls for a host never fall and that
+  // two coordinators do not call for it within the lease.
+  void CheckHostCall(Server& server,
+                     const MemberId& caller,
+                     FencingToken token);
+  void MaintainServer(size_t index);
+  void MoveServer(size_t index, const PoolId& pool);
+  void StartServerUnlessStandby(size_t index);
+  std::vector<HostListing> HostListings() const;
   void DeliverOperatorChanges(int index,
                               uint64_t incarnation_number,
                               const WatchOperatorChanges& watch);
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -173,5 +173,34 @@
   }
 }
 
+// Guards against a call of an earlier coordinator that waited in the send
+// buffer of a connection over a cut and is carried out after a call of its
+// successor, which ends the tasks that run on the host by then. The platform
+// does not check fencing tokens here.
+TEST_CASE("no call of a cut-off coordinator follows one of its successor",
+          "[simulation]") {
+  uint64_t delayed_calls = 0;
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    INFO("seed " << seed);
+    JobSimulation simulation({.seed = seed,
+                              .nodes = 5,
+                              .servers_per_pool = 12,
+                              .jobs_per_second = 30,
+                              .wave = true});
+    simulation.Run(Seconds(4));
+    for (int round = 0; round < 5; ++round) {
+      int coordinator = simulation.FleetCoordinatorNode();
+      if (coordinator >= 0)
+        simulation.CutNodeOff(coordinator, Milliseconds(1200 + 1100 * round));
+      simulation.Run(Seconds(8));
+    }
+    simulation.FinishJobs();
+    RequireNoViolations(simulation);
+    REQUIRE(simulation.counts().moved_hosts > 0);
+    delayed_calls += simulation.counts().delayed_host_calls;
+  }
+  REQUIRE(delayed_calls > 0);
+}
+
 }  // namespace
 }  // namespace radishmoor
