Spread leases over processes and hand pools over under overload

Cause: the first process of a new site took all pools and the fleet lease, since it knew no other candidate and did not count acquisitions under way. Change: a new pool's lease is taken after 1 s, when all candidates are known; acquisitions count as owned. A process whose timers all run late for 1.5 s hands its quietest pool to one with more room (OwnershipBalance). A process whose configuration is not confirmed within the bound answers 503 in place of 404 and is not ready; when overloaded it refuses all calls. The owner looks at its servers every 5 ms at most, counts the kinds of runs of a server as they change, and gathers figures for the coordinator only when that has work.

--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -66,6 +66,8 @@
   // Releases the lease with the first commit that can hold all changes, and
   // names `successor` as the process that should acquire it.
   void Release(const MemberId& successor);
+  // Returns true once Release() was called.
+  bool releasing() const { return releasing_; }
   bool released() const { return released_; }
   // Returns true if a commit in flight releases the lease. The release may have
   // been carried out already, so no more orders may be sent.
--- a/radishmoor/jobs/job_request_handler.cc
+++ b/radishmoor/jobs/job_request_handler.cc
@@ -38,6 +38,9 @@
 // repeat of one that was stored for the earlier pool. Callers repeat a
 // submission within this time.
 constexpr Duration kMovedQueueWindow = Seconds(20);
+// A configuration is current if it was certainly the newest one within the time
+// in which a new one must be in force, less this margin.
+constexpr Duration kConfigAgeMargin = Milliseconds(100);
 constexpr size_t kJobIdDigits = 16;
 constexpr size_t kMaxOpenCalls = 2000;
 
@@ -79,6 +82,11 @@
   config_ = config;
 }
 
+bool JobRequestHandler::IsConfigCurrent(Time now) const {
+  return config_.version != 0 &&
+         now - config_confirmed_at_ < max_config_age_ - kConfigAgeMargin;
+}
+
 JobRequestHandler::Route JobRequestHandler::FindRoute(
     std::string_view host,
     std::string_view path) const {
@@ -111,6 +119,13 @@
     return;
   }
   Route route = FindRoute(host, path);
+  // A newer configuration may have the queue, or may have removed it. While the
+  // store fails, known queues are served all the same.
+  if (!IsConfigCurrent(now) && (route.queue == nullptr || overloaded_)) {
+    Refuse(call.id, CallOutcome::kUnavailable, kUnavailableRetryAfter,
+           "configuration-not-confirmed", outbox);
+    return;
+  }
   if (route.queue == nullptr) {
     ++counters_.unknown_queue;
     Refuse(call.id, CallOutcome::kNoQueue, {}, "no-queue", outbox);
--- a/radishmoor/jobs/job_request_handler.h
+++ b/radishmoor/jobs/job_request_handler.h
@@ -32,13 +32,23 @@
   // this one. `leases` must outlive this object.
   JobRequestHandler(MemberId node,
                     uint64_t incarnation,
+                    Duration max_config_age,
                     const PoolLeases& leases)
       : node_(std::move(node)),
+        max_config_age_(max_config_age),
         leases_(leases),
         next_request_(incarnation << 20 | 1) {}
 
   // Applies a configuration unless a newer one is known.
   void OnConfig(Time now, const JobConfig& config);
+  // Records that no newer configuration was accepted before `at`.
+  void ConfirmConfig(Time at) { config_confirmed_at_ = at; }
+  // Returns whether the configuration was confirmed lately. Otherwise calls for
+  // queues that it does not have are refused, since a newer one may have them.
+  bool IsConfigCurrent(Time now) const;
+  // Tells whether this process runs its work late. It then refuses all calls
+  // while its configuration is not confirmed: other processes have the newest.
+  void SetOverloaded(bool overloaded) { overloaded_ = overloaded; }
   void OnCall(Time now, WallMillis wall, JobCall call, Outbox& outbox);
   // Drops a call whose caller has disconnected; it gets no answer. The job of a
   // submission may still be stored.
@@ -154,6 +164,7 @@
               Outbox& outbox);
 
   MemberId node_;
+  Duration max_config_age_;
   const PoolLeases& leases_;
   // A queue that has moved to another pool. A repeated submission may have been
   // stored for the earlier pool.
@@ -163,6 +174,8 @@
   };
 
   JobConfig config_;
+  Time config_confirmed_at_;
+  bool overloaded_ = false;
   std::map<QueueId, MovedQueue> moved_queues_;
   std::map<JobCallId, OpenCall> calls_;
   std::map<uint64_t, JobCallId> store_calls_;  // By the tag of the request.
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -23,8 +23,12 @@
 constexpr Duration kRegistrationPeriod = Seconds(15);
 constexpr Duration kRegistrationRetryDelay = Milliseconds(300);
 constexpr Duration kNodeScanPeriod = Seconds(4);
-// Period of the scans until a second process is known.
+// Period of the scans until a second process is known, and in the first seconds
+// of this process, in which the others of a new site register.
 constexpr Duration kFirstNodeScanPeriod = Milliseconds(500);
+constexpr Duration kFirstNodeScans = Seconds(2);
+// A pool is handed over only to a process that has registered this recently.
+constexpr Duration kMaxSuccessorRowAge = Seconds(25);
 // A process whose row has not changed for this long counts as gone.
 constexpr Duration kNodeExpiry = Seconds(40);
 constexpr Duration kMinServerListPeriod = Milliseconds(500);
@@ -66,9 +70,13 @@
 NodeCore::NodeCore(const NodeOptions& options)
     : options_(options),
       leases_(options.name, options.address, options.capacity),
-      request_handler_(options.name, options.incarnation, leases_) {}
+      request_handler_(options.name,
+                       options.incarnation,
+                       options.bounds.config_apply,
+                       leases_) {}
 
 void NodeCore::Start(Time now, WallMillis wall) {
+  started_at_ = now;
   outbox_.LogDecision(
       "process-started",
       {{"node", options_.name.str()},
@@ -104,7 +112,7 @@
       OnNodeRows(now, rows->rows);
   } else if (!request_handler_.OnStoreAnswer(now, answer, outbox_) &&
              !leases_.OnStoreAnswer(now, answer, outbox_) &&
-             (fleet_ == nullptr || !fleet_->OnStoreAnswer(now, answer))) {
+             !OnFleetStoreAnswer(now, answer)) {
     for (auto& [pool, scheduler] : schedulers_) {
       if (scheduler->OnStoreAnswer(now, wall, answer, outbox_))
         break;
@@ -113,6 +121,13 @@
   RunPendingWork(now, wall);
 }
 
+bool NodeCore::OnFleetStoreAnswer(Time now, const StoreAnswer& answer) {
+  if (fleet_ == nullptr || !fleet_->OnStoreAnswer(now, answer))
+    return false;
+  fleet_has_input_ = true;
+  return true;
+}
+
 void NodeCore::OnServerReply(Time now,
                              WallMillis wall,
                              const ServerReply& reply) {
@@ -154,6 +169,7 @@
     return;
   }
   operator_version_ = reply.version;
+  request_handler_.ConfirmConfig(operator_watch_sent_at_);
   if (reply.config && reply.config->version > config_.version) {
     config_ = *reply.config;
     outbox_.LogDecision(
@@ -181,6 +197,7 @@
   operators_loaded_ = true;
   if (fleet_ != nullptr)
     fleet_->OnWaves(waves, outbox_);
+  fleet_has_input_ = true;
   RunPendingWork(now, wall);
 }
 
@@ -196,6 +213,7 @@
   } else if (fleet_ != nullptr) {
     fleet_->OnHostReply(now, reply, outbox_);
   }
+  fleet_has_input_ = true;
   RunPendingWork(now, wall);
 }
 
@@ -217,6 +235,11 @@
 }
 
 void NodeCore::Tick(Time now, WallMillis wall) {
+  if (next_wake_ <= now)
+    balance_.ObserveTick(now, next_wake_);
+  request_handler_.SetOverloaded(balance_.IsOverloaded(now));
+  if (balance_.IsOverloaded(now))
+    BalanceOwnership(now);
   RunPendingWork(now, wall);
 }
 
@@ -244,7 +267,8 @@
 bool NodeCore::ready(Time now) const {
   bool store_lost =
       store_silent_since_ && now - *store_silent_since_ > kStoreLostAfter;
-  return config_.version != 0 && !shutdown_started_at_ && !store_lost;
+  return request_handler_.IsConfigCurrent(now) && !shutdown_started_at_ &&
+         !store_lost;
 }
 
 bool NodeCore::accepts_connections(Time now) const {
@@ -279,6 +303,7 @@
     if (PoolScheduler* scheduler = find_scheduler(request->pool))
       scheduler->OnVacateRequest(now, from, address, *request, outbox_);
   } else if (const auto* vacated = std::get_if<VacateAnswer>(&message)) {
+    fleet_has_input_ = true;
     if (fleet_ != nullptr)
       fleet_->OnVacateAnswer(now, *vacated);
   }
@@ -428,6 +453,35 @@
     BroadcastHeartbeat(now, fleet_->MakeHeartbeat(now));
 }
 
+void NodeCore::BalanceOwnership(Time now) {
+  if (schedulers_.empty() || shutdown_started_at_)
+    return;
+  std::vector<OwnedPool> pools;
+  for (const auto& [pool, scheduler] : schedulers_) {
+    if (scheduler->loaded() && !scheduler->releasing())
+      pools.push_back({pool, scheduler->needed_cores(now)});
+  }
+  std::map<MemberId, uint32_t> leases = leases_.LeasesOfOthers(now);
+  std::vector<ProcessLeases> others;
+  for (const auto& [name, node] : nodes_) {
+    if (name != options_.name && !node.row.leaving &&
+        now - node.changed_at < kMaxSuccessorRowAge)
+      others.push_back({name, node.row.capacity, leases[name]});
+  }
+  auto own_leases =
+      static_cast<uint32_t>(schedulers_.size() + (fleet_ != nullptr ? 1 : 0));
+  std::optional<PoolHandover> handover = balance_.Plan(
+      now, {options_.name, options_.capacity, own_leases}, pools, others);
+  if (!handover)
+    return;
+  outbox_.LogDecision("pool-handover",
+                      {{"pool", handover->pool.str()},
+                       {"successor", handover->successor.str()},
+                       {"leases", static_cast<int64_t>(own_leases)},
+                       {"capacity", static_cast<int64_t>(options_.capacity)}});
+  schedulers_.at(handover->pool)->Release(handover->successor);
+}
+
 std::map<PoolId, PoolOwnerContact> NodeCore::OwnerContacts(Time now) const {
   constexpr Duration kMaxContactAge = Milliseconds(1500);
   std::map<PoolId, PoolOwnerContact> contacts;
@@ -469,6 +523,7 @@
     next_full_operator_read_ = now + kFullOperatorReadPeriod;
     operator_version_ = 0;
   }
+  operator_watch_sent_at_ = now;
   operator_watch_tag_ =
       outbox_.WatchOperators(operator_version_, kOperatorWatchWait);
 }
@@ -491,7 +546,9 @@
   if (!IsDue(now, node_scan_tag_, next_node_scan_))
     return;
   next_node_scan_ =
-      now + (nodes_.size() < 2 ? kFirstNodeScanPeriod : kNodeScanPeriod);
+      now + (nodes_.size() < 2 || now - started_at_ < kFirstNodeScans
+                 ? kFirstNodeScanPeriod
+                 : kNodeScanPeriod);
   ScanRows scan;
   scan.prefix = NodeKey(MemberId());
   node_scan_tag_ = outbox_.CallStore(std::move(scan));
@@ -590,8 +647,10 @@
   StartAcquiredPools(now);
   for (auto& [pool, scheduler] : schedulers_)
     scheduler->Tick(now, wall, outbox_);
-  if (fleet_ != nullptr && now - last_fleet_tick_ >= kMinFleetTickInterval) {
+  if (fleet_ != nullptr && now - last_fleet_tick_ >= kMinFleetTickInterval &&
+      (fleet_has_input_ || now >= fleet_->next_wake())) {
     last_fleet_tick_ = now;
+    fleet_has_input_ = false;
     fleet_->Tick(now, OwnerContacts(now), outbox_);
   }
   request_handler_.Tick(now, outbox_);
@@ -610,7 +669,7 @@
   for (auto& [pool, scheduler] : schedulers_)
     Wake(scheduler->next_wake());
   if (fleet_ != nullptr)
-    Wake(std::max(fleet_->next_wake(),
+    Wake(std::max(fleet_has_input_ ? now : fleet_->next_wake(),
                   last_fleet_tick_ + kMinFleetTickInterval));
 }
 
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -25,6 +25,7 @@
 #include "radishmoor/jobs/fleet_coordinator.h"
 #include "radishmoor/jobs/job_peer_codec.h"
 #include "radishmoor/jobs/job_request_handler.h"
+#include "radishmoor/jobs/ownership_balance.h"
 #include "radishmoor/jobs/pool_leases.h"
 #include "radishmoor/jobs/pool_scheduler.h"
 
@@ -73,8 +74,9 @@
   Time next_wake() const { return next_wake_; }
 
   // Returns whether new callers should be sent to this process. False before it
-  // has a configuration, after Shutdown(), and while the store does not answer:
-  // it can accept no job then, but other processes may still reach the store.
+  // has a configuration and while that is not confirmed, after Shutdown(), and
+  // while the store does not answer: it can accept no job then, but other
+  // processes may still reach the store.
   bool ready(Time now) const;
   // Returns whether open connections are still served. Stays true for a few
   // seconds after Shutdown().
@@ -84,6 +86,8 @@
   const std::map<PoolId, std::unique_ptr<PoolScheduler>>& pools() const {
     return schedulers_;
   }
+  // Returns whether this process has acquired the fleet lease and not lost it.
+  bool coordinates_fleet() const { return fleet_ != nullptr; }
 
  private:
   struct Node {
@@ -104,6 +108,8 @@
   // Starts a scheduler for each pool whose lease was acquired, and the fleet
   // coordinator if the fleet lease was acquired.
   void StartAcquiredPools(Time now);
+  // Returns whether the answer belongs to a request of the fleet coordinator.
+  bool OnFleetStoreAnswer(Time now, const StoreAnswer& answer);
   // Removes the schedulers of pools whose leases were lost or released, and the
   // fleet coordinator if the fleet lease was.
   void RemoveLostPools(Time now);
@@ -126,6 +132,8 @@
   // Updates store_silent_since_ after a call to the store.
   void RecordStoreAnswer(Time now, bool answered);
   void TickShutdown(Time now);
+  // Hands a pool over to another process if this one is overloaded.
+  void BalanceOwnership(Time now);
   std::map<PoolId, PoolOwnerContact> OwnerContacts(Time now) const;
   std::vector<PoolId> WatchedPools() const;
   bool OwnsAnyPool() const { return !schedulers_.empty() || fleet_ != nullptr; }
@@ -144,9 +152,14 @@
   // coordinator can predict at once which pool peaks next.
   PeakForecast forecast_;
   std::unique_ptr<FleetCoordinator> fleet_;
+  // The fleet coordinator has received something since its last Tick().
+  bool fleet_has_input_ = false;
+  OwnershipBalance balance_;
   std::map<MemberId, Node> nodes_;
+  Time started_at_;
 
   uint64_t operator_watch_tag_ = 0;
+  Time operator_watch_sent_at_;
   RowVersion operator_version_ = 0;
   bool operators_loaded_ = false;  // The first full read has been answered.
   Time next_operator_watch_;
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -33,6 +33,10 @@
 // share.
 constexpr Duration kSmallerShareDelay = Milliseconds(900);
 constexpr Duration kDelayPerOwnedPool = Milliseconds(250);
+// The lease of a new pool is not acquired for this long. By then, all processes
+// of a new site have registered, so that the leases go to the candidates with
+// the highest ranks and not to the process that was first.
+constexpr Duration kNewPoolDelay = Milliseconds(1000);
 
 }  // namespace
 
@@ -183,10 +187,21 @@
   return &*it->second.owner;
 }
 
+std::map<MemberId, uint32_t> PoolLeases::LeasesOfOthers(Time now) const {
+  std::map<MemberId, uint32_t> leases;
+  for (const auto& [pool, watched] : pools_) {
+    if (!watched.owned && watched.owner &&
+        now - watched.owner->last_heartbeat_at < kOwnerSilenceLimit)
+      ++leases[watched.owner->node];
+  }
+  return leases;
+}
+
 size_t PoolLeases::OwnedCount() const {
   return static_cast<size_t>(
-      std::count_if(pools_.begin(), pools_.end(),
-                    [](const auto& entry) { return entry.second.owned; }));
+      std::count_if(pools_.begin(), pools_.end(), [](const auto& entry) {
+        return entry.second.owned || entry.second.acquire_tag != 0;
+      }));
 }
 
 Duration PoolLeases::AcquireDelay(const PoolId& pool) const {
@@ -236,7 +251,7 @@
     Time due = watched.renewed_at + kOwnerLeaseLength +
                kReadLatencyFactor * read_latency_;
     if (vacant)
-      due = watched.acquire_not_before;
+      due = watched.watched_since + kNewPoolDelay + AcquireDelay(pool);
     if (released)
       due = watched.row->successor == node_ ? now : watched.acquire_not_before;
     else if (!vacant)
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -85,6 +85,9 @@
   // Returns the owner whose heartbeat came last, or null if none came since
   // this process last owned the pool.
   const PoolOwner* OwnerOf(const PoolId& pool) const;
+  // Returns the number of leases of each other process that has announced
+  // itself as an owner lately.
+  std::map<MemberId, uint32_t> LeasesOfOthers(Time now) const;
 
  private:
   struct WatchedPool {
@@ -151,6 +154,7 @@
   // Returns how long this process lets other candidates acquire the lease
   // first.
   Duration AcquireDelay(const PoolId& pool) const;
+  // Returns the number of leases that this process holds or is acquiring.
   size_t OwnedCount() const;
   void Wake(Time at) { next_wake_ = std::min(next_wake_, at); }
 
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -170,7 +170,7 @@
       for (const Run& run : task.runs) {
         state_.servers.AddRun(run.server,
                               {job.IdOf(occurrence, task), run.number},
-                              job.StepOf(task).counted_request());
+                              job.StepOf(task));
         state_.servers.Find(run.server)->inherited_leases_until =
             options_.earlier_leases_until;
       }
@@ -704,12 +704,9 @@
     silence_balance[server.listing.zone] += silent ? 1 : -1;
     heartbeat.capacity_cores +=
         static_cast<double>(server.listing.capacity.cpu_millis) / 1000;
-    bool long_running = std::any_of(
-        server.runs.begin(), server.runs.end(), [this](const RunRef& ref) {
-          const Job* job = state_.jobs.Find(ref.task.job);
-          return job != nullptr && job->spec.long_running();
-        });
-    if (!long_running && !server.vacating)
+    bool long_running_job =
+        server.long_running_runs > 0 || server.best_effort_runs > 0;
+    if (!long_running_job && !server.vacating)
       spare.emplace_back(server.used.cpu_millis, id);
   }
   for (const auto& [zone, balance] : silence_balance) {
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -100,6 +100,7 @@
   // Releases the lease, in favor of `successor`, with the first commit that can
   // hold all changes.
   void Release(const MemberId& successor);
+  bool releasing() const { return chain_.releasing(); }
   bool released() const { return chain_.released(); }
   // True if another process owns the pool; the caller must then destroy this
   // object.
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -30,6 +30,8 @@
   Duration status_retention = Seconds(120);
   // Minimum time between the calls of two fleet coordinators for one host.
   Duration host_operation_lease = Seconds(3);
+  // An accepted configuration is in force at every process within this time.
+  Duration config_apply = Seconds(2);
   // Maximum number of calls per second that move or maintain hosts.
   double max_host_operations_per_second = 64;
 };
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -23,6 +23,9 @@
 // bounds the number of polls per second in a pool.
 constexpr Duration kMinPollInterval = Milliseconds(20);
 constexpr Duration kPollIntervalPerServer = Microseconds(800);
+// Minimum time between two checks of all servers. Each answer of a server asks
+// for a check; a busy pool gets more than a thousand answers a second.
+constexpr Duration kMinTickInterval = Milliseconds(5);
 // After n failed polls in a row the next one is sent n times this delay later,
 // but not later than the maximum.
 constexpr Duration kFailedPollDelay = Milliseconds(200);
@@ -705,8 +708,7 @@
                       {"server", run->server.str()},
                       {"reason", std::string(reason)},
                       {"ran_ms", WholeMilliseconds(now - run->start_sent_at)}});
-  state_.servers.RemoveRun(run->server, ref,
-                           job->StepOf(*task).counted_request());
+  state_.servers.RemoveRun(run->server, ref, job->StepOf(*task));
   if (job->StepOf(*task).long_running && !task->unavailable_since)
     task->unavailable_since = now;
   std::erase_if(task->runs,
@@ -795,9 +797,14 @@
                       static_cast<int64_t>(state_.servers.all().size()));
 }
 
+Time RunControl::next_wake() const {
+  return std::max(next_wake_, last_tick_at_ + kMinTickInterval);
+}
+
 void RunControl::Tick(Time now, bool renew_leases, Outbox& outbox) {
-  if (now < next_wake_)
+  if (now < next_wake())
     return;
+  last_tick_at_ = now;
   next_wake_ = kTimeMax;
   for (auto& [id, server] : state_.servers.all())
     CheckServer(now, server, renew_leases, outbox);
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -70,7 +70,7 @@
   // leases; quick polls always do. Returns at once before next_wake(),
   // otherwise the cost is linear in the servers of the pool and their runs.
   void Tick(Time now, bool renew_leases, Outbox& outbox);
-  Time next_wake() const { return next_wake_; }
+  Time next_wake() const;
   // Called after each stored commit: the next polls acknowledge the ends of
   // runs that it contains.
   void OnStored(Time now);
@@ -185,6 +185,7 @@
   JobPoolState& state_;
   std::map<uint64_t, PendingOrder> orders_;  // By tag.
   std::set<JobId> to_close_;                 // Input of CloseResolved().
+  Time last_tick_at_;
   Time next_wake_ = kTimeMax;
 };
 
--- a/radishmoor/jobs/server_table.cc
+++ b/radishmoor/jobs/server_table.cc
@@ -55,15 +55,18 @@
 
 void ServerTable::AddRun(const ServerId& server,
                          const RunRef& run,
-                         const Resources& request) {
+                         const StepSpec& step) {
   ServerState& state = FindOrAdd(server);
   state.runs.push_back(run);
-  state.used += request;
+  state.used += step.counted_request();
+  state.latency_sensitive_runs += step.tail_limit > Duration::zero() ? 1 : 0;
+  state.best_effort_runs += step.best_effort ? 1 : 0;
+  state.long_running_runs += step.long_running ? 1 : 0;
 }
 
 void ServerTable::RemoveRun(const ServerId& server,
                             const RunRef& run,
-                            const Resources& request) {
+                            const StepSpec& step) {
   ServerState* state = Find(server);
   if (state == nullptr)
     return;
@@ -72,7 +75,10 @@
   if (it == state->runs.end())
     return;
   state->runs.erase(it);
-  state->used -= request;
+  state->used -= step.counted_request();
+  state->latency_sensitive_runs -= step.tail_limit > Duration::zero() ? 1 : 0;
+  state->best_effort_runs -= step.best_effort ? 1 : 0;
+  state->long_running_runs -= step.long_running ? 1 : 0;
   RADISHMOOR_INVARIANT("jobs.room_adds_up",
                        !state->runs.empty() || state->used == Resources{});
 }
--- a/radishmoor/jobs/server_table.h
+++ b/radishmoor/jobs/server_table.h
@@ -65,6 +65,11 @@
   // the sum of the resources that they request.
   Resources used;
   std::vector<RunRef> runs;
+  // Numbers of these runs whose step has a limit on its tail latency, is
+  // best-effort, or is long-running.
+  uint32_t latency_sensitive_runs = 0;
+  uint32_t best_effort_runs = 0;
+  uint32_t long_running_runs = 0;
 
   // The server numbers the ends of its runs (EndedRun::sequence). Highest
   // numbers up to which the ends were applied to the job table, were stored,
@@ -131,14 +136,12 @@
   std::map<ServerId, ServerState>& all() { return servers_; }
   const std::map<ServerId, ServerState>& all() const { return servers_; }
 
-  // Adds a run to the server or removes it, and updates the used resources.
-  // Both calls for a run must have the same `request`.
-  void AddRun(const ServerId& server,
-              const RunRef& run,
-              const Resources& request);
+  // Adds a run of the step to the server or removes it, and updates the used
+  // resources and the numbers of runs.
+  void AddRun(const ServerId& server, const RunRef& run, const StepSpec& step);
   void RemoveRun(const ServerId& server,
                  const RunRef& run,
-                 const Resources& request);
+                 const StepSpec& step);
 
  private:
   std::map<ServerId, ServerState> servers_;
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -77,15 +77,9 @@
     s.slowness = server.slowness;
     s.trusted = server.failure_score < 1 ||
                 now - server.last_success_at <= kMaxTrustedSuccessAge;
-    for (const RunRef& ref : server.runs) {
-      const Job* job = state_.jobs.Find(ref.task.job);
-      if (job == nullptr || ref.task.step >= job->spec.steps.size())
-        continue;
-      const StepSpec& step = job->spec.steps[ref.task.step];
-      s.latency_sensitive_runs += step.tail_limit > Duration::zero() ? 1 : 0;
-      s.best_effort_runs += step.best_effort ? 1 : 0;
-      s.long_running_runs += step.long_running ? 1 : 0;
-    }
+    s.latency_sensitive_runs = server.latency_sensitive_runs;
+    s.best_effort_runs = server.best_effort_runs;
+    s.long_running_runs = server.long_running_runs;
     servers.push_back(std::move(s));
   }
   return servers;
@@ -394,7 +388,7 @@
   run.progress_changed_at = now;
   task.last_run = number;
   RunRef ref{job.IdOf(occurrence, task), number};
-  state_.servers.AddRun(run.server, ref, request);
+  state_.servers.AddRun(run.server, ref, job.StepOf(task));
   task.runs.push_back(std::move(run));
   server.free_resources -= request;
   state_.planned[job.id].push_back(ref);
--- a/radishmoor/jobs/testing/node_core_test.cc
+++ b/radishmoor/jobs/testing/node_core_test.cc
@@ -35,7 +35,7 @@
   return call;
 }
 
-// A scheduler process whose store answers only the request for the
+// A scheduler process whose store answers only the requests for the
 // configuration.
 class SilentStoreNode {
  public:
@@ -47,7 +47,7 @@
   void HandleActions() {
     for (const JobAction& action : core_.TakeActions()) {
       if (const auto* watch = std::get_if<WatchOperatorChanges>(&action))
-        AnswerWatch(*watch);
+        open_watch_ = {now + watch->wait, *watch};
       if (const auto* answer = std::get_if<JobCallAnswer>(&action))
         answered = {now, answer->outcome};
       if (std::holds_alternative<EndJobProcess>(action))
@@ -59,29 +59,36 @@
     for (; now < end && !ended; now += Milliseconds(50)) {
       core_.Tick(now, 0);
       HandleActions();
+      AnswerWatchIfDue();
     }
   }
 
   NodeCore& core() { return core_; }
 
   Time now = kTimeZero + Seconds(1);
+  bool answers_watches = true;
   std::optional<std::pair<Time, CallOutcome>> answered;
   std::optional<Time> ended;
 
  private:
-  void AnswerWatch(const WatchOperatorChanges& watch) {
-    if (watch.after != 0)
+  // The store delays its answer if there is no change.
+  void AnswerWatchIfDue() {
+    if (!answers_watches || !open_watch_ || now < open_watch_->first)
       return;
+    WatchOperatorChanges watch = std::exchange(open_watch_, {})->second;
     OperatorChanges reply;
     reply.tag = watch.tag;
     reply.answered = true;
     reply.version = 1;
-    reply.config = ConfigWithOneQueue();
+    if (watch.after == 0)
+      reply.config = ConfigWithOneQueue();
     core_.OnOperatorChanges(now, 0, reply);
     HandleActions();
   }
 
   NodeCore core_;
+  // The watch that is not answered yet, and when its answer is due.
+  std::optional<std::pair<Time, WatchOperatorChanges>> open_watch_;
 };
 
 // Guards against a process that ends without answering open calls, whose time
@@ -104,5 +111,35 @@
   CHECK(node.answered->second == CallOutcome::kUncertain);
 }
 
+// Guards against an answer that a queue does not exist, given by a process that
+// has not read the newest configuration in time: an overloaded process answered
+// so for 4 s after the queue was added.
+TEST_CASE("a process without a current configuration denies no queue",
+          "[node]") {
+  SilentStoreNode node;
+  node.RunUntil(node.now + Milliseconds(500));
+  auto call_unknown_queue = [&node] {
+    JobCall call = MakeSubmission(node.now);
+    std::get<SubmitJob>(call.request).path = "/new/0123456789abcdef";
+    node.answered.reset();
+    node.core().OnCall(node.now, 0, std::move(call));
+    node.HandleActions();
+    REQUIRE(node.answered);
+    return node.answered->second;
+  };
+  REQUIRE(call_unknown_queue() == CallOutcome::kNoQueue);
+  REQUIRE(node.core().ready(node.now));
+  node.answers_watches = false;
+  Time last_answer = node.now;
+  while (node.now - last_answer < Seconds(4)) {
+    node.RunUntil(node.now + Milliseconds(50));
+    // The bound on the time in which a configuration must be in force.
+    if (node.now - last_answer < PlatformBounds{}.config_apply)
+      continue;
+    REQUIRE(call_unknown_queue() == CallOutcome::kUnavailable);
+    REQUIRE_FALSE(node.core().ready(node.now));
+  }
+}
+
 }  // namespace
 }  // namespace radishmoor
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -42,7 +42,7 @@
     task.runs.push_back(run);
     state_.servers.AddRun(run.server,
                           {{job_->id, 0, task.step, task.index}, run.number},
-                          job_->StepOf(task).counted_request());
+                          job_->StepOf(task));
     return task.runs.back();
   }
 
