See the last ends of a step at once in large pools

Cause: the least time between two polls of a server grew with all servers of its pool, to 640 ms with 800 of them, so the owner saw the end of a step up to that late, twice for a job of two steps. Change: only busy servers count, and the servers of the last quarter of a step's tasks are polled every 20 ms at most.

--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -19,10 +19,13 @@
 // on its clock recent.
 constexpr Duration kIdlePollPeriod = Milliseconds(1500);
 // Minimum time between two polls of a busy server, so that one poll lists
-// several ends. In large pools the time grows with the number of servers, which
-// bounds the number of polls per second in a pool.
+// several ends. In large pools the time grows with the number of busy servers,
+// which bounds the number of polls per second in a pool.
 constexpr Duration kMinPollInterval = Milliseconds(20);
 constexpr Duration kPollIntervalPerServer = Microseconds(800);
+// The last tasks of a step are those that are left when this share of its tasks
+// is not done, and at least one.
+constexpr uint32_t kLastTasksDivisor = 4;
 // Minimum time between two checks of all servers. Each answer of a server asks
 // for a check; a busy pool gets more than a thousand answers a second.
 constexpr Duration kMinTickInterval = Milliseconds(5);
@@ -356,12 +359,17 @@
       run->progress_changed_at = now;
       if (run->stop_wanted)
         SendStop(now, order.run, *run, outbox);
+      if (Job* job = state_.jobs.Find(order.run.task.job)) {
+        ExpediteLastTasks(now, *job,
+                          job->occurrences.at(order.run.task.occurrence),
+                          order.run.task.step);
+      }
       // A server without runs is polled rarely, by polls that do not wait for
       // ends. Makes the next poll due soon; a poll in flight sets the time of
       // the next one when it is answered.
       if (server.poll_tag == 0)
         server.next_poll_at =
-            std::min(server.next_poll_at, now + PollInterval());
+            std::min(server.next_poll_at, now + PollInterval(server));
       return;
     case OrderOutcome::kUnanswered:
       ++state_.counters.starts_unanswered;
@@ -435,9 +443,9 @@
   ApplyRunning(now, server, reply, outbox);
   ResolveMissing(now, server, order.sent, reply, outbox);
   if (order.kind == OrderKind::kPoll) {
-    server.next_poll_at = server.runs.empty()
-                              ? now + kIdlePollPeriod
-                              : std::max(now, order.sent + PollInterval());
+    server.next_poll_at =
+        server.runs.empty() ? now + kIdlePollPeriod
+                            : std::max(now, order.sent + PollInterval(server));
   }
 }
 
@@ -537,6 +545,7 @@
     for (RunNumber copy : copies)
       RequestStop(now, job.IdOf(occurrence, other), copy, "copy-done", outbox);
   }
+  ExpediteLastTasks(now, job, occurrence, ref.task.step);
   if (job.state == JobState::kCompleted) {
     outbox.LogDecision("job-completed",
                        {{"job", job.id.str()},
@@ -791,10 +800,39 @@
   Wake(now);
 }
 
-Duration RunControl::PollInterval() const {
+Duration RunControl::PollInterval(const ServerState& server) const {
+  if (!server.awaited_runs.empty())
+    return kMinPollInterval;
   return std::max(kMinPollInterval,
-                  kPollIntervalPerServer *
-                      static_cast<int64_t>(state_.servers.all().size()));
+                  kPollIntervalPerServer * static_cast<int64_t>(busy_servers_));
+}
+
+void RunControl::ExpediteLastTasks(Time now,
+                                   Job& job,
+                                   Occurrence& occurrence,
+                                   uint32_t step) {
+  const StepSpec& spec = job.spec.steps[step];
+  uint32_t left = spec.count - occurrence.done_in_step[step];
+  if (spec.long_running || IsFinal(job.state) || left == 0 ||
+      left > std::max(1u, spec.count / kLastTasksDivisor))
+    return;
+  for (const Task& task : occurrence.tasks) {
+    if (task.step != step || task.done)
+      continue;
+    for (const Run& run : task.runs) {
+      ServerState* server = state_.servers.Find(run.server);
+      RunRef ref{job.IdOf(occurrence, task), run.number};
+      if (server == nullptr || run.phase != RunPhase::kRunning ||
+          std::find(server->awaited_runs.begin(), server->awaited_runs.end(),
+                    ref) != server->awaited_runs.end())
+        continue;
+      server->awaited_runs.push_back(ref);
+      server->next_poll_at =
+          std::min(server->next_poll_at,
+                   std::max(now, server->poll_sent_at + kMinPollInterval));
+      Wake(server->next_poll_at);
+    }
+  }
 }
 
 Time RunControl::next_wake() const {
@@ -806,8 +844,11 @@
     return;
   last_tick_at_ = now;
   next_wake_ = kTimeMax;
-  for (auto& [id, server] : state_.servers.all())
+  busy_servers_ = 0;
+  for (auto& [id, server] : state_.servers.all()) {
+    busy_servers_ += server.runs.empty() ? 0 : 1;
     CheckServer(now, server, renew_leases, outbox);
+  }
   CloseResolved();
 }
 
@@ -829,7 +870,7 @@
     if (unstored_ends && server.failed_polls == 0)
       due = std::max(due, server.poll_sent_at + kBusyPollWait);
     if (acknowledge)
-      due = std::min(due, server.poll_sent_at + PollInterval());
+      due = std::min(due, server.poll_sent_at + PollInterval(server));
     if (now >= due)
       SendPoll(now, server, false, renew_leases, outbox);
     else
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -172,8 +172,14 @@
   void CheckRuns(Time now, ServerState& server, Outbox& outbox);
   // Makes the next tick call CheckRuns() for the server.
   void RequestRunCheck(Time now, const ServerId& id);
+  // Polls the servers of the last tasks of a step without delay: the next step
+  // or the completion of the job waits for their ends.
+  void ExpediteLastTasks(Time now,
+                         Job& job,
+                         Occurrence& occurrence,
+                         uint32_t step);
   // Minimum time between two polls of a busy server.
-  Duration PollInterval() const;
+  Duration PollInterval(const ServerState& server) const;
   // Updates the server's failure score and slowness and the queue's run time
   // ratio from a run that succeeded.
   void RecordSuccessfulRun(Time now,
@@ -185,6 +191,7 @@
   JobPoolState& state_;
   std::map<uint64_t, PendingOrder> orders_;  // By tag.
   std::set<JobId> to_close_;                 // Input of CloseResolved().
+  size_t busy_servers_ = 0;  // Servers with runs at the last tick.
   Time last_tick_at_;
   Time next_wake_ = kTimeMax;
 };
--- a/radishmoor/jobs/server_table.cc
+++ b/radishmoor/jobs/server_table.cc
@@ -75,6 +75,7 @@
   if (it == state->runs.end())
     return;
   state->runs.erase(it);
+  std::erase(state->awaited_runs, run);
   state->used -= step.counted_request();
   state->latency_sensitive_runs -= step.tail_limit > Duration::zero() ? 1 : 0;
   state->best_effort_runs -= step.best_effort ? 1 : 0;
--- a/radishmoor/jobs/server_table.h
+++ b/radishmoor/jobs/server_table.h
@@ -70,6 +70,9 @@
   uint32_t latency_sensitive_runs = 0;
   uint32_t best_effort_runs = 0;
   uint32_t long_running_runs = 0;
+  // Those of these runs whose ends the next step of their job, or its
+  // completion, waits for.
+  std::vector<RunRef> awaited_runs;
 
   // The server numbers the ends of its runs (EndedRun::sequence). Highest
   // numbers up to which the ends were applied to the job table, were stored,
--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -103,6 +103,9 @@
   bool task_started = false;
   // Failed runs of each task; UINT32_MAX once a run of the task has succeeded.
   std::map<TaskId, uint32_t> failures;
+  // Number of tasks of each step that have succeeded, and the last success.
+  std::map<uint32_t, std::pair<uint32_t, Time>> successes;
+  std::set<uint32_t> started_steps;
   // When the owner first acknowledged the success of a task to its server.
   std::map<TaskId, Time> acknowledged_done_at;
   Time last_call_at;
@@ -864,6 +867,11 @@
                      " is done");
     }
   }
+  if (caller.started_steps.insert(start.task.step).second &&
+      !step.after.empty()) {
+    ++counts_.following_steps;
+    counts_.step_gaps += now_ - caller.successes[step.after.front()].second;
+  }
   Resources used = step.request;
   for (const auto& [task, run] : server.running) {
     auto owner = callers_.find(task.job);
@@ -889,6 +897,11 @@
   auto caller = callers_.find(task.job);
   if (caller != callers_.end()) {
     uint32_t& failures = caller->second->failures[task];
+    if (end == RunEnd::kDone && failures != UINT32_MAX) {
+      auto& [count, last] = caller->second->successes[task.step];
+      ++count;
+      last = now_;
+    }
     if (end == RunEnd::kDone)
       // The success is recorded at once, because the server may be lost before
       // it reports the end.
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -58,6 +58,10 @@
   uint64_t moved_hosts = 0;       // Moves that were performed.
   // Calls to the host API that were delivered when a cut healed.
   uint64_t delayed_host_calls = 0;
+  // Steps that started after another one, and the sum of the times from the end
+  // of the earlier step at its servers to the first start of the next one.
+  uint64_t following_steps = 0;
+  Duration step_gaps{};
 };
 
 class JobSimulation {
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -202,5 +202,21 @@
   REQUIRE(delayed_calls > 0);
 }
 
+// Guards against ends of runs that the owner of a large pool sees late: servers
+// were polled the more rarely the more of them the pool had, so that most short
+// jobs were late with hundreds of servers. A job may have four steps and has
+// 600 ms for all waiting.
+TEST_CASE("steps follow each other within 150 ms in a large pool",
+          "[simulation]") {
+  JobSimulation simulation(
+      {.seed = 5, .servers_per_pool = 400, .jobs_per_second = 100});
+  simulation.Run(Seconds(10));
+  REQUIRE(simulation.violations().empty());
+  REQUIRE(simulation.counts().following_steps > 300);
+  REQUIRE(simulation.counts().step_gaps /
+              static_cast<int64_t>(simulation.counts().following_steps) <
+          Milliseconds(150));
+}
+
 }  // namespace
 }  // namespace radishmoor
