Pause before a refused acquisition of a lease is repeated

Cause: a process that found a lease expired and whose transaction the store refused (429, 503) read the row and tried again at once, about 90 times a second. Change: 300 ms between a refused acquisition and the next reading.

--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -22,6 +22,8 @@
 constexpr Duration kReadPeriod = Milliseconds(300);
 constexpr Duration kReadTimeout = Milliseconds(800);
 constexpr Duration kAcquireTimeout = Milliseconds(1200);
+// An acquisition that the store refused is repeated after this time.
+constexpr Duration kRefusedAcquireDelay = Milliseconds(300);
 // After a store outage an owner repeats its failed commit, which renews the
 // lease, within this time.
 constexpr Duration kStoreRecoveryGrace = Milliseconds(500);
@@ -108,6 +110,8 @@
       // The commit failed or its outcome is unknown. The next read shows who
       // holds the lease.
       watched.next_read = now;
+      if (std::holds_alternative<UnavailableReply>(answer.reply))
+        watched.next_read += kRefusedAcquireDelay;
       watched.row_read = false;
     }
     return true;
