Bound the log lines about runs and keep job ids in place

Cause: on the owner of a large pool, two log lines for each run took about a tenth of its processor time, and the ids of jobs (16 characters, one more than std::string holds in place) were allocated with each copy of a run's key. Change: above 200 lines a second in a pool, lines about starts and usual ends are kept for every 16th job only; the number left out is in pool-load. Unusual ends, stops and lines about jobs are always kept. JobId is stored in place.

--- a/radishmoor/base/ids.h
+++ b/radishmoor/base/ids.h
@@ -10,8 +10,11 @@
 #ifndef RADISHMOOR_BASE_IDS_H_
 #define RADISHMOOR_BASE_IDS_H_
 
+#include <algorithm>
+#include <array>
 #include <compare>
 #include <cstdint>
+#include <cstring>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -38,6 +41,43 @@
   std::string value_;
 };
 
+// A short name that is copied and compared often, for example in the key of
+// each run of a task. It is stored in place, so that copies allocate nothing. A
+// name that is longer than kMaxShortIdBytes or contains a zero byte becomes the
+// empty name.
+inline constexpr size_t kMaxShortIdBytes = 23;
+
+template <typename Tag>
+class ShortId {
+ public:
+  ShortId() = default;
+  explicit ShortId(std::string_view value) {
+    if (value.size() <= kMaxShortIdBytes &&
+        value.find('\0') == std::string_view::npos)
+      std::copy(value.begin(), value.end(), bytes_.begin());
+  }
+  explicit ShortId(const std::string& value)
+      : ShortId(std::string_view(value)) {}
+  explicit ShortId(const char* value) : ShortId(std::string_view(value)) {}
+
+  std::string str() const { return std::string(view()); }
+  // Valid as long as this object exists and does not change.
+  std::string_view view() const { return bytes_.data(); }
+  bool empty() const { return bytes_[0] == '\0'; }
+
+  // Orders by bytes, as NameId does.
+  friend std::strong_ordering operator<=>(const ShortId& a, const ShortId& b) {
+    return std::memcmp(a.bytes_.data(), b.bytes_.data(), sizeof(bytes_)) <=> 0;
+  }
+  friend bool operator==(const ShortId& a, const ShortId& b) {
+    return std::memcmp(a.bytes_.data(), b.bytes_.data(), sizeof(bytes_)) == 0;
+  }
+
+ private:
+  // Zero bytes fill the rest.
+  std::array<char, kMaxShortIdBytes + 1> bytes_{};
+};
+
 // A number that a process assigns from a counter or a random source.
 template <typename Tag>
 struct NumberId {
@@ -86,6 +126,13 @@
   }
 };
 
+template <typename Tag>
+struct std::hash<radishmoor::ShortId<Tag>> {
+  size_t operator()(const radishmoor::ShortId<Tag>& id) const noexcept {
+    return std::hash<std::string_view>{}(id.view());
+  }
+};
+
 template <typename Tag>
 struct std::hash<radishmoor::NumberId<Tag>> {
   size_t operator()(const radishmoor::NumberId<Tag>& id) const noexcept {
--- a/radishmoor/jobs/job.h
+++ b/radishmoor/jobs/job.h
@@ -25,7 +25,7 @@
 namespace radishmoor {
 
 // The caller chooses the id of a job; it is unique over all queues.
-using JobId = NameId<struct JobIdTag>;
+using JobId = ShortId<struct JobIdTag>;
 using QueueId = NameId<struct QueueIdTag>;
 // Id of a backend server. A host that reboots or changes its pool comes back
 // under another id; a server that crashed may return under the same id, as
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -636,6 +636,7 @@
        {"starts", static_cast<int64_t>(state_.counters.starts)},
        {"looks", static_cast<int64_t>(state_.counters.server_polls)},
        {"commits", static_cast<int64_t>(state_.counters.commits)},
+       {"run_lines_omitted", static_cast<int64_t>(state_.run_log.omitted())},
        {"renewed_age_ms", WholeMilliseconds(renewed_age(now))}});
 }
 
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -15,6 +15,7 @@
 #include "radishmoor/jobs/job_table.h"
 #include "radishmoor/jobs/outbox.h"
 #include "radishmoor/jobs/placement_advice_cache.h"
+#include "radishmoor/jobs/run_log_sampler.h"
 #include "radishmoor/jobs/server_table.h"
 
 namespace radishmoor {
@@ -85,6 +86,7 @@
   // Runs in the phase kPlanned that no commit contains yet.
   std::map<JobId, std::vector<RunRef>> planned;
   PoolCounters counters;
+  RunLogSampler run_log;
   // A server has seen a successor's token: this process must not send orders
   // any more.
   bool fenced = false;
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -135,6 +135,8 @@
   uint64_t tag = outbox.SendOrder(server->listing.id, server->listing.address,
                                   state_.token, std::move(start));
   orders_[tag] = {OrderKind::kStart, run->server, ref, now};
+  if (!state_.run_log.Keep(now, job.id))
+    return;
   outbox.LogDecision("run-started",
                      {{"task", FormatTask(ref.task)},
                       {"run", static_cast<int64_t>(ref.run)},
@@ -711,12 +713,16 @@
   Run* run = task == nullptr ? nullptr : task->FindRun(ref.run);
   if (run == nullptr)
     return;
-  outbox.LogDecision("run-over",
-                     {{"task", FormatTask(ref.task)},
-                      {"run", static_cast<int64_t>(ref.run)},
-                      {"server", run->server.str()},
-                      {"reason", std::string(reason)},
-                      {"ran_ms", WholeMilliseconds(now - run->start_sent_at)}});
+  // Unusual ends are always logged.
+  if (reason != EndName(RunEnd::kDone) ||
+      state_.run_log.Keep(now, ref.task.job)) {
+    outbox.LogDecision(
+        "run-over", {{"task", FormatTask(ref.task)},
+                     {"run", static_cast<int64_t>(ref.run)},
+                     {"server", run->server.str()},
+                     {"reason", std::string(reason)},
+                     {"ran_ms", WholeMilliseconds(now - run->start_sent_at)}});
+  }
   state_.servers.RemoveRun(run->server, ref, job->StepOf(*task));
   if (job->StepOf(*task).long_running && !task->unavailable_since)
     task->unavailable_since = now;
