--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -142,6 +142,62 @@
   4: i64 token
 }
 
+// An order to a backend server that another process sends on behalf of the
+// pool's owner. `kind` is the index of the order in ServerOrder; each kind uses
+// some of the fields.
+struct RelayedOrder {
+  1: i64 tag
+  2: string server
+  3: string address
+  4: i64 token
+  5: i32 kind
+  6: string task
+  7: i32 run
+  8: string payload
+  9: i64 lease_until
+  10: string checkpoint
+  11: string ticket
+  12: i64 acknowledged
+  13: i64 wait_ms
+  14: i32 pace_percent
+}
+
+struct RunningRun {
+  1: string task
+  2: i32 run
+  3: string checkpoint
+  4: i32 progress_percent
+  5: i64 load
+}
+
+struct EndedRun {
+  1: i64 sequence
+  2: string task
+  3: i32 run
+  4: i32 run_end
+  5: string checkpoint
+}
+
+struct RelayedReply {
+  1: i64 tag
+  2: string server
+  3: i32 outcome
+  4: optional i64 clock_ms
+  5: optional i64 born_ms
+  6: list<RunningRun> running
+  7: list<EndedRun> ended
+}
+
+struct OrderBatch {
+  1: i64 session
+  2: list<RelayedOrder> orders
+}
+
+struct ReplyBatch {
+  1: i64 session
+  2: list<RelayedReply> replies
+}
+
 struct Envelope {
   1: string sender
   2: string address
@@ -151,4 +207,6 @@
   6: optional JobAnswer job_answer
   7: optional VacateRequest vacate_request
   8: optional VacateAnswer vacate_answer
+  9: optional OrderBatch order_batch
+  10: optional ReplyBatch reply_batch
 }
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -3396,6 +3396,1334 @@
 }
 
 
+RelayedOrder::~RelayedOrder() noexcept {
+}
+
+
+void RelayedOrder::__set_tag(const int64_t val) {
+  this->tag = val;
+}
+
+void RelayedOrder::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void RelayedOrder::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void RelayedOrder::__set_token(const int64_t val) {
+  this->token = val;
+}
+
+void RelayedOrder::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void RelayedOrder::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void RelayedOrder::__set_run(const int32_t val) {
+  this->run = val;
+}
+
+void RelayedOrder::__set_payload(const std::string& val) {
+  this->payload = val;
+}
+
+void RelayedOrder::__set_lease_until(const int64_t val) {
+  this->lease_until = val;
+}
+
+void RelayedOrder::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void RelayedOrder::__set_ticket(const std::string& val) {
+  this->ticket = val;
+}
+
+void RelayedOrder::__set_acknowledged(const int64_t val) {
+  this->acknowledged = val;
+}
+
+void RelayedOrder::__set_wait_ms(const int64_t val) {
+  this->wait_ms = val;
+}
+
+void RelayedOrder::__set_pace_percent(const int32_t val) {
+  this->pace_percent = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tag);
+          this->__isset.tag = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token);
+          this->__isset.token = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->payload);
+          this->__isset.payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lease_until);
+          this->__isset.lease_until = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->ticket);
+          this->__isset.ticket = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->acknowledged);
+          this->__isset.acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wait_ms);
+          this->__isset.wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->pace_percent);
+          this->__isset.pace_percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedOrder");
+
+  xfer += oprot->writeFieldBegin("tag", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->tag);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->token);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->payload);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lease_until", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->lease_until);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ticket", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->ticket);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->acknowledged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wait_ms", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pace_percent", ::apache::thrift::protocol::T_I32, 14);
+  xfer += oprot->writeI32(this->pace_percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedOrder &a, RelayedOrder &b) {
+  using ::std::swap;
+  swap(a.tag, b.tag);
+  swap(a.server, b.server);
+  swap(a.address, b.address);
+  swap(a.token, b.token);
+  swap(a.kind, b.kind);
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.payload, b.payload);
+  swap(a.lease_until, b.lease_until);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.ticket, b.ticket);
+  swap(a.acknowledged, b.acknowledged);
+  swap(a.wait_ms, b.wait_ms);
+  swap(a.pace_percent, b.pace_percent);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedOrder::RelayedOrder(const RelayedOrder& other112) {
+  tag = other112.tag;
+  server = other112.server;
+  address = other112.address;
+  token = other112.token;
+  kind = other112.kind;
+  task = other112.task;
+  run = other112.run;
+  payload = other112.payload;
+  lease_until = other112.lease_until;
+  checkpoint = other112.checkpoint;
+  ticket = other112.ticket;
+  acknowledged = other112.acknowledged;
+  wait_ms = other112.wait_ms;
+  pace_percent = other112.pace_percent;
+  __isset = other112.__isset;
+}
+RelayedOrder::RelayedOrder(RelayedOrder&& other113) noexcept {
+  tag = other113.tag;
+  server = std::move(other113.server);
+  address = std::move(other113.address);
+  token = other113.token;
+  kind = other113.kind;
+  task = std::move(other113.task);
+  run = other113.run;
+  payload = std::move(other113.payload);
+  lease_until = other113.lease_until;
+  checkpoint = std::move(other113.checkpoint);
+  ticket = std::move(other113.ticket);
+  acknowledged = other113.acknowledged;
+  wait_ms = other113.wait_ms;
+  pace_percent = other113.pace_percent;
+  __isset = other113.__isset;
+}
+RelayedOrder& RelayedOrder::operator=(const RelayedOrder& other114) {
+  tag = other114.tag;
+  server = other114.server;
+  address = other114.address;
+  token = other114.token;
+  kind = other114.kind;
+  task = other114.task;
+  run = other114.run;
+  payload = other114.payload;
+  lease_until = other114.lease_until;
+  checkpoint = other114.checkpoint;
+  ticket = other114.ticket;
+  acknowledged = other114.acknowledged;
+  wait_ms = other114.wait_ms;
+  pace_percent = other114.pace_percent;
+  __isset = other114.__isset;
+  return *this;
+}
+RelayedOrder& RelayedOrder::operator=(RelayedOrder&& other115) noexcept {
+  tag = other115.tag;
+  server = std::move(other115.server);
+  address = std::move(other115.address);
+  token = other115.token;
+  kind = other115.kind;
+  task = std::move(other115.task);
+  run = other115.run;
+  payload = std::move(other115.payload);
+  lease_until = other115.lease_until;
+  checkpoint = std::move(other115.checkpoint);
+  ticket = std::move(other115.ticket);
+  acknowledged = other115.acknowledged;
+  wait_ms = other115.wait_ms;
+  pace_percent = other115.pace_percent;
+  __isset = other115.__isset;
+  return *this;
+}
+void RelayedOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedOrder(";
+  out << "tag=" << to_string(tag);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "token=" << to_string(token);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "payload=" << to_string(payload);
+  out << ", " << "lease_until=" << to_string(lease_until);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "ticket=" << to_string(ticket);
+  out << ", " << "acknowledged=" << to_string(acknowledged);
+  out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "pace_percent=" << to_string(pace_percent);
+  out << ")";
+}
+
+
+RunningRun::~RunningRun() noexcept {
+}
+
+
+void RunningRun::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void RunningRun::__set_run(const int32_t val) {
+  this->run = val;
+}
+
+void RunningRun::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void RunningRun::__set_progress_percent(const int32_t val) {
+  this->progress_percent = val;
+}
+
+void RunningRun::__set_load(const int64_t val) {
+  this->load = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunningRun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunningRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->progress_percent);
+          this->__isset.progress_percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->load);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunningRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunningRun");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("progress_percent", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->progress_percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunningRun &a, RunningRun &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.progress_percent, b.progress_percent);
+  swap(a.load, b.load);
+  swap(a.__isset, b.__isset);
+}
+
+RunningRun::RunningRun(const RunningRun& other116) {
+  task = other116.task;
+  run = other116.run;
+  checkpoint = other116.checkpoint;
+  progress_percent = other116.progress_percent;
+  load = other116.load;
+  __isset = other116.__isset;
+}
+RunningRun::RunningRun(RunningRun&& other117) noexcept {
+  task = std::move(other117.task);
+  run = other117.run;
+  checkpoint = std::move(other117.checkpoint);
+  progress_percent = other117.progress_percent;
+  load = other117.load;
+  __isset = other117.__isset;
+}
+RunningRun& RunningRun::operator=(const RunningRun& other118) {
+  task = other118.task;
+  run = other118.run;
+  checkpoint = other118.checkpoint;
+  progress_percent = other118.progress_percent;
+  load = other118.load;
+  __isset = other118.__isset;
+  return *this;
+}
+RunningRun& RunningRun::operator=(RunningRun&& other119) noexcept {
+  task = std::move(other119.task);
+  run = other119.run;
+  checkpoint = std::move(other119.checkpoint);
+  progress_percent = other119.progress_percent;
+  load = other119.load;
+  __isset = other119.__isset;
+  return *this;
+}
+void RunningRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunningRun(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "progress_percent=" << to_string(progress_percent);
+  out << ", " << "load=" << to_string(load);
+  out << ")";
+}
+
+
+EndedRun::~EndedRun() noexcept {
+}
+
+
+void EndedRun::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void EndedRun::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void EndedRun::__set_run(const int32_t val) {
+  this->run = val;
+}
+
+void EndedRun::__set_run_end(const int32_t val) {
+  this->run_end = val;
+}
+
+void EndedRun::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndedRun& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndedRun::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->run_end);
+          this->__isset.run_end = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndedRun::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndedRun");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run_end", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->run_end);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndedRun &a, EndedRun &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.run_end, b.run_end);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+EndedRun::EndedRun(const EndedRun& other120) {
+  sequence = other120.sequence;
+  task = other120.task;
+  run = other120.run;
+  run_end = other120.run_end;
+  checkpoint = other120.checkpoint;
+  __isset = other120.__isset;
+}
+EndedRun::EndedRun(EndedRun&& other121) noexcept {
+  sequence = other121.sequence;
+  task = std::move(other121.task);
+  run = other121.run;
+  run_end = other121.run_end;
+  checkpoint = std::move(other121.checkpoint);
+  __isset = other121.__isset;
+}
+EndedRun& EndedRun::operator=(const EndedRun& other122) {
+  sequence = other122.sequence;
+  task = other122.task;
+  run = other122.run;
+  run_end = other122.run_end;
+  checkpoint = other122.checkpoint;
+  __isset = other122.__isset;
+  return *this;
+}
+EndedRun& EndedRun::operator=(EndedRun&& other123) noexcept {
+  sequence = other123.sequence;
+  task = std::move(other123.task);
+  run = other123.run;
+  run_end = other123.run_end;
+  checkpoint = std::move(other123.checkpoint);
+  __isset = other123.__isset;
+  return *this;
+}
+void EndedRun::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndedRun(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "run_end=" << to_string(run_end);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ")";
+}
+
+
+RelayedReply::~RelayedReply() noexcept {
+}
+
+
+void RelayedReply::__set_tag(const int64_t val) {
+  this->tag = val;
+}
+
+void RelayedReply::__set_server(const std::string& val) {
+  this->server = val;
+}
+
+void RelayedReply::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+
+void RelayedReply::__set_clock_ms(const int64_t val) {
+  this->clock_ms = val;
+__isset.clock_ms = true;
+}
+
+void RelayedReply::__set_born_ms(const int64_t val) {
+  this->born_ms = val;
+__isset.born_ms = true;
+}
+
+void RelayedReply::__set_running(const std::vector<RunningRun> & val) {
+  this->running = val;
+}
+
+void RelayedReply::__set_ended(const std::vector<EndedRun> & val) {
+  this->ended = val;
+}
+std::ostream& operator<<(std::ostream& out, const RelayedReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RelayedReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tag);
+          this->__isset.tag = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->server);
+          this->__isset.server = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_ms);
+          this->__isset.clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born_ms);
+          this->__isset.born_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->running.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
+            {
+              xfer += this->running[_i128].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->ended.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
+            {
+              xfer += this->ended[_i133].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RelayedReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RelayedReply");
+
+  xfer += oprot->writeFieldBegin("tag", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->tag);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("server", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->server);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.clock_ms) {
+    xfer += oprot->writeFieldBegin("clock_ms", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->clock_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.born_ms) {
+    xfer += oprot->writeFieldBegin("born_ms", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->born_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<RunningRun> ::const_iterator _iter134;
+    for (_iter134 = this->running.begin(); _iter134 != this->running.end(); ++_iter134)
+    {
+      xfer += (*_iter134).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
+    std::vector<EndedRun> ::const_iterator _iter135;
+    for (_iter135 = this->ended.begin(); _iter135 != this->ended.end(); ++_iter135)
+    {
+      xfer += (*_iter135).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RelayedReply &a, RelayedReply &b) {
+  using ::std::swap;
+  swap(a.tag, b.tag);
+  swap(a.server, b.server);
+  swap(a.outcome, b.outcome);
+  swap(a.clock_ms, b.clock_ms);
+  swap(a.born_ms, b.born_ms);
+  swap(a.running, b.running);
+  swap(a.ended, b.ended);
+  swap(a.__isset, b.__isset);
+}
+
+RelayedReply::RelayedReply(const RelayedReply& other136) {
+  tag = other136.tag;
+  server = other136.server;
+  outcome = other136.outcome;
+  clock_ms = other136.clock_ms;
+  born_ms = other136.born_ms;
+  running = other136.running;
+  ended = other136.ended;
+  __isset = other136.__isset;
+}
+RelayedReply::RelayedReply(RelayedReply&& other137) noexcept {
+  tag = other137.tag;
+  server = std::move(other137.server);
+  outcome = other137.outcome;
+  clock_ms = other137.clock_ms;
+  born_ms = other137.born_ms;
+  running = std::move(other137.running);
+  ended = std::move(other137.ended);
+  __isset = other137.__isset;
+}
+RelayedReply& RelayedReply::operator=(const RelayedReply& other138) {
+  tag = other138.tag;
+  server = other138.server;
+  outcome = other138.outcome;
+  clock_ms = other138.clock_ms;
+  born_ms = other138.born_ms;
+  running = other138.running;
+  ended = other138.ended;
+  __isset = other138.__isset;
+  return *this;
+}
+RelayedReply& RelayedReply::operator=(RelayedReply&& other139) noexcept {
+  tag = other139.tag;
+  server = std::move(other139.server);
+  outcome = other139.outcome;
+  clock_ms = other139.clock_ms;
+  born_ms = other139.born_ms;
+  running = std::move(other139.running);
+  ended = std::move(other139.ended);
+  __isset = other139.__isset;
+  return *this;
+}
+void RelayedReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RelayedReply(";
+  out << "tag=" << to_string(tag);
+  out << ", " << "server=" << to_string(server);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "clock_ms="; (__isset.clock_ms ? (out << to_string(clock_ms)) : (out << "<null>"));
+  out << ", " << "born_ms="; (__isset.born_ms ? (out << to_string(born_ms)) : (out << "<null>"));
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "ended=" << to_string(ended);
+  out << ")";
+}
+
+
+OrderBatch::~OrderBatch() noexcept {
+}
+
+
+void OrderBatch::__set_session(const int64_t val) {
+  this->session = val;
+}
+
+void OrderBatch::__set_orders(const std::vector<RelayedOrder> & val) {
+  this->orders = val;
+}
+std::ostream& operator<<(std::ostream& out, const OrderBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OrderBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->session);
+          this->__isset.session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->orders.clear();
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->orders.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
+            {
+              xfer += this->orders[_i144].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OrderBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OrderBatch");
+
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
+    std::vector<RelayedOrder> ::const_iterator _iter145;
+    for (_iter145 = this->orders.begin(); _iter145 != this->orders.end(); ++_iter145)
+    {
+      xfer += (*_iter145).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OrderBatch &a, OrderBatch &b) {
+  using ::std::swap;
+  swap(a.session, b.session);
+  swap(a.orders, b.orders);
+  swap(a.__isset, b.__isset);
+}
+
+OrderBatch::OrderBatch(const OrderBatch& other146) {
+  session = other146.session;
+  orders = other146.orders;
+  __isset = other146.__isset;
+}
+OrderBatch::OrderBatch(OrderBatch&& other147) noexcept {
+  session = other147.session;
+  orders = std::move(other147.orders);
+  __isset = other147.__isset;
+}
+OrderBatch& OrderBatch::operator=(const OrderBatch& other148) {
+  session = other148.session;
+  orders = other148.orders;
+  __isset = other148.__isset;
+  return *this;
+}
+OrderBatch& OrderBatch::operator=(OrderBatch&& other149) noexcept {
+  session = other149.session;
+  orders = std::move(other149.orders);
+  __isset = other149.__isset;
+  return *this;
+}
+void OrderBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OrderBatch(";
+  out << "session=" << to_string(session);
+  out << ", " << "orders=" << to_string(orders);
+  out << ")";
+}
+
+
+ReplyBatch::~ReplyBatch() noexcept {
+}
+
+
+void ReplyBatch::__set_session(const int64_t val) {
+  this->session = val;
+}
+
+void ReplyBatch::__set_replies(const std::vector<RelayedReply> & val) {
+  this->replies = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplyBatch& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplyBatch::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->session);
+          this->__isset.session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->replies.clear();
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->replies.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
+            {
+              xfer += this->replies[_i154].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.replies = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplyBatch::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplyBatch");
+
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
+    std::vector<RelayedReply> ::const_iterator _iter155;
+    for (_iter155 = this->replies.begin(); _iter155 != this->replies.end(); ++_iter155)
+    {
+      xfer += (*_iter155).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplyBatch &a, ReplyBatch &b) {
+  using ::std::swap;
+  swap(a.session, b.session);
+  swap(a.replies, b.replies);
+  swap(a.__isset, b.__isset);
+}
+
+ReplyBatch::ReplyBatch(const ReplyBatch& other156) {
+  session = other156.session;
+  replies = other156.replies;
+  __isset = other156.__isset;
+}
+ReplyBatch::ReplyBatch(ReplyBatch&& other157) noexcept {
+  session = other157.session;
+  replies = std::move(other157.replies);
+  __isset = other157.__isset;
+}
+ReplyBatch& ReplyBatch::operator=(const ReplyBatch& other158) {
+  session = other158.session;
+  replies = other158.replies;
+  __isset = other158.__isset;
+  return *this;
+}
+ReplyBatch& ReplyBatch::operator=(ReplyBatch&& other159) noexcept {
+  session = other159.session;
+  replies = std::move(other159.replies);
+  __isset = other159.__isset;
+  return *this;
+}
+void ReplyBatch::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplyBatch(";
+  out << "session=" << to_string(session);
+  out << ", " << "replies=" << to_string(replies);
+  out << ")";
+}
+
+
 Envelope::~Envelope() noexcept {
 }
 
@@ -3437,6 +4765,16 @@
   this->vacate_answer = val;
 __isset.vacate_answer = true;
 }
+
+void Envelope::__set_order_batch(const OrderBatch& val) {
+  this->order_batch = val;
+__isset.order_batch = true;
+}
+
+void Envelope::__set_reply_batch(const ReplyBatch& val) {
+  this->reply_batch = val;
+__isset.reply_batch = true;
+}
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
   obj.printTo(out);
@@ -3529,6 +4867,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->order_batch.read(iprot);
+          this->__isset.order_batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->reply_batch.read(iprot);
+          this->__isset.reply_batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3584,6 +4938,16 @@
     xfer += this->vacate_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.order_batch) {
+    xfer += oprot->writeFieldBegin("order_batch", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->order_batch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.reply_batch) {
+    xfer += oprot->writeFieldBegin("reply_batch", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->reply_batch.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3599,53 +4963,63 @@
   swap(a.job_answer, b.job_answer);
   swap(a.vacate_request, b.vacate_request);
   swap(a.vacate_answer, b.vacate_answer);
+  swap(a.order_batch, b.order_batch);
+  swap(a.reply_batch, b.reply_batch);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other112) {
-  sender = other112.sender;
-  address = other112.address;
-  owner_beat = other112.owner_beat;
-  job_notice = other112.job_notice;
-  job_query = other112.job_query;
-  job_answer = other112.job_answer;
-  vacate_request = other112.vacate_request;
-  vacate_answer = other112.vacate_answer;
-  __isset = other112.__isset;
-}
-Envelope::Envelope(Envelope&& other113) noexcept {
-  sender = std::move(other113.sender);
-  address = std::move(other113.address);
-  owner_beat = std::move(other113.owner_beat);
-  job_notice = std::move(other113.job_notice);
-  job_query = std::move(other113.job_query);
-  job_answer = std::move(other113.job_answer);
-  vacate_request = std::move(other113.vacate_request);
-  vacate_answer = std::move(other113.vacate_answer);
-  __isset = other113.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other114) {
-  sender = other114.sender;
-  address = other114.address;
-  owner_beat = other114.owner_beat;
-  job_notice = other114.job_notice;
-  job_query = other114.job_query;
-  job_answer = other114.job_answer;
-  vacate_request = other114.vacate_request;
-  vacate_answer = other114.vacate_answer;
-  __isset = other114.__isset;
+Envelope::Envelope(const Envelope& other160) {
+  sender = other160.sender;
+  address = other160.address;
+  owner_beat = other160.owner_beat;
+  job_notice = other160.job_notice;
+  job_query = other160.job_query;
+  job_answer = other160.job_answer;
+  vacate_request = other160.vacate_request;
+  vacate_answer = other160.vacate_answer;
+  order_batch = other160.order_batch;
+  reply_batch = other160.reply_batch;
+  __isset = other160.__isset;
+}
+Envelope::Envelope(Envelope&& other161) noexcept {
+  sender = std::move(other161.sender);
+  address = std::move(other161.address);
+  owner_beat = std::move(other161.owner_beat);
+  job_notice = std::move(other161.job_notice);
+  job_query = std::move(other161.job_query);
+  job_answer = std::move(other161.job_answer);
+  vacate_request = std::move(other161.vacate_request);
+  vacate_answer = std::move(other161.vacate_answer);
+  order_batch = std::move(other161.order_batch);
+  reply_batch = std::move(other161.reply_batch);
+  __isset = other161.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other162) {
+  sender = other162.sender;
+  address = other162.address;
+  owner_beat = other162.owner_beat;
+  job_notice = other162.job_notice;
+  job_query = other162.job_query;
+  job_answer = other162.job_answer;
+  vacate_request = other162.vacate_request;
+  vacate_answer = other162.vacate_answer;
+  order_batch = other162.order_batch;
+  reply_batch = other162.reply_batch;
+  __isset = other162.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other115) noexcept {
-  sender = std::move(other115.sender);
-  address = std::move(other115.address);
-  owner_beat = std::move(other115.owner_beat);
-  job_notice = std::move(other115.job_notice);
-  job_query = std::move(other115.job_query);
-  job_answer = std::move(other115.job_answer);
-  vacate_request = std::move(other115.vacate_request);
-  vacate_answer = std::move(other115.vacate_answer);
-  __isset = other115.__isset;
+Envelope& Envelope::operator=(Envelope&& other163) noexcept {
+  sender = std::move(other163.sender);
+  address = std::move(other163.address);
+  owner_beat = std::move(other163.owner_beat);
+  job_notice = std::move(other163.job_notice);
+  job_query = std::move(other163.job_query);
+  job_answer = std::move(other163.job_answer);
+  vacate_request = std::move(other163.vacate_request);
+  vacate_answer = std::move(other163.vacate_answer);
+  order_batch = std::move(other163.order_batch);
+  reply_batch = std::move(other163.reply_batch);
+  __isset = other163.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -3659,6 +5033,8 @@
   out << ", " << "job_answer="; (__isset.job_answer ? (out << to_string(job_answer)) : (out << "<null>"));
   out << ", " << "vacate_request="; (__isset.vacate_request ? (out << to_string(vacate_request)) : (out << "<null>"));
   out << ", " << "vacate_answer="; (__isset.vacate_answer ? (out << to_string(vacate_answer)) : (out << "<null>"));
+  out << ", " << "order_batch="; (__isset.order_batch ? (out << to_string(order_batch)) : (out << "<null>"));
+  out << ", " << "reply_batch="; (__isset.reply_batch ? (out << to_string(reply_batch)) : (out << "<null>"));
   out << ")";
 }
 
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -53,6 +53,18 @@
 
 class VacateAnswer;
 
+class RelayedOrder;
+
+class RunningRun;
+
+class EndedRun;
+
+class RelayedReply;
+
+class OrderBatch;
+
+class ReplyBatch;
+
 class Envelope;
 
 typedef struct _Step__isset {
@@ -1277,8 +1289,481 @@
 
 std::ostream& operator<<(std::ostream& out, const VacateAnswer& obj);
 
+typedef struct _RelayedOrder__isset {
+  _RelayedOrder__isset() : tag(false), server(false), address(false), token(false), kind(false), task(false), run(false), payload(false), lease_until(false), checkpoint(false), ticket(false), acknowledged(false), wait_ms(false), pace_percent(false) {}
+  bool tag :1;
+  bool server :1;
+  bool address :1;
+  bool token :1;
+  bool kind :1;
+  bool task :1;
+  bool run :1;
+  bool payload :1;
+  bool lease_until :1;
+  bool checkpoint :1;
+  bool ticket :1;
+  bool acknowledged :1;
+  bool wait_ms :1;
+  bool pace_percent :1;
+} _RelayedOrder__isset;
+
+class RelayedOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedOrder(const RelayedOrder&);
+  RelayedOrder(RelayedOrder&&) noexcept;
+  RelayedOrder& operator=(const RelayedOrder&);
+  RelayedOrder& operator=(RelayedOrder&&) noexcept;
+  RelayedOrder() noexcept
+               : tag(0),
+                 server(),
+                 address(),
+                 token(0),
+                 kind(0),
+                 task(),
+                 run(0),
+                 payload(),
+                 lease_until(0),
+                 checkpoint(),
+                 ticket(),
+                 acknowledged(0),
+                 wait_ms(0),
+                 pace_percent(0) {
+  }
+
+  virtual ~RelayedOrder() noexcept;
+  int64_t tag;
+  std::string server;
+  std::string address;
+  int64_t token;
+  int32_t kind;
+  std::string task;
+  int32_t run;
+  std::string payload;
+  int64_t lease_until;
+  std::string checkpoint;
+  std::string ticket;
+  int64_t acknowledged;
+  int64_t wait_ms;
+  int32_t pace_percent;
+
+  _RelayedOrder__isset __isset;
+
+  void __set_tag(const int64_t val);
+
+  void __set_server(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_token(const int64_t val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int32_t val);
+
+  void __set_payload(const std::string& val);
+
+  void __set_lease_until(const int64_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_ticket(const std::string& val);
+
+  void __set_acknowledged(const int64_t val);
+
+  void __set_wait_ms(const int64_t val);
+
+  void __set_pace_percent(const int32_t val);
+
+  bool operator == (const RelayedOrder & rhs) const
+  {
+    if (!(tag == rhs.tag))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(token == rhs.token))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(payload == rhs.payload))
+      return false;
+    if (!(lease_until == rhs.lease_until))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(ticket == rhs.ticket))
+      return false;
+    if (!(acknowledged == rhs.acknowledged))
+      return false;
+    if (!(wait_ms == rhs.wait_ms))
+      return false;
+    if (!(pace_percent == rhs.pace_percent))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedOrder &a, RelayedOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedOrder& obj);
+
+typedef struct _RunningRun__isset {
+  _RunningRun__isset() : task(false), run(false), checkpoint(false), progress_percent(false), load(false) {}
+  bool task :1;
+  bool run :1;
+  bool checkpoint :1;
+  bool progress_percent :1;
+  bool load :1;
+} _RunningRun__isset;
+
+class RunningRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunningRun(const RunningRun&);
+  RunningRun(RunningRun&&) noexcept;
+  RunningRun& operator=(const RunningRun&);
+  RunningRun& operator=(RunningRun&&) noexcept;
+  RunningRun() noexcept
+             : task(),
+               run(0),
+               checkpoint(),
+               progress_percent(0),
+               load(0) {
+  }
+
+  virtual ~RunningRun() noexcept;
+  std::string task;
+  int32_t run;
+  std::string checkpoint;
+  int32_t progress_percent;
+  int64_t load;
+
+  _RunningRun__isset __isset;
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int32_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_progress_percent(const int32_t val);
+
+  void __set_load(const int64_t val);
+
+  bool operator == (const RunningRun & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(progress_percent == rhs.progress_percent))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const RunningRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunningRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunningRun &a, RunningRun &b);
+
+std::ostream& operator<<(std::ostream& out, const RunningRun& obj);
+
+typedef struct _EndedRun__isset {
+  _EndedRun__isset() : sequence(false), task(false), run(false), run_end(false), checkpoint(false) {}
+  bool sequence :1;
+  bool task :1;
+  bool run :1;
+  bool run_end :1;
+  bool checkpoint :1;
+} _EndedRun__isset;
+
+class EndedRun : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndedRun(const EndedRun&);
+  EndedRun(EndedRun&&) noexcept;
+  EndedRun& operator=(const EndedRun&);
+  EndedRun& operator=(EndedRun&&) noexcept;
+  EndedRun() noexcept
+           : sequence(0),
+             task(),
+             run(0),
+             run_end(0),
+             checkpoint() {
+  }
+
+  virtual ~EndedRun() noexcept;
+  int64_t sequence;
+  std::string task;
+  int32_t run;
+  int32_t run_end;
+  std::string checkpoint;
+
+  _EndedRun__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int32_t val);
+
+  void __set_run_end(const int32_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const EndedRun & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(run_end == rhs.run_end))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const EndedRun &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndedRun & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndedRun &a, EndedRun &b);
+
+std::ostream& operator<<(std::ostream& out, const EndedRun& obj);
+
+typedef struct _RelayedReply__isset {
+  _RelayedReply__isset() : tag(false), server(false), outcome(false), clock_ms(false), born_ms(false), running(false), ended(false) {}
+  bool tag :1;
+  bool server :1;
+  bool outcome :1;
+  bool clock_ms :1;
+  bool born_ms :1;
+  bool running :1;
+  bool ended :1;
+} _RelayedReply__isset;
+
+class RelayedReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  RelayedReply(const RelayedReply&);
+  RelayedReply(RelayedReply&&) noexcept;
+  RelayedReply& operator=(const RelayedReply&);
+  RelayedReply& operator=(RelayedReply&&) noexcept;
+  RelayedReply() noexcept
+               : tag(0),
+                 server(),
+                 outcome(0),
+                 clock_ms(0),
+                 born_ms(0) {
+  }
+
+  virtual ~RelayedReply() noexcept;
+  int64_t tag;
+  std::string server;
+  int32_t outcome;
+  int64_t clock_ms;
+  int64_t born_ms;
+  std::vector<RunningRun>  running;
+  std::vector<EndedRun>  ended;
+
+  _RelayedReply__isset __isset;
+
+  void __set_tag(const int64_t val);
+
+  void __set_server(const std::string& val);
+
+  void __set_outcome(const int32_t val);
+
+  void __set_clock_ms(const int64_t val);
+
+  void __set_born_ms(const int64_t val);
+
+  void __set_running(const std::vector<RunningRun> & val);
+
+  void __set_ended(const std::vector<EndedRun> & val);
+
+  bool operator == (const RelayedReply & rhs) const
+  {
+    if (!(tag == rhs.tag))
+      return false;
+    if (!(server == rhs.server))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (__isset.clock_ms != rhs.__isset.clock_ms)
+      return false;
+    else if (__isset.clock_ms && !(clock_ms == rhs.clock_ms))
+      return false;
+    if (__isset.born_ms != rhs.__isset.born_ms)
+      return false;
+    else if (__isset.born_ms && !(born_ms == rhs.born_ms))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    return true;
+  }
+  bool operator != (const RelayedReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RelayedReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RelayedReply &a, RelayedReply &b);
+
+std::ostream& operator<<(std::ostream& out, const RelayedReply& obj);
+
+typedef struct _OrderBatch__isset {
+  _OrderBatch__isset() : session(false), orders(false) {}
+  bool session :1;
+  bool orders :1;
+} _OrderBatch__isset;
+
+class OrderBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  OrderBatch(const OrderBatch&);
+  OrderBatch(OrderBatch&&) noexcept;
+  OrderBatch& operator=(const OrderBatch&);
+  OrderBatch& operator=(OrderBatch&&) noexcept;
+  OrderBatch() noexcept
+             : session(0) {
+  }
+
+  virtual ~OrderBatch() noexcept;
+  int64_t session;
+  std::vector<RelayedOrder>  orders;
+
+  _OrderBatch__isset __isset;
+
+  void __set_session(const int64_t val);
+
+  void __set_orders(const std::vector<RelayedOrder> & val);
+
+  bool operator == (const OrderBatch & rhs) const
+  {
+    if (!(session == rhs.session))
+      return false;
+    if (!(orders == rhs.orders))
+      return false;
+    return true;
+  }
+  bool operator != (const OrderBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OrderBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OrderBatch &a, OrderBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const OrderBatch& obj);
+
+typedef struct _ReplyBatch__isset {
+  _ReplyBatch__isset() : session(false), replies(false) {}
+  bool session :1;
+  bool replies :1;
+} _ReplyBatch__isset;
+
+class ReplyBatch : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplyBatch(const ReplyBatch&);
+  ReplyBatch(ReplyBatch&&) noexcept;
+  ReplyBatch& operator=(const ReplyBatch&);
+  ReplyBatch& operator=(ReplyBatch&&) noexcept;
+  ReplyBatch() noexcept
+             : session(0) {
+  }
+
+  virtual ~ReplyBatch() noexcept;
+  int64_t session;
+  std::vector<RelayedReply>  replies;
+
+  _ReplyBatch__isset __isset;
+
+  void __set_session(const int64_t val);
+
+  void __set_replies(const std::vector<RelayedReply> & val);
+
+  bool operator == (const ReplyBatch & rhs) const
+  {
+    if (!(session == rhs.session))
+      return false;
+    if (!(replies == rhs.replies))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplyBatch &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplyBatch & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplyBatch &a, ReplyBatch &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplyBatch& obj);
+
 typedef struct _Envelope__isset {
-  _Envelope__isset() : sender(false), address(false), owner_beat(false), job_notice(false), job_query(false), job_answer(false), vacate_request(false), vacate_answer(false) {}
+  _Envelope__isset() : sender(false), address(false), owner_beat(false), job_notice(false), job_query(false), job_answer(false), vacate_request(false), vacate_answer(false), order_batch(false), reply_batch(false) {}
   bool sender :1;
   bool address :1;
   bool owner_beat :1;
@@ -1287,6 +1772,8 @@
   bool job_answer :1;
   bool vacate_request :1;
   bool vacate_answer :1;
+  bool order_batch :1;
+  bool reply_batch :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1310,6 +1797,8 @@
   JobAnswer job_answer;
   VacateRequest vacate_request;
   VacateAnswer vacate_answer;
+  OrderBatch order_batch;
+  ReplyBatch reply_batch;
 
   _Envelope__isset __isset;
 
@@ -1329,6 +1818,10 @@
 
   void __set_vacate_answer(const VacateAnswer& val);
 
+  void __set_order_batch(const OrderBatch& val);
+
+  void __set_reply_batch(const ReplyBatch& val);
+
   bool operator == (const Envelope & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -1359,6 +1852,14 @@
       return false;
     else if (__isset.vacate_answer && !(vacate_answer == rhs.vacate_answer))
       return false;
+    if (__isset.order_batch != rhs.__isset.order_batch)
+      return false;
+    else if (__isset.order_batch && !(order_batch == rhs.order_batch))
+      return false;
+    if (__isset.reply_batch != rhs.__isset.reply_batch)
+      return false;
+    else if (__isset.reply_batch && !(reply_batch == rhs.reply_batch))
+      return false;
     return true;
   }
   bool operator != (const Envelope &rhs) const {
--- a/radishmoor/jobs/job_peer_codec.cc
+++ b/radishmoor/jobs/job_peer_codec.cc
@@ -81,6 +81,176 @@
   envelope.__set_vacate_answer(wire);
 }
 
+// Values of RelayedOrder::kind.
+enum OrderKind : int32_t { kStart = 0, kStop = 1, kPoll = 2, kPace = 3 };
+
+jobs_wire::RelayedOrder OrderToWire(const OrderToServer& order) {
+  jobs_wire::RelayedOrder wire;
+  wire.tag = static_cast<int64_t>(order.tag);
+  wire.server = order.server.str();
+  wire.address = order.address;
+  wire.token = static_cast<int64_t>(order.token);
+  if (const auto* start = std::get_if<StartRun>(&order.order)) {
+    wire.kind = kStart;
+    wire.task = FormatTask(start->task);
+    wire.run = static_cast<int32_t>(start->run);
+    wire.payload = start->payload;
+    wire.lease_until = start->lease_until;
+    wire.checkpoint = start->checkpoint;
+    wire.ticket = start->ticket;
+  } else if (const auto* stop = std::get_if<StopRun>(&order.order)) {
+    wire.kind = kStop;
+    wire.task = FormatTask(stop->task);
+    wire.run = static_cast<int32_t>(stop->run);
+  } else if (const auto* server_poll = std::get_if<PollServer>(&order.order)) {
+    wire.kind = kPoll;
+    wire.lease_until = server_poll->lease_until;
+    wire.acknowledged = static_cast<int64_t>(server_poll->acknowledged);
+    wire.wait_ms = WholeMilliseconds(server_poll->wait);
+  } else if (const auto* pace = std::get_if<PaceRun>(&order.order)) {
+    wire.kind = kPace;
+    wire.task = FormatTask(pace->task);
+    wire.run = static_cast<int32_t>(pace->run);
+    wire.pace_percent = static_cast<int32_t>(pace->pace_percent);
+  }
+  return wire;
+}
+
+std::optional<OrderToServer> OrderFromWire(
+    const jobs_wire::RelayedOrder& wire) {
+  OrderToServer order;
+  order.tag = static_cast<uint64_t>(wire.tag);
+  order.server = ServerId(wire.server);
+  order.address = wire.address;
+  order.token = static_cast<FencingToken>(wire.token);
+  if (wire.kind == kPoll) {
+    order.order =
+        PollServer{wire.lease_until, static_cast<uint64_t>(wire.acknowledged),
+                   Milliseconds(wire.wait_ms)};
+    return order;
+  }
+  std::optional<TaskId> task = ParseTask(wire.task);
+  if (!task || wire.run < 0)
+    return std::nullopt;
+  auto run = static_cast<RunNumber>(wire.run);
+  switch (wire.kind) {
+    case kStart:
+      order.order =
+          StartRun{*task,           run,        wire.payload, wire.lease_until,
+                   wire.checkpoint, wire.ticket};
+      return order;
+    case kStop:
+      order.order = StopRun{*task, run};
+      return order;
+    case kPace:
+      if (wire.pace_percent < 0 || wire.pace_percent > 100)
+        return std::nullopt;
+      order.order =
+          PaceRun{*task, run, static_cast<uint32_t>(wire.pace_percent)};
+      return order;
+    default:
+      return std::nullopt;
+  }
+}
+
+jobs_wire::RelayedReply ReplyToWire(const ServerReply& reply) {
+  jobs_wire::RelayedReply wire;
+  wire.tag = static_cast<int64_t>(reply.tag);
+  wire.server = reply.server.str();
+  wire.outcome = static_cast<int32_t>(reply.outcome);
+  if (reply.clock)
+    wire.__set_clock_ms(*reply.clock);
+  if (reply.incarnation_started_at)
+    wire.__set_born_ms(*reply.incarnation_started_at);
+  for (const RunningTask& running : reply.running) {
+    jobs_wire::RunningRun run;
+    run.task = FormatTask(running.task);
+    run.run = static_cast<int32_t>(running.run);
+    run.checkpoint = running.checkpoint;
+    run.progress_percent = static_cast<int32_t>(running.progress_percent);
+    run.load = running.load;
+    wire.running.push_back(std::move(run));
+  }
+  for (const EndedRun& ended : reply.ended) {
+    jobs_wire::EndedRun run;
+    run.sequence = static_cast<int64_t>(ended.sequence);
+    run.task = FormatTask(ended.task);
+    run.run = static_cast<int32_t>(ended.run);
+    run.run_end = static_cast<int32_t>(ended.end);
+    run.checkpoint = ended.checkpoint;
+    wire.ended.push_back(std::move(run));
+  }
+  return wire;
+}
+
+std::optional<ServerReply> ReplyFromWire(const jobs_wire::RelayedReply& wire) {
+  if (wire.outcome < 0 ||
+      wire.outcome > static_cast<int>(OrderOutcome::kUnanswered))
+    return std::nullopt;
+  ServerReply reply;
+  reply.tag = static_cast<uint64_t>(wire.tag);
+  reply.server = ServerId(wire.server);
+  reply.outcome = static_cast<OrderOutcome>(wire.outcome);
+  if (wire.__isset.clock_ms)
+    reply.clock = wire.clock_ms;
+  if (wire.__isset.born_ms)
+    reply.incarnation_started_at = wire.born_ms;
+  for (const jobs_wire::RunningRun& run : wire.running) {
+    std::optional<TaskId> task = ParseTask(run.task);
+    if (!task || run.run < 0 || run.progress_percent < 0)
+      return std::nullopt;
+    reply.running.push_back(
+        {*task, static_cast<RunNumber>(run.run), run.checkpoint,
+         static_cast<uint32_t>(run.progress_percent), run.load});
+  }
+  for (const jobs_wire::EndedRun& run : wire.ended) {
+    std::optional<TaskId> task = ParseTask(run.task);
+    if (!task || run.run < 0 || run.run_end < 0 ||
+        run.run_end > static_cast<int>(RunEnd::kGangAlone))
+      return std::nullopt;
+    reply.ended.push_back({static_cast<uint64_t>(run.sequence), *task,
+                           static_cast<RunNumber>(run.run),
+                           static_cast<RunEnd>(run.run_end), run.checkpoint});
+  }
+  return reply;
+}
+
+void SetMessage(const OrderBatch& message, jobs_wire::Envelope& envelope) {
+  jobs_wire::OrderBatch wire;
+  wire.session = static_cast<int64_t>(message.session);
+  for (const OrderToServer& order : message.orders)
+    wire.orders.push_back(OrderToWire(order));
+  envelope.__set_order_batch(std::move(wire));
+}
+
+void SetMessage(const ReplyBatch& message, jobs_wire::Envelope& envelope) {
+  jobs_wire::ReplyBatch wire;
+  wire.session = static_cast<int64_t>(message.session);
+  for (const ServerReply& reply : message.replies)
+    wire.replies.push_back(ReplyToWire(reply));
+  envelope.__set_reply_batch(std::move(wire));
+}
+
+// An order or reply that cannot be decoded is left out of its batch. The owner
+// then finds the order unanswered.
+OrderBatch OrderBatchFromWire(const jobs_wire::OrderBatch& wire) {
+  OrderBatch batch{static_cast<uint64_t>(wire.session), {}};
+  for (const jobs_wire::RelayedOrder& wire_order : wire.orders) {
+    if (std::optional<OrderToServer> order = OrderFromWire(wire_order))
+      batch.orders.push_back(std::move(*order));
+  }
+  return batch;
+}
+
+ReplyBatch ReplyBatchFromWire(const jobs_wire::ReplyBatch& wire) {
+  ReplyBatch batch{static_cast<uint64_t>(wire.session), {}};
+  for (const jobs_wire::RelayedReply& wire_reply : wire.replies) {
+    if (std::optional<ServerReply> reply = ReplyFromWire(wire_reply))
+      batch.replies.push_back(std::move(*reply));
+  }
+  return batch;
+}
+
 OwnerHeartbeat HeartbeatFromWire(const jobs_wire::OwnerBeat& wire) {
   OwnerHeartbeat message;
   message.pool = PoolId(wire.pool);
@@ -144,6 +314,10 @@
                         static_cast<VacateState>(wire.state),
                         static_cast<FencingToken>(wire.token)};
   }
+  if (envelope.__isset.order_batch)
+    return OrderBatchFromWire(envelope.order_batch);
+  if (envelope.__isset.reply_batch)
+    return ReplyBatchFromWire(envelope.reply_batch);
   return std::nullopt;
 }
 
--- a/radishmoor/jobs/messages.h
+++ b/radishmoor/jobs/messages.h
@@ -354,12 +354,31 @@
   FencingToken token = 0;
 };
 
+// Orders that the receiver sends to backend servers on behalf of the sender,
+// the owner of the servers' pool. `session` is the incarnation of the sender,
+// and the tags are its own. A lost batch leaves its orders unanswered. A late
+// one has the same effect as late orders of the owner: each order carries the
+// owner's token, and a start is refused once its lease has passed.
+struct OrderBatch {
+  uint64_t session = 0;
+  std::vector<OrderToServer> orders;
+};
+
+// Answers to the orders of one or more batches with the same session. An answer
+// to an order that the receiver does not wait for any more has no effect.
+struct ReplyBatch {
+  uint64_t session = 0;
+  std::vector<ServerReply> replies;
+};
+
 using JobPeerMessage = std::variant<OwnerHeartbeat,
                                     JobNotice,
                                     JobQuery,
                                     JobAnswer,
                                     VacateRequest,
-                                    VacateAnswer>;
+                                    VacateAnswer,
+                                    OrderBatch,
+                                    ReplyBatch>;
 
 struct SendJobPeer {
   MemberId to;
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -7,8 +7,10 @@
 namespace {
 
 // If operators have changed nothing, the store delays its answer by up to this
-// time, which is short so that a connection without answers is noticed soon.
-constexpr Duration kOperatorWatchWait = Milliseconds(450);
+// share of the time in which a configuration must be in force, so that a
+// connection without answers is noticed and replaced within that time.
+constexpr int64_t kOperatorWatchDivisor = 4;
+constexpr Duration kMaxOperatorWatchWait = Milliseconds(1000);
 // The configuration and all waves are read in full this often, in case a change
 // was missed.
 constexpr Duration kFullOperatorReadPeriod = Seconds(5);
@@ -23,10 +25,15 @@
 constexpr Duration kRegistrationPeriod = Seconds(15);
 constexpr Duration kRegistrationRetryDelay = Milliseconds(300);
 constexpr Duration kNodeScanPeriod = Seconds(4);
+// Period of a process that owns nothing and sends no heartbeats.
+constexpr Duration kIdleNodeScanPeriod = Seconds(10);
 // Period of the scans until a second process is known, and in the first seconds
 // of this process, in which the others of a new site register.
 constexpr Duration kFirstNodeScanPeriod = Milliseconds(500);
 constexpr Duration kFirstNodeScans = Seconds(2);
+// Orders are sent directly again below this share of the rate from which on
+// they are relayed.
+constexpr double kRelayStopShare = 0.4;
 // A pool is handed over only to a process that has registered this recently.
 constexpr Duration kMaxSuccessorRowAge = Seconds(25);
 // A process whose row has not changed for this long counts as gone.
@@ -73,7 +80,12 @@
       request_handler_(options.name,
                        options.incarnation,
                        options.bounds.config_apply,
-                       leases_) {}
+                       leases_),
+      router_({.own_name = options.name,
+               .session = options.incarnation,
+               .start_orders_per_second = options.relay_orders_per_second,
+               .stop_orders_per_second =
+                   kRelayStopShare * options.relay_orders_per_second}) {}
 
 void NodeCore::Start(Time now, WallMillis wall) {
   started_at_ = now;
@@ -131,11 +143,37 @@
 void NodeCore::OnServerReply(Time now,
                              WallMillis wall,
                              const ServerReply& reply) {
+  if (!relay_.OnReply(now, reply))
+    DeliverServerReply(now, reply);
+  RunPendingWork(now, wall);
+}
+
+void NodeCore::DeliverServerReply(Time now, const ServerReply& reply) {
   for (auto& [pool, scheduler] : schedulers_) {
     if (scheduler->OnServerReply(now, reply, outbox_))
-      break;
+      return;
   }
-  RunPendingWork(now, wall);
+}
+
+void NodeCore::RouteOrders(Time now) {
+  for (OrderToServer& order : outbox_.TakeOrders()) {
+    auto zone = server_zones_.find(order.server);
+    bool own = !relay_.IsRelayed(order.tag) && zone != server_zones_.end();
+    if (!own || !router_.Route(now, order, zone->second))
+      outbox_.PutBackOrder(std::move(order));
+  }
+}
+
+void NodeCore::UpdateRelays(Time now) {
+  std::map<MemberId, uint32_t> owners = leases_.LeasesOfOthers(now);
+  std::vector<RelayCandidate> candidates;
+  for (const auto& [name, node] : nodes_) {
+    if (name != options_.name && !node.row.leaving && !owners.contains(name) &&
+        now - node.changed_at < kNodeExpiry)
+      candidates.push_back(
+          {name, node.row.address, node.row.zone, node.row.capacity});
+  }
+  router_.SetRelays(candidates);
 }
 
 void NodeCore::OnServerList(Time now,
@@ -148,6 +186,8 @@
     next_server_list_ = now + kServerListRetryDelay;
   } else {
     servers_ = reply.servers;
+    for (const ServerListing& server : servers_)
+      server_zones_[server.id] = server.zone;
     for (auto& [pool, scheduler] : schedulers_)
       scheduler->OnServerList(now, servers_, outbox_);
   }
@@ -306,6 +346,11 @@
     fleet_has_input_ = true;
     if (fleet_ != nullptr)
       fleet_->OnVacateAnswer(now, *vacated);
+  } else if (const auto* orders = std::get_if<OrderBatch>(&message)) {
+    relay_.OnOrders(now, from, address, *orders, outbox_);
+  } else if (const auto* replies = std::get_if<ReplyBatch>(&message)) {
+    for (const ServerReply& reply : router_.OnReplies(now, from, *replies))
+      DeliverServerReply(now, reply);
   }
 }
 
@@ -365,7 +410,7 @@
           std::make_unique<PoolScheduler>(options, config_, outbox_);
       next_server_list_ = now;
     }
-    next_owner_heartbeat_ = now;
+    next_owner_heartbeat_ = next_node_scan_ = now;
   }
 }
 
@@ -524,8 +569,10 @@
     operator_version_ = 0;
   }
   operator_watch_sent_at_ = now;
-  operator_watch_tag_ =
-      outbox_.WatchOperators(operator_version_, kOperatorWatchWait);
+  operator_watch_tag_ = outbox_.WatchOperators(
+      operator_version_,
+      std::min(options_.bounds.config_apply / kOperatorWatchDivisor,
+               kMaxOperatorWatchWait));
 }
 
 void NodeCore::RegisterNode(Time now) {
@@ -548,7 +595,8 @@
   next_node_scan_ =
       now + (nodes_.size() < 2 || now - started_at_ < kFirstNodeScans
                  ? kFirstNodeScanPeriod
-                 : kNodeScanPeriod);
+             : OwnsAnyPool() ? kNodeScanPeriod
+                             : kIdleNodeScanPeriod);
   ScanRows scan;
   scan.prefix = NodeKey(MemberId());
   node_scan_tag_ = outbox_.CallStore(std::move(scan));
@@ -572,6 +620,7 @@
       live.push_back({node.row.name, node.row.capacity});
   }
   leases_.SetCandidates(live);
+  UpdateRelays(now);
 }
 
 void NodeCore::RefreshServerList(Time now) {
@@ -643,6 +692,8 @@
 
 void NodeCore::RunPendingWork(Time now, WallMillis wall) {
   next_wake_ = kTimeMax;
+  for (const ServerReply& reply : router_.TakeLost(now))
+    DeliverServerReply(now, reply);
   leases_.Tick(now, outbox_);
   StartAcquiredPools(now);
   for (auto& [pool, scheduler] : schedulers_)
@@ -664,6 +715,11 @@
   RefreshServerList(now);
   RefreshHostList(now);
   TickShutdown(now);
+  RouteOrders(now);
+  router_.Tick(now, outbox_);
+  relay_.Tick(now, outbox_);
+  Wake(router_.next_wake());
+  Wake(relay_.next_wake());
   Wake(leases_.next_wake());
   Wake(request_handler_.next_wake());
   for (auto& [pool, scheduler] : schedulers_)
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -20,11 +20,14 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "radishmoor/jobs/fleet_coordinator.h"
 #include "radishmoor/jobs/job_peer_codec.h"
 #include "radishmoor/jobs/job_request_handler.h"
+#include "radishmoor/jobs/order_relay.h"
+#include "radishmoor/jobs/order_router.h"
 #include "radishmoor/jobs/ownership_balance.h"
 #include "radishmoor/jobs/pool_leases.h"
 #include "radishmoor/jobs/pool_scheduler.h"
@@ -42,6 +45,8 @@
   PlatformBounds bounds;
   // The process ends within this time after Shutdown().
   Duration grace = Seconds(6);
+  // Rate of orders from which on other processes send them; see OrderRouter.
+  double relay_orders_per_second = OrderRouterOptions{}.start_orders_per_second;
 };
 
 class NodeCore {
@@ -132,6 +137,13 @@
   // Updates store_silent_since_ after a call to the store.
   void RecordStoreAnswer(Time now, bool answered);
   void TickShutdown(Time now);
+  // Gives the answer to the scheduler whose order it answers.
+  void DeliverServerReply(Time now, const ServerReply& reply);
+  // Passes the orders of the owned pools on to relays, as far as the router
+  // decides so.
+  void RouteOrders(Time now);
+  // Tells the router which processes may relay orders.
+  void UpdateRelays(Time now);
   // Hands a pool over to another process if this one is overloaded.
   void BalanceOwnership(Time now);
   std::map<PoolId, PoolOwnerContact> OwnerContacts(Time now) const;
@@ -155,6 +167,8 @@
   // The fleet coordinator has received something since its last Tick().
   bool fleet_has_input_ = false;
   OwnershipBalance balance_;
+  OrderRouter router_;
+  OrderRelay relay_;  // Of other processes' orders.
   std::map<MemberId, Node> nodes_;
   Time started_at_;
 
@@ -171,6 +185,7 @@
   uint64_t server_list_tag_ = 0;
   Time next_server_list_;
   std::vector<ServerListing> servers_;
+  std::unordered_map<ServerId, ZoneId> server_zones_;
   uint64_t host_list_tag_ = 0;
   Time host_list_sent_at_;
   Time next_host_list_;
--- a/radishmoor/jobs/outbox.cc
+++ b/radishmoor/jobs/outbox.cc
@@ -84,6 +84,22 @@
   return messages;
 }
 
+std::vector<OrderToServer> Outbox::TakeOrders() {
+  std::vector<OrderToServer> orders;
+  std::erase_if(actions_, [&orders](JobAction& action) {
+    auto* order = std::get_if<OrderToServer>(&action);
+    if (order == nullptr)
+      return false;
+    orders.push_back(std::move(*order));
+    return true;
+  });
+  return orders;
+}
+
+void Outbox::PutBackOrder(OrderToServer order) {
+  actions_.emplace_back(std::move(order));
+}
+
 std::vector<JobAction> Outbox::TakeAllActions() {
   return std::exchange(actions_, {});
 }
--- a/radishmoor/jobs/outbox.h
+++ b/radishmoor/jobs/outbox.h
@@ -44,6 +44,11 @@
   // they were added.
   std::vector<JobPeerMessage> TakeMessagesTo(const MemberId& to);
 
+  // Removes the orders to servers and returns them in the same way.
+  std::vector<OrderToServer> TakeOrders();
+  // Adds an order that TakeOrders() returned.
+  void PutBackOrder(OrderToServer order);
+
   // Removes all actions and returns them in the order in which they were added.
   std::vector<JobAction> TakeAllActions();
 
--- a/radishmoor/jobs/testing/job_codec_test.cc
+++ b/radishmoor/jobs/testing/job_codec_test.cc
@@ -94,6 +94,65 @@
           notice.spec.payload);
 }
 
+TEST_CASE("decoded batches of orders and replies equal the encoded ones",
+          "[codec]") {
+  TaskId task{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
+  OrderBatch orders{9, {}};
+  for (const ServerOrder& order : std::initializer_list<ServerOrder>{
+           StartRun{task, 4, "payload", 900, "cp", "ticket"}, StopRun{task, 4},
+           PollServer{800, 57, Milliseconds(700)}, PaceRun{task, 4, 35}})
+    orders.orders.push_back(
+        {orders.orders.size() + 1, ServerId("s"), "10.0.0.1:1", 7, order});
+  auto envelope = DecodeJobPeer(EncodeJobPeer({MemberId("n"), "a", orders}));
+  REQUIRE(envelope);
+  const auto& decoded = std::get<OrderBatch>(envelope->message);
+  REQUIRE(decoded.session == 9);
+  REQUIRE(decoded.orders.size() == 4);
+  REQUIRE(decoded.orders[3].tag == 4);
+  REQUIRE(decoded.orders[0].token == 7);
+  const auto& start = std::get<StartRun>(decoded.orders[0].order);
+  REQUIRE(start.task == task);
+  REQUIRE(start.run == 4);
+  REQUIRE(start.payload == "payload");
+  REQUIRE(start.lease_until == 900);
+  REQUIRE(start.checkpoint == "cp");
+  REQUIRE(start.ticket == "ticket");
+  REQUIRE(std::get<StopRun>(decoded.orders[1].order).task == task);
+  const auto& server_poll = std::get<PollServer>(decoded.orders[2].order);
+  REQUIRE(server_poll.lease_until == 800);
+  REQUIRE(server_poll.acknowledged == 57);
+  REQUIRE(server_poll.wait == Milliseconds(700));
+  REQUIRE(std::get<PaceRun>(decoded.orders[3].order).pace_percent == 35);
+
+  ServerReply reply;
+  reply.tag = 12;
+  reply.server = ServerId("s");
+  reply.outcome = OrderOutcome::kNoRoom;
+  reply.clock = 482113;
+  reply.incarnation_started_at = 77;
+  reply.running = {{task, 4, "cp", 41, 12}};
+  reply.ended = {{58, task, 5, RunEnd::kLeaseExpired, "cp2"}};
+  envelope = DecodeJobPeer(
+      EncodeJobPeer({MemberId("n"), "a", ReplyBatch{9, {reply, {}}}}));
+  REQUIRE(envelope);
+  const auto& replies = std::get<ReplyBatch>(envelope->message);
+  REQUIRE(replies.replies.size() == 2);
+  const ServerReply& first = replies.replies[0];
+  REQUIRE(first.tag == 12);
+  REQUIRE(first.outcome == OrderOutcome::kNoRoom);
+  REQUIRE(first.clock == 482113);
+  REQUIRE(first.incarnation_started_at == 77);
+  REQUIRE(first.running[0].task == task);
+  REQUIRE(first.running[0].progress_percent == 41);
+  REQUIRE(first.running[0].load == 12);
+  REQUIRE(first.ended[0].sequence == 58);
+  REQUIRE(first.ended[0].run == 5);
+  REQUIRE(first.ended[0].end == RunEnd::kLeaseExpired);
+  REQUIRE(first.ended[0].checkpoint == "cp2");
+  REQUIRE_FALSE(replies.replies[1].clock);
+  REQUIRE(replies.replies[1].outcome == OrderOutcome::kUnanswered);
+}
+
 // Guards against a process that crashes on malformed rows or messages.
 TEST_CASE("decoders do not throw on arbitrary or truncated bytes", "[codec]") {
   rc::prop("decoders do not throw on arbitrary bytes",
--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -193,6 +193,7 @@
   options.address = node.address;
   options.zone = ZoneId("z");
   options.incarnation = static_cast<uint64_t>(wall());
+  options.relay_orders_per_second = options_.relay_orders_per_second;
   node.core = std::make_unique<NodeCore>(options);
   node.up = true;
   node.wake_at = kTimeMax;
@@ -333,11 +334,14 @@
   bool write = std::holds_alternative<CommitRows>(call.request);
   bool lost = write && random_.Chance(options_.lost_answer_share);
   Duration request_latency = WithStoreSlowdown(RandomLatency());
-  if (lost && random_.Chance(0.3))
-    request_latency =
-        random_.Between(Seconds(1), Seconds(6));  // Performed late.
+  // A request that is performed late does not delay the ones that arrive before
+  // it.
+  bool performed_late = lost && random_.Chance(0.3);
+  if (performed_late)
+    request_latency = random_.Between(Seconds(1), Seconds(6));
   std::optional<Time> done_at =
-      RequestDoneAt(now_ + request_latency, call.request);
+      performed_late ? now_ + request_latency
+                     : RequestDoneAt(now_ + request_latency, call.request);
   if (!done_at) {
     answer(request_latency + WithStoreSlowdown(RandomLatency()),
            UnavailableReply{"busy"});
@@ -584,6 +588,7 @@
     listing.id = server->id;
     listing.pool = server->pool;
     listing.address = server->address;
+    listing.zone = ZoneId("z");
     listing.capacity = server->capacity;
     listing.incarnation_started_at = server->incarnation_started_at;
     listings.push_back(std::move(listing));
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -39,6 +39,8 @@
   double late_order_share = 0;
   // Adds a maintenance wave over every second server's host.
   bool wave = false;
+  // Rate of orders from which on an owner has other nodes send them.
+  double relay_orders_per_second = NodeOptions{}.relay_orders_per_second;
   // If set, returns the processor time that the simulation has used. The time
   // in each node's core is then added up.
   Duration (*processor_time)() = nullptr;
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -40,6 +40,26 @@
   }
 }
 
+// Guards against tasks that run twice or are lost because another process than
+// their owner sends the orders: it may be frozen, cut off or killed with orders
+// in hand.
+TEST_CASE("no invariant is violated under faults when orders are relayed",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    INFO("seed " << seed);
+    JobSimulation simulation({.seed = seed,
+                              .nodes = 6,
+                              .fault_period = Seconds(3),
+                              .lost_answer_share = 0.05,
+                              .late_order_share = 0.03,
+                              .relay_orders_per_second = 0});
+    simulation.Run(Seconds(40));
+    simulation.FinishJobs();
+    RequireNoViolations(simulation);
+    REQUIRE(simulation.counts().completed > 20);
+  }
+}
+
 // Guards against maintenance calls for hosts that still run long-running tasks,
 // or for more hosts at once than the wave allows.
 TEST_CASE("a wave empties each host before its maintenance", "[simulation]") {
--- a/radishmoor/jobs/testing/node_core_test.cc
+++ b/radishmoor/jobs/testing/node_core_test.cc
@@ -47,7 +47,7 @@
   void HandleActions() {
     for (const JobAction& action : core_.TakeActions()) {
       if (const auto* watch = std::get_if<WatchOperatorChanges>(&action))
-        open_watch_ = {now + watch->wait, *watch};
+        open_watch_ = {watch->after == 0 ? now : now + watch->wait, *watch};
       if (const auto* answer = std::get_if<JobCallAnswer>(&action))
         answered = {now, answer->outcome};
       if (std::holds_alternative<EndJobProcess>(action))
