Expect the rise of the offered work and keep hosts near a short pool

Meanwhile hosts of idle pools went to standby and had to move twice, and at most 64 hosts of a pool could be taken each 300 ms. Change: the slope of the offered work is extrapolated to the time at which a moved host serves, for work of 24 hosts and more (the slope of fewer jobs is noise). No host goes to standby for 1.5 s after the pools lacked 3% of all hosts. Owners name up to 256 servers that can be emptied; the coordinator counts hosts in one pass.

--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -230,6 +230,11 @@
     }
     hosts_[host.host] = host;
   }
+  hosts_by_server_.clear();
+  for (const auto& [id, host] : hosts_) {
+    if (!host.server.empty())
+      hosts_by_server_[host.server] = id;
+  }
   std::vector<HostId> back;
   for (auto& [id, operation] : host_operations_) {
     auto it = hosts_.find(id);
@@ -486,6 +491,26 @@
 std::vector<PoolSizingInput> FleetCoordinator::MakeSizingInputs(
     Time now,
     const std::map<PoolId, PoolOwnerContact>& contacts) const {
+  struct HostCounts {
+    uint32_t hosts = 0;
+    uint32_t leaving = 0;
+    double cores_per_host = 1;
+  };
+  std::map<PoolId, HostCounts> counts;
+  for (const auto& [id, host] : hosts_) {
+    if (host.state == ListedHostState::kDown)
+      continue;
+    auto operation = host_operations_.find(id);
+    bool is_move = operation != host_operations_.end() &&
+                   operation->second.kind == HostOperationKind::kMove;
+    bool emptying = is_move && operation->second.stage == Stage::kEmptying;
+    HostCounts& pool =
+        counts[is_move && !emptying ? operation->second.target_pool
+                                    : host.pool];
+    ++pool.hosts;
+    pool.leaving += emptying ? 1 : 0;
+    pool.cores_per_host = static_cast<double>(host.capacity.cpu_millis) / 1000;
+  }
   std::vector<PoolSizingInput> sizes;
   for (const PoolConfig& config : config_.pools) {
     PoolSizingInput size;
@@ -493,22 +518,10 @@
     size.standby = config.standby;
     auto contact = contacts.find(config.id);
     size.figures_recent = contact != contacts.end();
-    for (const auto& [id, host] : hosts_) {
-      auto operation = host_operations_.find(id);
-      bool is_move = operation != host_operations_.end() &&
-                     operation->second.kind == HostOperationKind::kMove;
-      const PoolId& pool =
-          is_move && operation->second.stage != Stage::kEmptying
-              ? operation->second.target_pool
-              : host.pool;
-      if (pool != config.id || host.state == ListedHostState::kDown)
-        continue;
-      ++size.hosts;
-      size.cores_per_host =
-          static_cast<double>(host.capacity.cpu_millis) / 1000;
-      size.leaving_hosts +=
-          is_move && operation->second.stage == Stage::kEmptying ? 1 : 0;
-    }
+    const HostCounts& pool = counts[config.id];
+    size.hosts = pool.hosts;
+    size.leaving_hosts = pool.leaving;
+    size.cores_per_host = pool.cores_per_host;
     if (size.figures_recent) {
       size.demand_cores = contact->second.heartbeat.demand_cores;
       size.offered_cores = contact->second.heartbeat.offered_cores;
@@ -552,11 +565,13 @@
   if (contact == contacts.end())
     return movable;
   for (const ServerId& server : contact->second.heartbeat.spare_servers) {
-    for (const auto& [id, host] : hosts_) {
-      if (movable.size() < count && host.server == server &&
-          host.pool == pool && usable(id, host))
-        movable.push_back(id);
-    }
+    auto found = hosts_by_server_.find(server);
+    if (movable.size() >= count || found == hosts_by_server_.end())
+      continue;
+    const HostId& id = found->second;
+    const HostListing& host = hosts_.at(id);
+    if (host.pool == pool && usable(id, host))
+      movable.push_back(id);
   }
   return movable;
 }
--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -272,6 +272,7 @@
   Time next_scan_at_ = kTimeMax;
 
   std::map<HostId, HostListing> hosts_;
+  std::map<ServerId, HostId> hosts_by_server_;
   std::map<uint64_t, Wave> waves_;
   std::map<HostId, HostOperation> host_operations_;
   FleetSizing sizing_;
--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -26,6 +26,17 @@
 constexpr double kSlopeWeight = 0.3;
 // The expected rise is limited to this share of the demand plus one host.
 constexpr double kMaxRiseShare = 0.5;
+// The expected rise of the offered work is limited to this share of it. A peak
+// rises to its height within a few seconds.
+constexpr double kMaxOfferedRiseShare = 1.0;
+// The rise of less work than this many hosts can do is mostly noise, as it
+// comes from few jobs.
+constexpr double kMinRisingHosts = 24;
+// Hosts do not go to standby for kShortageHold after the pools together lacked
+// at least this share of all hosts.
+constexpr double kShortageShare = 0.03;
+constexpr uint32_t kMinShortageHosts = 8;
+constexpr Duration kShortageHold = Milliseconds(1500);
 // A pool keeps at least this many hosts for the first jobs of a peak.
 constexpr uint32_t kMinHostsPerPool = 4;
 // No slope is computed from two samples that are further apart than this.
@@ -33,28 +44,44 @@
 
 }  // namespace
 
-uint32_t FleetSizing::UpdateNeededHosts(Time now, const PoolSizingInput& pool) {
-  DemandHistory& history = history_[pool.pool];
+double FleetSizing::ExpectedCores(Time now,
+                                  const PoolSizingInput& pool,
+                                  DemandHistory& history) {
   double elapsed = ToSeconds(now - history.updated_at);
   if (history.initialized && elapsed > 0 && elapsed < kMaxSampleGapSeconds) {
     double before = history.smoothed_cores;
     history.smoothed_cores += kDemandWeight * (pool.demand_cores - before);
     double slope = (history.smoothed_cores - before) / elapsed;
     history.smoothed_slope += kSlopeWeight * (slope - history.smoothed_slope);
+    double offered_slope =
+        (pool.offered_cores - history.offered_cores) / elapsed;
+    history.offered_slope +=
+        kSlopeWeight * (offered_slope - history.offered_slope);
   } else {
     history.smoothed_cores = pool.demand_cores;
-    history.smoothed_slope = 0;
+    history.smoothed_slope = history.offered_slope = 0;
   }
+  history.offered_cores = pool.offered_cores;
   history.initialized = true;
   history.updated_at = now;
   // The limit keeps one large job from being taken for the start of a peak.
   double expected_rise =
       std::min(std::max(0.0, history.smoothed_slope) * kMoveLeadSeconds,
                kMaxRiseShare * history.smoothed_cores + pool.cores_per_host);
-  double forecast_cores =
-      forecast_.ExpectedCores(now, kForecastLead, pool.pool);
-  double expected_cores = std::max({history.smoothed_cores + expected_rise,
-                                    pool.offered_cores, forecast_cores});
+  double offered_rise = 0;
+  if (pool.offered_cores >= kMinRisingHosts * pool.cores_per_host) {
+    offered_rise =
+        std::min(std::max(0.0, history.offered_slope) * kMoveLeadSeconds,
+                 kMaxOfferedRiseShare * pool.offered_cores);
+  }
+  return std::max({history.smoothed_cores + expected_rise,
+                   pool.offered_cores + offered_rise,
+                   forecast_.ExpectedCores(now, kForecastLead, pool.pool)});
+}
+
+uint32_t FleetSizing::UpdateNeededHosts(Time now, const PoolSizingInput& pool) {
+  DemandHistory& history = history_[pool.pool];
+  double expected_cores = ExpectedCores(now, pool, history);
   double usable_cores_per_host =
       std::max(1.0, pool.cores_per_host * kUsableCoreShare);
   auto needed =
@@ -98,8 +125,11 @@
   };
   std::vector<Balance> balances;
   PoolId standby;
+  uint32_t all_hosts = 0;
+  uint32_t all_missing = 0;
   for (const PoolSizingInput& pool : pools) {
     Balance balance{&pool};
+    all_hosts += pool.hosts;
     if (pool.standby) {
       standby = pool.pool;
       balance.surplus_for_pools = pool.spare_hosts;
@@ -115,6 +145,7 @@
     uint32_t staying_or_arriving = staying + pool.arriving_hosts;
     balance.missing_hosts =
         needed > staying_or_arriving ? needed - staying_or_arriving : 0;
+    all_missing += balance.missing_hosts;
     if (!InStartupPeriod(now) && staying > needed)
       balance.surplus_for_pools = std::min(staying - needed, pool.spare_hosts);
     if (staying > recently_needed)
@@ -144,7 +175,11 @@
       }
     }
   }
-  if (standby.empty())
+  if (all_missing >=
+      std::max<double>(kMinShortageHosts, kShortageShare * all_hosts))
+    last_shortage_at_ = now;
+  if (standby.empty() ||
+      (last_shortage_at_ && now - *last_shortage_at_ < kShortageHold))
     return moves;
   for (const Balance& giver : balances) {
     uint32_t count = std::min(giver.surplus_for_standby, limit);
--- a/radishmoor/jobs/fleet_sizing.h
+++ b/radishmoor/jobs/fleet_sizing.h
@@ -4,7 +4,9 @@
 // times its mean for some seconds, more than the hosts of the pool can serve,
 // while the other pools are nearly idle. A pool that is short of hosts gets
 // them from standby pools first and then from pools with spare hosts. Hosts
-// that no pool needs go to a standby pool, where they cost nothing.
+// that no pool needs go to a standby pool, where they cost nothing. While a
+// pool is short of many hosts, they stay where they are: a pool in need gets
+// them with one move in place of two.
 //
 // A move costs about as much as a host in a pool costs in one second.
 // Therefore a pool gives hosts to standby only if it had more than it needed
@@ -80,6 +82,8 @@
   struct DemandHistory {
     double smoothed_cores = 0;
     double smoothed_slope = 0;  // Cores per second.
+    double offered_cores = 0;   // At the last sample.
+    double offered_slope = 0;   // Cores per second.
     Time updated_at;
     bool initialized = false;
     std::deque<NeedSample> samples;  // Of the last kSurplusWindow.
@@ -95,12 +99,19 @@
   // Returns true while a new site has not been used and all pools keep their
   // hosts.
   bool InStartupPeriod(Time now) const;
+  // Returns the cores that the pool is expected to need when hosts that are
+  // moved now serve it.
+  double ExpectedCores(Time now,
+                       const PoolSizingInput& pool,
+                       DemandHistory& history);
 
   bool new_site_;
   bool site_used_ = false;
   std::map<PoolId, DemandHistory> history_;
   const PeakForecast& forecast_;
   std::optional<Time> first_plan_at_;
+  // When the pools together were last short of a considerable number of hosts.
+  std::optional<Time> last_shortage_at_;
 };
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -35,7 +35,7 @@
 constexpr Duration kPoolLoadLogPeriod = Seconds(1);
 constexpr Duration kPurgePeriod = Seconds(10);
 constexpr size_t kPurgeBatchJobs = 20;
-constexpr size_t kMaxSpareServersInHeartbeat = 64;
+constexpr size_t kMaxSpareServersInHeartbeat = 256;
 // A pool is short of servers when it needs more than this share of their cores.
 constexpr double kShortageDemandShare = 0.8;
 // A server whose polls fail counts as silent when its last answer is older
--- a/radishmoor/jobs/testing/fleet_sizing_test.cc
+++ b/radishmoor/jobs/testing/fleet_sizing_test.cc
@@ -1,6 +1,8 @@
 #include "radishmoor/jobs/fleet_sizing.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <vector>
 
 namespace radishmoor {
@@ -101,6 +103,82 @@
   REQUIRE(moving.host_seconds + 1.2 * moving.moves < fixed.host_seconds);
 }
 
+struct RampResult {
+  double offered_core_seconds = 0;
+  double unserved_core_seconds = 0;
+  uint32_t moves = 0;
+};
+
+// Plays a peak that nobody foresaw, of a pool of a large fleet: the offered
+// work rises from 300 to 6,000 cores in 4 s and stays there for 4 s. A host
+// serves its new pool 1.8 s after its move began. The other pools are idle.
+RampResult SimulateRamp() {
+  constexpr Duration kPeriod = Milliseconds(100);
+  constexpr Duration kMoveTime = Milliseconds(1800);
+  constexpr double kCoresPerHost = 16;
+  std::vector<PoolSizingInput> pools = {Pool("a", 300, 45), Pool("b", 20, 220),
+                                        Pool("c", 20, 220), Standby(600)};
+  PeakForecast forecast;
+  FleetSizing sizing(false, forecast);
+  RampResult result;
+  std::deque<std::pair<Time, uint32_t>> arrivals;  // Of hosts in pool "a".
+  uint32_t serving_hosts = pools[0].hosts;
+  for (Time now = kStart; now < kStart + Seconds(8); now += kPeriod) {
+    double offered = std::min(6000.0, 300 + 5700 * ToSeconds(now - kStart) / 4);
+    while (!arrivals.empty() && arrivals.front().first <= now) {
+      serving_hosts += arrivals.front().second;
+      arrivals.pop_front();
+    }
+    pools[0].offered_cores = offered;
+    // Only running tasks count here, as if late jobs had been given up.
+    pools[0].demand_cores = std::min(offered, serving_hosts * kCoresPerHost);
+    result.offered_core_seconds += offered * ToSeconds(kPeriod);
+    result.unserved_core_seconds +=
+        std::max(0.0, offered - serving_hosts * kCoresPerHost) *
+        ToSeconds(kPeriod);
+    std::vector<HostMoves> moves = sizing.Plan(now, pools, 47);
+    for (const HostMoves& move : moves) {
+      result.moves += move.count;
+      if (move.to == PoolId("a"))
+        arrivals.emplace_back(now + kMoveTime, move.count);
+    }
+    Apply(moves, pools);
+  }
+  return result;
+}
+
+// Guards against hosts that always come as late as it takes to move them while
+// a peak rises: callers of its first seconds were late.
+TEST_CASE("less than a tenth of a rising peak is not served", "[sizing]") {
+  RampResult result = SimulateRamp();
+  INFO(result.unserved_core_seconds << " of " << result.offered_core_seconds
+                                    << " core-s, " << result.moves << " moves");
+  REQUIRE(result.unserved_core_seconds < result.offered_core_seconds / 10);
+}
+
+// Guards against hosts that go to standby while a pool is short of hosts and
+// then have to move twice.
+TEST_CASE("no host goes to standby while a pool is short", "[sizing]") {
+  constexpr uint32_t kLimit = 100;
+  std::vector<PoolSizingInput> pools = {Pool("a", 1100, 45), Pool("b", 20, 220),
+                                        Standby(100)};
+  PeakForecast forecast;
+  FleetSizing sizing(false, forecast);
+  for (int i = 0; i < 15; ++i) {
+    for (const HostMoves& move :
+         sizing.Plan(kStart + kPlanPeriod * i, pools, kLimit))
+      REQUIRE(move.to == PoolId("a"));
+  }
+  pools[0].demand_cores = 400;
+  uint32_t to_standby = 0;
+  for (int i = 15; i < 40; ++i) {
+    for (const HostMoves& move :
+         sizing.Plan(kStart + kPlanPeriod * i, pools, kLimit))
+      to_standby += move.to == PoolId("standby") ? move.count : 0;
+  }
+  REQUIRE(to_standby > 0);
+}
+
 // Guards against hosts that leave a pool in a short lull of its demand and move
 // back after it.
 TEST_CASE("a pool keeps its hosts in a lull of 1.6 s", "[sizing]") {
