Limit starts to what the owner's event loop carries

Change: a timer shows how late the loop runs. StartLimiter lowers the rate of starts when it is late and raises it again when it is in time; ready tasks wait in the queue, most urgent first, in place of the loop. The same lag decides on handovers and stretches the router's timeouts.

--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -275,12 +275,17 @@
 }
 
 void NodeCore::Tick(Time now, WallMillis wall) {
-  if (next_wake_ <= now)
-    balance_.ObserveTick(now, next_wake_);
+  RunPendingWork(now, wall);
+}
+
+void NodeCore::OnLoopLag(Time now, Duration lag) {
+  balance_.ObserveTick(now, now - lag);
+  router_.ObserveLag(lag);
+  for (auto& [pool, scheduler] : schedulers_)
+    scheduler->OnLoopLag(now, lag);
   request_handler_.SetOverloaded(balance_.IsOverloaded(now));
   if (balance_.IsOverloaded(now))
     BalanceOwnership(now);
-  RunPendingWork(now, wall);
 }
 
 void NodeCore::OnProcessResumed(Time now, WallMillis wall) {
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -68,6 +68,9 @@
                          const PlacementAdviceReply& reply);
   void OnPeer(Time now, WallMillis wall, const JobPeerEnvelope& envelope);
   void Tick(Time now, WallMillis wall);
+  // Reports how late a timer ran, several times a second. The lag shows whether
+  // the process carries its load.
+  void OnLoopLag(Time now, Duration lag);
   // Reports that the process was suspended for a time that the monotonic clock
   // did not count.
   void OnProcessResumed(Time now, WallMillis wall);
--- a/radishmoor/jobs/order_router.cc
+++ b/radishmoor/jobs/order_router.cc
@@ -202,12 +202,16 @@
                        }) >= static_cast<std::ptrdiff_t>(kMinSilentOrders);
 }
 
+void OrderRouter::ObserveLag(Duration lag) {
+  lag_ = std::max(lag_, std::min(lag, kMaxLag));
+}
+
 std::vector<ServerReply> OrderRouter::TakeLost(Time now) {
   std::vector<ServerReply> lost;
   if (orders_.empty())
     return lost;
   if (next_wake_ < now)
-    lag_ = std::max(lag_, std::min(now - next_wake_, kMaxLag));
+    ObserveLag(now - next_wake_);
   if (now < next_check_at_)
     return lost;
   next_check_at_ = now + kCheckPeriod;
--- a/radishmoor/jobs/order_router.h
+++ b/radishmoor/jobs/order_router.h
@@ -72,6 +72,9 @@
   // Returns answers for orders whose relay did not answer in time.
   std::vector<ServerReply> TakeLost(Time now);
 
+  // Records how late this process's event loop runs.
+  void ObserveLag(Duration lag);
+
   // Sends the batches that are due.
   void Tick(Time now, Outbox& outbox);
   Time next_wake() const { return next_wake_; }
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -583,7 +583,9 @@
     // just before the next commit can be sent.
     if (plan_needed_ && now >= chain_.earliest_commit_at()) {
       plan_needed_ = false;
-      dispatch_.PlanReadyTasks(now, outbox);
+      uint32_t planned =
+          dispatch_.PlanReadyTasks(now, outbox, start_limiter_.Budget(now));
+      start_limiter_.CountStarts(now, planned);
     }
     if (plan_needed_)
       Wake(chain_.earliest_commit_at());
@@ -636,6 +638,7 @@
        {"starts", static_cast<int64_t>(state_.counters.starts)},
        {"looks", static_cast<int64_t>(state_.counters.server_polls)},
        {"commits", static_cast<int64_t>(state_.counters.commits)},
+       {"starts_limited", start_limiter_.limited() ? 1 : 0},
        {"run_lines_omitted", static_cast<int64_t>(state_.run_log.omitted())},
        {"renewed_age_ms", WholeMilliseconds(renewed_age(now))}});
 }
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -31,6 +31,7 @@
 #include "radishmoor/jobs/offered_load.h"
 #include "radishmoor/jobs/pool_state.h"
 #include "radishmoor/jobs/run_control.h"
+#include "radishmoor/jobs/start_limiter.h"
 #include "radishmoor/jobs/task_dispatch.h"
 
 namespace radishmoor {
@@ -105,6 +106,10 @@
   // True if another process owns the pool; the caller must then destroy this
   // object.
   bool lost() const { return chain_.lost() || state_.fenced; }
+  // Records how late the process's event loop runs.
+  void OnLoopLag(Time now, Duration lag) {
+    start_limiter_.ObserveLag(now, lag);
+  }
   // Tells the scheduler that the process was suspended. Leases of servers are
   // not extended again before a commit has shown that this process still owns
   // the pool.
@@ -178,6 +183,7 @@
   TaskDispatch dispatch_;
   CommitChain chain_;
   OfferedLoad offered_load_;
+  StartLimiter start_limiter_;
   Loading loading_;
 
   uint64_t inbox_scan_tag_ = 0;  // Of the scan in flight; 0: none.
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -144,7 +144,11 @@
   return ordered;
 }
 
-void TaskDispatch::PlanReadyTasks(Time now, Outbox& outbox) {
+uint32_t TaskDispatch::PlanReadyTasks(Time now,
+                                      Outbox& outbox,
+                                      uint32_t start_limit) {
+  starts_left_ = start_limit;
+  planned_runs_ = 0;
   std::vector<PlacementServer> servers = CollectServers(now);
   UpdateLargestFreeCpu(servers);
   reservations_ = 0;
@@ -156,6 +160,7 @@
   for (const PlacementServer& server : servers)
     capacity += server.capacity.cpu_millis;
   expected_wait_ = Duration(capacity > 0 ? waiting_cpu_work_ / capacity : 0);
+  return planned_runs_;
 }
 
 void TaskDispatch::PlanJob(Time now,
@@ -182,7 +187,7 @@
       if (!task.idle())
         continue;
       bool planned = false;
-      if (blocked[task.step]) {
+      if (blocked[task.step] || starts_left_ == 0) {
         planned = false;
       } else if (advised) {
         std::vector<PlacementServer> admitted = servers;
@@ -208,7 +213,7 @@
         continue;
       waiting_cpu_work_ +=
           step.request.cpu_millis * state_.ExpectedRunTime(job, step).count();
-      if (first)
+      if (first && starts_left_ > 0)
         ReserveServer(job, task, servers);
     }
   }
@@ -390,6 +395,8 @@
   RunRef ref{job.IdOf(occurrence, task), number};
   state_.servers.AddRun(run.server, ref, job.StepOf(task));
   task.runs.push_back(std::move(run));
+  starts_left_ -= std::min(starts_left_, 1u);
+  ++planned_runs_;
   server.free_resources -= request;
   state_.planned[job.id].push_back(ref);
   state_.jobs.MarkChanged(job);
@@ -594,6 +601,7 @@
            s.free_resources.cpu_millis * 4 < s.capacity.cpu_millis;
   });
   UpdateLargestFreeCpu(servers);
+  starts_left_ = 1;
   if (PlanTask(now, job, occurrence, task, servers)) {
     ++state_.counters.speculative_starts;
     outbox.LogDecision("copy-started",
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -22,9 +22,12 @@
   TaskDispatch(JobPoolState& state, RunControl& runs)
       : state_(state), runs_(runs) {}
 
-  // Plans runs for ready tasks as far as servers have free resources. A planned
-  // run is started once a commit has stored it.
-  void PlanReadyTasks(Time now, Outbox& outbox);
+  // Plans runs for ready tasks as far as servers have free resources, at most
+  // about `start_limit` of them (a gang is not split). Returns their number. A
+  // planned run is started once a commit has stored it.
+  uint32_t PlanReadyTasks(Time now,
+                          Outbox& outbox,
+                          uint32_t start_limit = UINT32_MAX);
 
   // Stops runs that are expected to end sooner on another server, stops the
   // runs on servers that leave, plans speculative copies of stragglers where
@@ -133,6 +136,8 @@
   int64_t waiting_cpu_work_ = 0;
   Duration expected_wait_{};
   uint32_t reservations_ = 0;  // Servers reserved by the current plan.
+  uint32_t starts_left_ = 0;   // Runs that the current plan may add.
+  uint32_t planned_runs_ = 0;  // Runs that it has added.
   // Largest free CPU of any server that is not reserved.
   int64_t largest_free_cpu_millis_ = 0;
 };
