Skip settled jobs in plans, and ask for the host list only when due

Change: a job without idle tasks contributes its remembered demand until it changes; the need of the host list is checked each 50 ms.

--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -125,6 +125,10 @@
   // steps that are not done, and the work of all tasks that are not done, in
   // core-seconds.
   uint64_t remaining_as_of_change = UINT64_MAX;
+  // CPU request of all ready tasks when `changes` was `settled_as_of_change`.
+  // None of them was idle then, so that there was nothing to plan.
+  uint64_t settled_as_of_change = UINT64_MAX;
+  int64_t settled_cpu_millis = 0;
   Duration remaining_chain{};
   double remaining_work = 0;
 
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -40,6 +40,8 @@
 constexpr Duration kNodeExpiry = Seconds(40);
 constexpr Duration kMinServerListPeriod = Milliseconds(500);
 constexpr Duration kHostListPeriod = Milliseconds(500);
+// An owner checks this often whether it needs the list.
+constexpr Duration kHostListCheckPeriod = Milliseconds(50);
 // A list of many servers is long, so the period grows with their number.
 constexpr Duration kServerListPeriodPerServer = Milliseconds(3);
 constexpr Duration kMaxServerListPeriod = Milliseconds(1200);
@@ -665,11 +667,16 @@
 }
 
 void NodeCore::RefreshHostList(Time now) {
+  if (!IsDue(now, host_list_tag_, next_host_list_))
+    return;
   bool wanted = fleet_ != nullptr && fleet_->needs_host_list();
   for (const auto& [pool, scheduler] : schedulers_)
     wanted = wanted || scheduler->needs_host_list(now);
-  if (!wanted || !IsDue(now, host_list_tag_, next_host_list_))
+  if (!wanted) {
+    if (!schedulers_.empty())
+      next_host_list_ = now + kHostListCheckPeriod;
     return;
+  }
   next_host_list_ = now + kHostListPeriod;
   host_list_sent_at_ = now;
   host_list_tag_ = outbox_.CallHostApi(0, radishmoor::ListHosts{});
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -168,6 +168,12 @@
                            bool can_meet_objective,
                            std::vector<PlacementServer>& servers,
                            Outbox& outbox) {
+  if (job.settled_as_of_change == job.changes) {
+    demand_cpu_millis_ += job.settled_cpu_millis;
+    return;
+  }
+  int64_t demand_before = demand_cpu_millis_;
+  bool has_idle_tasks = false;
   bool advised = state_.QueueOf(job).needs_advice;
   for (auto& [number, occurrence] : job.occurrences) {
     if (occurrence.finished)
@@ -186,6 +192,7 @@
         demand_cpu_millis_ += step.request.cpu_millis;
       if (!task.idle())
         continue;
+      has_idle_tasks = true;
       bool planned = false;
       if (blocked[task.step] || starts_left_ == 0) {
         planned = false;
@@ -217,6 +224,11 @@
         ReserveServer(job, task, servers);
     }
   }
+  // The occurrences of a recurring job appear without a change of the job.
+  if (!has_idle_tasks && !job.spec.scheduled()) {
+    job.settled_as_of_change = job.changes;
+    job.settled_cpu_millis = demand_cpu_millis_ - demand_before;
+  }
 }
 
 PlacementTask TaskDispatch::DescribeTask(const Job& job,
