Count the lease that a restarted server granted by an order for its past

Cause: a server restarted under its id while a start for its earlier incarnation was under way. The new incarnation carried it out with a lease by the old clock, which was ahead; the owner had reset the lease to none when it noticed the restart, took the run for lapsed after 60 ms and started the task elsewhere (two runs at once). Ruled out: the relay; the start was answered in 1 ms. Change: each answer to an order that grants a lease records that lease, at most the longest one that a server allows.

New case in node_core_test, which fails before (the call is refused at once).

--- a/radishmoor/jobs/job_request_handler.cc
+++ b/radishmoor/jobs/job_request_handler.cc
@@ -24,6 +24,10 @@
 // has received with each commit, and separate inserts would delay its commits.
 constexpr Duration kMaxHandOverHeartbeatAge = Milliseconds(800);
 constexpr Duration kMaxUnrenewedTime = Milliseconds(3000);
+// While the store does not answer this process, it hands submissions over only
+// to an owner that has renewed its lease this recently: the store then answers
+// the owner, for example because it refuses only some processes.
+constexpr Duration kMaxUnrenewedTimeWithoutStore = Milliseconds(1200);
 constexpr Duration kStoreTimeout = Milliseconds(500);
 constexpr Duration kStoreRetryDelay = Milliseconds(60);
 // An owner with an older heartbeat is not asked about jobs. Queue lengths are
@@ -171,7 +175,8 @@
                                   JobCallId id,
                                   OpenCall& call,
                                   Outbox& outbox) {
-  if (call.kind == Kind::kSubmit && store_lost_) {
+  if (call.kind == Kind::kSubmit && store_lost_ &&
+      UnrenewedTime(now, call.pool) > kMaxUnrenewedTimeWithoutStore) {
     Refuse(id, CallOutcome::kUnavailable, kStoreLostRetryAfter, "store-lost",
            outbox);
     return;
@@ -222,20 +227,22 @@
     StoreJob(now, id, call, outbox);
 }
 
+Duration JobRequestHandler::UnrenewedTime(Time now, const PoolId& pool) const {
+  auto local = local_heartbeats_.find(pool);
+  const PoolOwner* owner = leases_.OwnerOf(pool);
+  if (local != local_heartbeats_.end())
+    return local->second.first.renewed_age;
+  if (owner != nullptr && !owner->heartbeat.released &&
+      now - owner->last_heartbeat_at < kMaxHandOverHeartbeatAge)
+    return now - owner->last_heartbeat_at + owner->heartbeat.renewed_age;
+  return kTimeMax - kTimeZero;
+}
+
 bool JobRequestHandler::HandOverToOwner(Time now,
                                         JobCallId id,
                                         OpenCall& call,
                                         Outbox& outbox) {
-  auto local = local_heartbeats_.find(call.pool);
-  const PoolOwner* owner = leases_.OwnerOf(call.pool);
-  Duration unrenewed_for = kTimeMax - kTimeZero;
-  if (local != local_heartbeats_.end())
-    unrenewed_for = local->second.first.renewed_age;
-  else if (owner != nullptr && !owner->heartbeat.released &&
-           now - owner->last_heartbeat_at < kMaxHandOverHeartbeatAge)
-    unrenewed_for =
-        now - owner->last_heartbeat_at + owner->heartbeat.renewed_age;
-  if (unrenewed_for > kMaxUnrenewedTime)
+  if (UnrenewedTime(now, call.pool) > kMaxUnrenewedTime)
     return false;
   call.stage = Stage::kAskingOwner;
   call.owner_timeout_at = now + kHandOverTimeout;
--- a/radishmoor/jobs/job_request_handler.h
+++ b/radishmoor/jobs/job_request_handler.h
@@ -123,6 +123,9 @@
   void Submit(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   // Sends nothing if no owner of the pool is known.
   void SendToOwner(const PoolId& pool, JobPeerMessage message, Outbox& outbox);
+  // Returns the time since the pool's owner last renewed its lease; a very long
+  // time if no owner can be reached.
+  Duration UnrenewedTime(Time now, const PoolId& pool) const;
   // Returns false if no owner of the pool is known to be renewing its lease.
   bool HandOverToOwner(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
   void StoreJob(Time now, JobCallId id, OpenCall& call, Outbox& outbox);
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -134,7 +134,8 @@
   }
   uint64_t tag = outbox.SendOrder(server->listing.id, server->listing.address,
                                   state_.token, std::move(start));
-  orders_[tag] = {OrderKind::kStart, run->server, ref, now};
+  orders_[tag] = {OrderKind::kStart, run->server, ref, now,
+                  run->start_valid_until};
   if (!state_.run_log.Keep(now, job.id))
     return;
   outbox.LogDecision("run-started",
@@ -240,6 +241,7 @@
   if (reply.clock) {
     server->clock.Observe(order.sent, now, *reply.clock);
     server->last_answer_at = now;
+    RecordGrantedLease(order, *reply.clock, *server);
   }
   if (reply.outcome == OrderOutcome::kOtherIncarnation) {
     RemoveAllRuns(now, *server, "other-life", outbox);
@@ -267,6 +269,18 @@
   return true;
 }
 
+void RunControl::RecordGrantedLease(const PendingOrder& order,
+                                    ServerMillis server_clock,
+                                    ServerState& server) const {
+  if (order.lease_until == 0)
+    return;
+  // Servers shorten longer leases to the longest one that they allow.
+  ServerMillis longest =
+      server_clock + WholeMilliseconds(state_.bounds.max_lease);
+  server.lease_until =
+      std::max(server.lease_until, std::min(order.lease_until, longest));
+}
+
 void RunControl::OnStaleReply(Time now,
                               const PendingOrder& order,
                               ServerState& server,
@@ -787,7 +801,8 @@
   orders_[tag] = {quick ? OrderKind::kQuickPoll : OrderKind::kPoll,
                   server.listing.id,
                   {},
-                  now};
+                  now,
+                  server_poll.lease_until};
 }
 
 void RunControl::OnStored(Time now) {
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -86,6 +86,9 @@
     ServerId server;
     RunRef run;
     Time sent;
+    // End of the leases that the order grants, on the clock of the incarnation
+    // that it was meant for; 0 if it grants none.
+    ServerMillis lease_until = 0;
   };
 
   void OnStartReply(Time now,
@@ -178,6 +181,12 @@
                          Job& job,
                          Occurrence& occurrence,
                          uint32_t step);
+  // Records the leases that an answered order granted. A server that restarted
+  // may have carried out an order that was meant for its earlier incarnation,
+  // whose clock was ahead.
+  void RecordGrantedLease(const PendingOrder& order,
+                          ServerMillis server_clock,
+                          ServerState& server) const;
   // Minimum time between two polls of a busy server.
   Duration PollInterval(const ServerState& server) const;
   // Updates the server's failure score and slowness and the queue's run time
--- a/radishmoor/jobs/testing/node_core_test.cc
+++ b/radishmoor/jobs/testing/node_core_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace radishmoor {
 namespace {
@@ -52,7 +53,16 @@
         answered = {now, answer->outcome};
       if (std::holds_alternative<EndJobProcess>(action))
         ended = now;
+      const auto* send = std::get_if<SendJobPeer>(&action);
+      if (send != nullptr && std::holds_alternative<JobNotice>(send->message))
+        handed_over = send->to;
+      if (const auto* call = std::get_if<StoreCall>(&action))
+        store_calls_.push_back(call->tag);
     }
+    if (!fails_store_calls)
+      return;
+    for (uint64_t tag : std::exchange(store_calls_, {}))
+      core_.OnStoreAnswer(now, 0, {tag, UnavailableReply{"refused"}});
   }
 
   void RunUntil(Time end) {
@@ -67,6 +77,9 @@
 
   Time now = kTimeZero + Seconds(1);
   bool answers_watches = true;
+  // The store refuses all calls but those for the configuration.
+  bool fails_store_calls = false;
+  std::optional<MemberId> handed_over;  // Receiver of the last submission.
   std::optional<std::pair<Time, CallOutcome>> answered;
   std::optional<Time> ended;
 
@@ -87,6 +100,7 @@
   }
 
   NodeCore core_;
+  std::vector<uint64_t> store_calls_;  // Tags of unanswered calls.
   // The watch that is not answered yet, and when its answer is due.
   std::optional<std::pair<Time, WatchOperatorChanges>> open_watch_;
 };
@@ -111,6 +125,43 @@
   CHECK(node.answered->second == CallOutcome::kUncertain);
 }
 
+// Guards against callers that are refused by a process which the store does not
+// answer, although the pool's owner is heard and the store answers the owner.
+TEST_CASE("without the store, submissions go to an owner that has it",
+          "[node]") {
+  SilentStoreNode node;
+  node.RunUntil(node.now + Milliseconds(200));
+  node.answers_watches = false;
+  node.fails_store_calls = true;
+  auto run_with_owner = [&node](Duration length, Duration renewed_age) {
+    for (Time end = node.now + length; node.now < end;) {
+      OwnerHeartbeat heartbeat;
+      heartbeat.pool = PoolId("p");
+      heartbeat.token = 3;
+      heartbeat.renewed_age = renewed_age;
+      node.core().OnPeer(node.now, 0, {MemberId("o"), "o:1", heartbeat});
+      node.HandleActions();
+      node.RunUntil(node.now + Milliseconds(50));
+    }
+  };
+  run_with_owner(Milliseconds(800), Milliseconds(100));
+  REQUIRE_FALSE(node.core().ready(node.now));  // The store counts as lost.
+  node.core().OnCall(node.now, 0, MakeSubmission(node.now));
+  node.HandleActions();
+  REQUIRE_FALSE(node.answered);
+  REQUIRE(node.handed_over == MemberId("o"));
+  // An owner without the store could only let the caller wait.
+  node.handed_over.reset();
+  run_with_owner(Milliseconds(300), Seconds(2));
+  JobCall call = MakeSubmission(node.now);
+  call.id = 8;
+  node.core().OnCall(node.now, 0, std::move(call));
+  node.HandleActions();
+  REQUIRE(node.answered);
+  REQUIRE(node.answered->second == CallOutcome::kUnavailable);
+  REQUIRE_FALSE(node.handed_over);
+}
+
 // Guards against an answer that a queue does not exist, given by a process that
 // has not read the newest configuration in time: an overloaded process answered
 // so for 4 s after the queue was added.
