Keep the hosts of a wave that can no longer wait in their pools

Host m-8bbb7 was not empty after 9 s, was postponed for 3 s although its wave had 5 s left, and moved to a peaking pool meanwhile. Change: a wave that can no longer wait keeps its hosts from moves, and postpones for 0.5 s instead of 3 s.

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -148,7 +148,7 @@
           {JobKey(state_.pool, id), std::move(definition)});
       snapshot.definition_stored = true;
     }
-    commit.jobs.push_back(std::move(snapshot));
+    commit.jobs.push_back(snapshot);
     state_.jobs.ClearDirty(job);
     AddStarts(id, commit);
   }
--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -19,6 +19,8 @@
 // plus this margin for the answer to the call.
 constexpr Duration kRowRemovalMargin = Seconds(2);
 constexpr Duration kPostponement = Seconds(3);
+// The same for a wave that can no longer wait.
+constexpr Duration kLateWavePostponement = Milliseconds(500);
 // Interval between requests to keep a server empty while its host is being
 // called. Each goes to the current owner of the pool, so that a new owner
 // learns of the operation too.
@@ -415,9 +417,11 @@
     Time now,
     const std::map<PoolId, PoolOwnerContact>& contacts,
     Outbox& outbox) {
+  hosts_due_.clear();
   for (auto& [number, wave] : waves_) {
     if (wave.completed)
       continue;
+    bool can_wait = CanWait(now, wave);
     uint32_t open_operations = 0;
     for (const auto& [host, operation] : host_operations_) {
       if (operation.kind == HostOperationKind::kMaintain &&
@@ -436,6 +440,8 @@
         continue;
       }
       wave.missing_since.erase(host);
+      if (!can_wait && !wave.done_hosts.contains(host))
+        hosts_due_.insert(host);
       auto postponed = wave.postponed_until.find(host);
       if (wave.done_hosts.contains(host) || host_operations_.contains(host) ||
           !NoRecentEarlierCall(now, host) ||
@@ -447,7 +453,7 @@
       if (!standby && contact == contacts.end())
         continue;
       double share = standby ? -1.0 : contact->second.demand_share();
-      if (share < kBusyPoolShare || !CanWait(now, wave))
+      if (share < kBusyPoolShare || !can_wait)
         candidates.emplace_back(share, host);
     }
     CheckCompleted(now, wave, outbox);
@@ -551,8 +557,8 @@
     bool avoided =
         std::find(avoid.begin(), avoid.end(), host.zone) != avoid.end();
     return host.state == ListedHostState::kUp &&
-           !host_operations_.contains(id) && !avoided &&
-           NoRecentEarlierCall(now, id);
+           !host_operations_.contains(id) && !hosts_due_.contains(id) &&
+           !avoided && NoRecentEarlierCall(now, id);
   };
   if (IsStandby(pool)) {
     for (const auto& [id, host] : hosts_) {
@@ -757,7 +763,9 @@
   RequestVacate(operation, true, contacts, outbox);
   auto wave = waves_.find(operation.wave);
   if (operation.kind == HostOperationKind::kMaintain && wave != waves_.end())
-    wave->second.postponed_until[host] = now + kPostponement;
+    wave->second.postponed_until[host] =
+        now +
+        (CanWait(now, wave->second) ? kPostponement : kLateWavePostponement);
   host_operations_.erase(host);
 }
 
--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -275,6 +275,9 @@
   std::map<ServerId, HostId> hosts_by_server_;
   std::map<uint64_t, Wave> waves_;
   std::map<HostId, HostOperation> host_operations_;
+  // Hosts without maintenance of a wave that can no longer wait. They stay in
+  // their pools.
+  std::set<HostId> hosts_due_;
   FleetSizing sizing_;
   Time next_sizing_at_;
   // Waves in which a host was maintained, as earlier coordinators stored.
--- a/radishmoor/jobs/job_peer_codec.cc
+++ b/radishmoor/jobs/job_peer_codec.cc
@@ -221,7 +221,7 @@
   for (const OrderToServer& order : message.orders)
     wire.orders.push_back(OrderToWire(order));
   wire.valid_until_ms = WholeMilliseconds(message.valid_until);
-  envelope.__set_order_batch(std::move(wire));
+  envelope.__set_order_batch(wire);
 }
 
 void SetMessage(const ReplyBatch& message, jobs_wire::Envelope& envelope) {
@@ -230,7 +230,7 @@
   for (const ServerReply& reply : message.replies)
     wire.replies.push_back(ReplyToWire(reply));
   wire.clock_ms = WholeMilliseconds(message.clock);
-  envelope.__set_reply_batch(std::move(wire));
+  envelope.__set_reply_batch(wire);
 }
 
 // An order or reply that cannot be decoded is left out of its batch. The owner
--- a/radishmoor/jobs/testing/fleet_coordinator_test.cc
+++ b/radishmoor/jobs/testing/fleet_coordinator_test.cc
@@ -241,6 +241,32 @@
   REQUIRE(site.maintained_hosts_.size() == 2);
 }
 
+// Guards against a host that moves to a peaking pool although the last seconds
+// of its wave have begun: an operator's wave missed its end because the host's
+// maintenance had been postponed for 3 s and the host moved in between.
+TEST_CASE("a wave that can no longer wait keeps its hosts from moves",
+          "[coordinator]") {
+  FleetCoordinatorHarness site;
+  std::vector<HostId> hosts = {HostId("h0"), HostId("h1"), HostId("h2"),
+                               HostId("h3")};
+  site.waves_ = {WaveOver(hosts)};
+  site.wave_first_seen_at_ = kTimeZero + Seconds(87);
+  site.busy_servers_ = {ServerId("s1"), ServerId("s2"), ServerId("s3"),
+                        ServerId("s4")};
+  site.demand_cores_[PoolId("b")] = 300;
+  site.TakeOver();
+  // The first attempts to empty hosts end after 9 s.
+  site.Run(Milliseconds(9500));
+  REQUIRE(site.maintained_hosts_.empty());
+  site.busy_servers_.clear();
+  site.Run(Seconds(2));
+  REQUIRE_FALSE(site.moved_hosts_.empty());
+  REQUIRE(std::find_first_of(site.moved_hosts_.begin(), site.moved_hosts_.end(),
+                             hosts.begin(),
+                             hosts.end()) == site.moved_hosts_.end());
+  REQUIRE(site.maintained_hosts_.size() == hosts.size());
+}
+
 // Guards against a successor that counts the time of a wave from its own
 // takeover and waits for a busy pool until the wave is late.
 TEST_CASE("a wave that started 20 s ago does not wait for a busy pool",
