Take no lease while its renewal may be on its way through a slow store

Change: the largest read latency of the last 2 s extends the lease, not that of the last read. Measured: the new test took the lease 1.2 s after the store became fast, with an owner whose renewals take 0.5 s; now after more than 1.8 s.

--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -12,8 +12,10 @@
 // for three times as long, the owner cannot commit anything.
 constexpr Duration kOwnerLeaseLength = Milliseconds(1200);
 // A slow store delays renewals. The lease length is therefore extended by this
-// multiple of the latency of the last read.
+// multiple of the largest latency of a read within kReadLatencyMemory. A
+// renewal that was sent while the store was slow may still be under way.
 constexpr int64_t kReadLatencyFactor = 6;
+constexpr Duration kReadLatencyMemory = Seconds(2);
 // Owners send heartbeats every 300 ms. After two missed ones the row is read.
 constexpr Duration kOwnerSilenceLimit = Milliseconds(700);
 // An owner that sends heartbeats but has not renewed its lease for this long
@@ -85,7 +87,12 @@
     if (watched.read_tag != 0 && answer.tag == watched.read_tag) {
       watched.read_tag = 0;
       if (const auto* rows = std::get_if<RowsReply>(&answer.reply)) {
-        read_latency_ = now - watched.read_sent_at;
+        Duration latency = now - watched.read_sent_at;
+        if (latency >= read_latency_ ||
+            now - read_latency_at_ >= kReadLatencyMemory) {
+          read_latency_ = latency;
+          read_latency_at_ = now;
+        }
         if (watched.read_failed)
           watched.hold_until = now + kStoreRecoveryGrace;
         watched.read_failed = false;
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -164,7 +164,8 @@
   std::vector<LeaseCandidate> candidates_;
   std::map<PoolId, WatchedPool> pools_;
   std::vector<AcquiredLease> acquired_;
-  Duration read_latency_{};  // Of the last read of a lease row.
+  Duration read_latency_{};  // The largest of the latest reads of lease rows.
+  Time read_latency_at_;
   Time next_wake_ = kTimeMax;
   bool stopped_ = false;
 };
--- a/radishmoor/jobs/testing/pool_leases_test.cc
+++ b/radishmoor/jobs/testing/pool_leases_test.cc
@@ -43,5 +43,54 @@
   REQUIRE(acquisitions <= 4 * kSeconds);
 }
 
+// Guards against a lease that is taken from an owner whose renewal is still on
+// its way through a store that was slow until a moment ago: a pool with 5,000
+// running tasks was taken up three times within 3 s of an outage.
+TEST_CASE("a lease is not taken soon after the store was slow", "[leases]") {
+  PoolLeases leases(MemberId("n"), "n:1", 100);
+  Time start = kTimeZero + Seconds(100);
+  PoolId pools[] = {kPool};
+  leases.WatchPools(start, pools);
+  LeaseRow lease;
+  lease.holder = MemberId("owner");
+  lease.token = 3;
+  Outbox outbox;
+  std::vector<std::pair<Time, uint64_t>> open_reads;
+  std::vector<Time> acquired_at;
+  Time slow_until = start + Seconds(2);
+  RowVersion version = 1;
+  for (Time now = start; now < start + Seconds(9); now += Milliseconds(5)) {
+    leases.Tick(now, outbox);
+    for (JobAction& action : outbox.TakeAllActions()) {
+      const auto* call = std::get_if<StoreCall>(&action);
+      if (call == nullptr)
+        continue;
+      if (std::holds_alternative<CommitRows>(call->request)) {
+        acquired_at.push_back(now);
+        leases.OnStoreAnswer(now, {call->tag, ConflictReply{}}, outbox);
+      } else {
+        open_reads.emplace_back(
+            now + (now < slow_until ? Milliseconds(500) : Milliseconds(5)),
+            call->tag);
+      }
+    }
+    // The owner renews its lease until the store becomes fast again.
+    if (now < slow_until)
+      version = static_cast<RowVersion>((now - start) / Milliseconds(400)) + 1;
+    for (auto it = open_reads.begin(); it != open_reads.end();) {
+      if (now < it->first) {
+        ++it;
+        continue;
+      }
+      RowsReply rows;
+      rows.rows = {{OwnerLeaseKey(kPool), version, EncodeLease(lease)}};
+      leases.OnStoreAnswer(now, {it->second, rows}, outbox);
+      it = open_reads.erase(it);
+    }
+  }
+  REQUIRE_FALSE(acquired_at.empty());
+  REQUIRE(acquired_at.front() - slow_until > Milliseconds(1800));
+}
+
 }  // namespace
 }  // namespace radishmoor
