Limit lengths in messages before libthrift allocates them

Cause: tools/fuzz ran out of memory in DecodeJobPeer within 8 s: libthrift compares a string's length with the rest of the message after it has allocated the string. A message of 6 bytes took 1.3 GB, where processes have 160 MB. DecodeAnswer had no limits either. Change: both set the size of the message as the limit. The router of orders also forgets servers whose time of direct orders has ended.

--- a/radishmoor/jobs/order_router.cc
+++ b/radishmoor/jobs/order_router.cc
@@ -266,6 +266,9 @@
   }
   for (const MemberId& node : silent)
     Avoid(now, relays_.at(node), "silent");
+  // Servers that have left are not routed to again.
+  std::erase_if(direct_until_,
+                [now](const auto& entry) { return now >= entry.second; });
   return lost;
 }
 
--- a/radishmoor/jobs/testing/job_codec_test.cc
+++ b/radishmoor/jobs/testing/job_codec_test.cc
@@ -1,6 +1,7 @@
 #include <rapidcheck.h>
 #include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
+#include <fstream>
 
 #include "radishmoor/jobs/job_peer_codec.h"
 #include "radishmoor/jobs/job_rows.h"
@@ -156,6 +157,31 @@
 }
 
 // Guards against a process that crashes on malformed rows or messages.
+// Returns the most address space that this process has used, in KB.
+uint64_t PeakAddressSpaceKb() {
+  std::ifstream status("/proc/self/status");
+  std::string word;
+  uint64_t peak = 0;
+  while (status >> word) {
+    if (word == "VmPeak:")
+      status >> peak;
+  }
+  return peak;
+}
+
+// Guards against a small damaged message that announces a string of more than 1
+// GB, which was allocated before its length was compared with the message. A
+// process of 160 MB ended. Found by tools/fuzz.
+TEST_CASE("a damaged length allocates no more than the message", "[codec]") {
+  // A field that the envelope does not know, with a length of 1.25 * 2^30.
+  const std::string damaged = "\xf8\x80\x80\x80\x80\x05";
+  constexpr uint64_t kLimitKb = 64 * 1024;
+  uint64_t before = PeakAddressSpaceKb();
+  REQUIRE(before > 0);
+  REQUIRE_FALSE(DecodeJobPeer(damaged).has_value());
+  REQUIRE(PeakAddressSpaceKb() < before + kLimitKb);
+}
+
 TEST_CASE("decoders do not throw on arbitrary or truncated bytes", "[codec]") {
   rc::prop("decoders do not throw on arbitrary bytes",
            [](const std::string& bytes) {
--- a/radishmoor/jobs/thrift_bytes.h
+++ b/radishmoor/jobs/thrift_bytes.h
@@ -36,7 +36,12 @@
     auto buffer = std::make_shared<TMemoryBuffer>(
         reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data())),
         static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE, limits);
-    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
+    // The protocol compares lengths with the rest of the message only after it
+    // has allocated a string, so it needs limits of its own.
+    auto limit =
+        static_cast<int32_t>(std::clamp<size_t>(bytes.size(), 1, INT32_MAX));
+    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(
+        buffer, limit, limit);
     value.read(&protocol);
     return true;
   } catch (const std::exception&) {
--- a/radishmoor/net/answer_codec.cc
+++ b/radishmoor/net/answer_codec.cc
@@ -4,6 +4,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <memory>
 
 namespace radishmoor {
@@ -31,11 +32,14 @@
   auto buffer = std::make_shared<TMemoryBuffer>();
   buffer->write(reinterpret_cast<const uint8_t*>(bytes.data()),
                 static_cast<uint32_t>(bytes.size()));
-  TCompactProtocol protocol(buffer);
+  // Without limits, a damaged length is allocated before it is refused.
+  auto limit =
+      static_cast<int32_t>(std::clamp<size_t>(bytes.size(), 1, INT32_MAX));
+  TCompactProtocol protocol(buffer, limit, limit);
   wire::StoredAnswer stored;
   try {
     stored.read(&protocol);
-  } catch (const apache::thrift::TException&) {
+  } catch (const std::exception&) {
     return std::nullopt;
   }
   HttpResponse answer;
