Keep zones only of servers that are listed

Cause: reading the change, zones of servers were kept after the servers had left the list; each moved host brings a new server, so the table grew without bound. Change: the table is made anew with each list.

--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -188,6 +188,7 @@
     next_server_list_ = now + kServerListRetryDelay;
   } else {
     servers_ = reply.servers;
+    server_zones_.clear();
     for (const ServerListing& server : servers_)
       server_zones_[server.id] = server.zone;
     for (auto& [pool, scheduler] : schedulers_)
