--- a/radishmoor/jobs/job_peer_codec.cc
+++ b/radishmoor/jobs/job_peer_codec.cc
@@ -126,7 +126,7 @@
   if (wire.kind == kPoll) {
     order.order =
         PollServer{wire.lease_until, static_cast<uint64_t>(wire.acknowledged),
-                   Milliseconds(wire.wait_ms)};
+                   DecodedMilliseconds(wire.wait_ms)};
     return order;
   }
   std::optional<TaskId> task = ParseTask(wire.task);
@@ -238,7 +238,7 @@
 OrderBatch OrderBatchFromWire(const jobs_wire::OrderBatch& wire) {
   OrderBatch batch{static_cast<uint64_t>(wire.session),
                    {},
-                   Milliseconds(wire.valid_until_ms)};
+                   DecodedMilliseconds(wire.valid_until_ms)};
   for (const jobs_wire::RelayedOrder& wire_order : wire.orders) {
     if (std::optional<OrderToServer> order = OrderFromWire(wire_order))
       batch.orders.push_back(std::move(*order));
@@ -247,8 +247,9 @@
 }
 
 ReplyBatch ReplyBatchFromWire(const jobs_wire::ReplyBatch& wire) {
-  ReplyBatch batch{
-      static_cast<uint64_t>(wire.session), {}, Milliseconds(wire.clock_ms)};
+  ReplyBatch batch{static_cast<uint64_t>(wire.session),
+                   {},
+                   DecodedMilliseconds(wire.clock_ms)};
   for (const jobs_wire::RelayedReply& wire_reply : wire.replies) {
     if (std::optional<ServerReply> reply = ReplyFromWire(wire_reply))
       batch.replies.push_back(std::move(*reply));
@@ -261,11 +262,11 @@
   message.pool = PoolId(wire.pool);
   message.token = static_cast<FencingToken>(wire.token);
   message.lease_version = static_cast<RowVersion>(wire.lease_version);
-  message.renewed_age = Milliseconds(wire.renewed_age_ms);
+  message.renewed_age = DecodedMilliseconds(wire.renewed_age_ms);
   for (const jobs_wire::QueueLoad& wire_load : wire.queues) {
     message.queues.push_back({QueueId(wire_load.queue),
                               static_cast<uint32_t>(wire_load.pending),
-                              Milliseconds(wire_load.wait_ms)});
+                              DecodedMilliseconds(wire_load.wait_ms)});
   }
   message.released = wire.released;
   message.successor = MemberId(wire.successor);
@@ -288,9 +289,9 @@
     return HeartbeatFromWire(envelope.owner_beat);
   if (envelope.__isset.job_notice) {
     const jobs_wire::JobNotice& wire = envelope.job_notice;
-    return JobNotice{PoolId(wire.pool), JobId(wire.job),
-                     JobFromWire(wire.definition), Milliseconds(wire.age_ms),
-                     static_cast<uint64_t>(wire.request)};
+    return JobNotice{
+        PoolId(wire.pool), JobId(wire.job), JobFromWire(wire.definition),
+        DecodedMilliseconds(wire.age_ms), static_cast<uint64_t>(wire.request)};
   }
   if (envelope.__isset.job_query) {
     const jobs_wire::JobQuery& wire = envelope.job_query;
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -59,7 +59,7 @@
   StepSpec step;
   step.count = static_cast<uint32_t>(wire.count);
   step.request = {wire.cpu_millis, wire.memory_mb, wire.gpus};
-  step.estimate = Milliseconds(wire.estimate_ms);
+  step.estimate = DecodedMilliseconds(wire.estimate_ms);
   step.after.assign(wire.after.begin(), wire.after.end());
   step.checkpointing = (wire.flags & kCheckpointing) != 0;
   step.gang = (wire.flags & kGang) != 0;
@@ -71,7 +71,7 @@
   step.data_rack = RackId(wire.data_rack);
   step.max_per_server = static_cast<uint32_t>(wire.max_per_server);
   step.image = wire.image;
-  step.tail_limit = Milliseconds(wire.tail_limit_ms);
+  step.tail_limit = DecodedMilliseconds(wire.tail_limit_ms);
   step.allowed_missing = static_cast<uint32_t>(wire.allowed_missing);
   return step;
 }
@@ -167,7 +167,7 @@
     spec.steps.push_back(StepFromWire(step));
   spec.repeat_count = static_cast<uint32_t>(wire.repeat_count);
   spec.start_at = wire.start_at_ms;
-  spec.interval = Milliseconds(wire.interval_ms);
+  spec.interval = DecodedMilliseconds(wire.interval_ms);
   spec.submitted_at = wire.submitted_wall_ms;
   return spec;
 }
@@ -242,8 +242,8 @@
                   static_cast<uint64_t>(wire.sequence),
                   wire.released,
                   MemberId(wire.successor),
-                  Milliseconds(wire.earlier_leases_ms),
-                  Milliseconds(wire.store_clock_ms)};
+                  DecodedMilliseconds(wire.earlier_leases_ms),
+                  DecodedMilliseconds(wire.store_clock_ms)};
 }
 
 std::string EncodeNode(const NodeRow& node) {
--- a/radishmoor/jobs/testing/job_codec_test.cc
+++ b/radishmoor/jobs/testing/job_codec_test.cc
@@ -157,6 +157,26 @@
 }
 
 // Guards against a process that crashes on malformed rows or messages.
+// Guards against a damaged duration that overflows when it is turned into the
+// unit of Duration, or added to a time. Found by tools/fuzz.
+TEST_CASE("a damaged duration does not overflow", "[codec]") {
+  OwnerHeartbeat heartbeat;
+  heartbeat.pool = PoolId("p");
+  heartbeat.renewed_age = Milliseconds(12345);
+  std::string bytes = EncodeJobPeer({MemberId("n"), "n:1", heartbeat});
+  const std::string encoded = "\xf2\xc0\x01";  // 12345 as zigzag varint.
+  const std::string least = "\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01";
+  size_t at = bytes.find(encoded);
+  REQUIRE(at != std::string::npos);
+  bytes.replace(at, encoded.size(), least);
+  std::optional<JobPeerEnvelope> envelope = DecodeJobPeer(bytes);
+  REQUIRE(envelope.has_value());
+  const auto& decoded = std::get<OwnerHeartbeat>(envelope->message);
+  constexpr Duration kYear = Seconds(365 * 24 * 3600);
+  REQUIRE(decoded.renewed_age < -kYear);
+  REQUIRE(decoded.renewed_age > -100 * kYear);
+}
+
 // Returns the most address space that this process has used, in KB.
 uint64_t PeakAddressSpaceKb() {
   std::ifstream status("/proc/self/status");
--- a/radishmoor/jobs/thrift_bytes.h
+++ b/radishmoor/jobs/thrift_bytes.h
@@ -13,8 +13,20 @@
 #include <string>
 #include <string_view>
 
+#include "radishmoor/base/time.h"
+
 namespace radishmoor {
 
+// The longest duration that a message can contain: about 31 years.
+inline constexpr int64_t kMaxDecodedMilliseconds = 1'000'000'000'000;
+
+// Returns a duration of a decoded message. A longer one of a damaged message is
+// shortened, so that a sum with a time cannot overflow.
+constexpr Duration DecodedMilliseconds(int64_t milliseconds) {
+  return Milliseconds(std::clamp(milliseconds, -kMaxDecodedMilliseconds,
+                                 kMaxDecodedMilliseconds));
+}
+
 template <typename Struct>
 std::string ToBytes(const Struct& value) {
   using apache::thrift::transport::TMemoryBuffer;
