--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -275,8 +275,8 @@
   std::map<ServerId, HostId> hosts_by_server_;
   std::map<uint64_t, Wave> waves_;
   std::map<HostId, HostOperation> host_operations_;
-  // Hosts without maintenance of a wave that can no longer wait. They stay in
-  // their pools.
+  // Hosts that a wave still has to maintain and that cannot wait any longer.
+  // They are not moved to other pools.
   std::set<HostId> hosts_due_;
   FleetSizing sizing_;
   Time next_sizing_at_;
--- a/radishmoor/jobs/run_log_sampler.h
+++ b/radishmoor/jobs/run_log_sampler.h
@@ -6,8 +6,8 @@
 // Designed for pools that start thousands of tasks a second: two lines for each
 // run would cost an owner a tenth of its processor time. Up to a rate of
 // kMaxLinesPerSecond all lines are kept. Above it, those of every
-// kJobsPerSample-th job are kept, chosen by the job's id, so that each process
-// keeps the whole story of the same jobs.
+// kJobsPerSample-th job are kept, chosen by the job's id, so that all processes
+// keep the lines about the same jobs.
 
 #ifndef RADISHMOOR_JOBS_RUN_LOG_SAMPLER_H_
 #define RADISHMOOR_JOBS_RUN_LOG_SAMPLER_H_
