--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -368,6 +368,7 @@
   closed_.clear();
   ended_.clear();
   state_ = "up";
+  dark_ = false;
   http_ = std::make_unique<HttpServer>(
       site_.loop(), HttpServerLimits{},
       radishmoor::HttpServerHandlers{
@@ -402,6 +403,18 @@
   site_.loop().RunAfter(downtime, [this] { Boot(); });
 }
 
+void Worker::GoDark(Duration length) {
+  site_.recorder().Line("worker " + id_ + " goes dark with " +
+                        std::to_string(running_.size()) + " runs");
+  dark_ = true;
+  running_.clear();
+  waiting_polls_.clear();
+  site_.loop().RunAfter(length, [this] {
+    http_.reset();
+    Boot();
+  });
+}
+
 void Worker::BeginUpkeep(Duration length) {
   Crash();
   state_ = "upkeep";
@@ -431,7 +444,7 @@
                    {"born", born_},
                    {"seq_no", seq_no_}});
   site_.loop().RunAfter(kHeartbeat, [this, boot = boot_] {
-    if (boot == boot_ && up())
+    if (boot == boot_ && up() && !dark_)
       Heartbeat();
   });
 }
@@ -460,6 +473,8 @@
 }
 
 void Worker::OnRequest(ExchangeId exchange, const HttpRequest& request) {
+  if (dark_)
+    return;
   if (request.method == "GET") {
     http_->Respond(exchange, {200, {}, ""});
     return;
@@ -489,7 +504,8 @@
     }
     waiting_polls_[exchange] = {cursor};
     site_.loop().RunAfter(Milliseconds(wait), [this, exchange, boot = boot_] {
-      if (boot != boot_ || !up() || waiting_polls_.erase(exchange) == 0)
+      if (boot != boot_ || !up() || dark_ ||
+          waiting_polls_.erase(exchange) == 0)
         return;
       http_->Respond(exchange, Poll(0));
     });
@@ -528,6 +544,7 @@
                         " starts " + start.task + " run " +
                         std::to_string(start.run));
   CheckStart(start);
+  site_.SetBegun(JobOf(start.task));
   running_[key] = start;
   site_.loop().RunAfter(start.length, [this, key, boot = boot_] {
     auto it = running_.find(key);
@@ -965,6 +982,11 @@
   return it == jobs_.end() ? std::string() : it->second.state;
 }
 
+bool Site::IsAccepted(const std::string& job) const {
+  auto it = jobs_.find(job);
+  return it != jobs_.end() && it->second.accepted;
+}
+
 bool Site::AllJobsHaveEnded() const {
   return std::all_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
     const std::string& state = entry.second.state;
@@ -972,6 +994,26 @@
   });
 }
 
+void Site::AskPending(const std::string& service,
+                      std::function<void(std::string, int64_t)> on_answer) {
+  for (auto& node : nodes_) {
+    HttpRequest request{
+        "GET", "/" + service + "/", {{"Host", "jobs.example"}}, ""};
+    fetcher_.Fetch(
+        node->caller_address(), std::move(request), kCallTimeout,
+        [this, name = node->name(),
+         on_answer](const HttpFetcher::Result& result) {
+          const auto* answer = std::get_if<HttpResponse>(&result);
+          recorder_.Line("GET length of the queue at " + name + " -> " +
+                         (answer == nullptr ? std::string("no answer")
+                                            : std::to_string(answer->status) +
+                                                  " " + answer->body));
+          if (answer != nullptr && answer->status == 200)
+            on_answer(name, Integer(ParseObject(answer->body), "pending"));
+        });
+  }
+}
+
 void Site::PutWave(int64_t number,
                    const std::vector<std::string>& machines,
                    int64_t max_count) {
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -142,6 +142,9 @@
   // Crashes the worker and starts it again after `downtime`, under its id, with
   // `cpu` thousandths of a core and of the kind `kind`.
   void Restart(Duration downtime, int64_t cpu, const std::string& kind);
+  // Loses all runs and answers nothing for `length`; then starts again under
+  // its id.
+  void GoDark(Duration length);
   // Ends the worker for an upkeep, after which one with another id starts.
   void BeginUpkeep(Duration length);
 
@@ -198,6 +201,7 @@
   int64_t cpu_;
   uint16_t port_ = 0;
   std::unique_ptr<HttpServer> http_;
+  bool dark_ = false;
   uint64_t boot_ = 0;  // Number of starts.
   Time booted_;
   int64_t born_ = 0;
@@ -249,6 +253,13 @@
   // accepted.
   std::string StateOf(const std::string& job) const;
   bool AllJobsHaveEnded() const;
+  bool IsAccepted(const std::string& job) const;
+  // True if a worker has started one of the job's work items.
+  bool HasBegun(const std::string& job) const { return begun_.contains(job); }
+  // Asks each process for the length of the service's queue. `on_answer` is
+  // called with its name and the number.
+  void AskPending(const std::string& service,
+                  std::function<void(std::string, int64_t)> on_answer);
   void PutWave(int64_t number,
                const std::vector<std::string>& machines,
                int64_t max_count);
@@ -278,6 +289,7 @@
     return done_tasks_.contains(task);
   }
   void SetDone(const std::string& task) { done_tasks_.insert(task); }
+  void SetBegun(const std::string& job) { begun_.insert(job); }
   // Returns the worker other than `except` that runs the work item; nullptr if
   // there is none.
   const Worker* RunsElsewhere(const std::string& task,
@@ -323,6 +335,7 @@
   std::map<int64_t, Wave> waves_;
   std::map<std::string, int64_t> machine_tokens_;
   std::set<std::string> done_tasks_;
+  std::set<std::string> begun_;  // Jobs.
   std::optional<Duration> late_upkeep_;
   std::function<void(std::string)> on_late_upkeep_;
   uint64_t next_worker_ = 1;
