--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -13,6 +13,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <random>
 #include <stdexcept>
 
 namespace review {
@@ -30,7 +31,12 @@
 constexpr size_t kMaxRowBytes = 65536;
 constexpr size_t kMaxRowsPerAnswer = 500;
 constexpr Duration kHeartbeat = Milliseconds(1500);
-constexpr Duration kStopTime = Milliseconds(200);
+// A stop takes stop_ms at most.
+constexpr Duration kMinStopTime = Milliseconds(50);
+constexpr Duration kMaxStopTime = Milliseconds(200);
+constexpr Duration kStartUpTime = Milliseconds(700);
+constexpr Duration kReplacementTime = Seconds(1);
+constexpr int64_t kDrainMs = 2000;
 constexpr int64_t kMaxHoldMs = 6000;
 constexpr Duration kUpkeepTime = Seconds(2);
 constexpr Duration kHostApiTime = Milliseconds(10);
@@ -127,6 +133,12 @@
   return task.substr(0, task.find('.'));
 }
 
+Duration RandomStopTime() {
+  static std::mt19937 random{std::random_device{}()};
+  return Duration(std::uniform_int_distribution<int64_t>(
+      kMinStopTime.count(), kMaxStopTime.count())(random));
+}
+
 bool CanBind(const std::string& ip, int port) {
   int fd = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -368,7 +380,7 @@
   closed_.clear();
   ended_.clear();
   state_ = "up";
-  dark_ = false;
+  dark_ = draining_ = false;
   http_ = std::make_unique<HttpServer>(
       site_.loop(), HttpServerLimits{},
       radishmoor::HttpServerHandlers{
@@ -403,6 +415,19 @@
   site_.loop().RunAfter(downtime, [this] { Boot(); });
 }
 
+void Worker::Drain(Duration length) {
+  if (draining_ || !up())
+    return;
+  site_.recorder().Line("worker " + id_ + " drains with " +
+                        std::to_string(running_.size()) + " runs");
+  draining_ = true;
+  Heartbeat();
+  site_.loop().RunAfter(length, [this, boot = boot_] {
+    if (boot == boot_ && up())
+      BeginUpkeep(kReplacementTime);
+  });
+}
+
 void Worker::GoDark(Duration length) {
   site_.recorder().Line("worker " + id_ + " goes dark with " +
                         std::to_string(running_.size()) + " runs");
@@ -434,7 +459,8 @@
                    {"zone", "hall"},
                    {"version", "v1"},
                    {"slots", 8},
-                   {"state", "ready"},
+                   {"state", draining_ ? "draining" : "ready"},
+                   {"remaining_ms", draining_ ? kDrainMs : 0},
                    {"cold_left_ms", 0},
                    {"capacity", json::object{{"cpu", cpu_},
                                              {"mem_mb", kWorkerMemoryMb},
@@ -443,8 +469,8 @@
                    {"clock_ms", ClockMs()},
                    {"born", born_},
                    {"seq_no", seq_no_}});
-  site_.loop().RunAfter(kHeartbeat, [this, boot = boot_] {
-    if (boot == boot_ && up() && !dark_)
+  site_.loop().RunAfter(kHeartbeat, [this, boot = boot_, seq_no = seq_no_] {
+    if (boot == boot_ && up() && !dark_ && seq_no == seq_no_)
       Heartbeat();
   });
 }
@@ -546,6 +572,14 @@
   CheckStart(start);
   site_.SetBegun(JobOf(start.task));
   running_[key] = start;
+  if (step != nullptr && step->long_running) {
+    site_.loop().RunAfter(kStartUpTime,
+                          [this, task = start.task, boot = boot_] {
+                            if (boot == boot_ && IsAtWork(task))
+                              site_.SetEndedByOrder(task, false);
+                          });
+    return JsonAnswer(200, {{"clock_ms", ClockMs()}});
+  }
   site_.loop().RunAfter(start.length, [this, key, boot = boot_] {
     auto it = running_.find(key);
     if (boot != boot_ || it == running_.end() || it->second.stopping)
@@ -598,7 +632,8 @@
     it->second.stopping = true;
     site_.recorder().Line("worker " + id_ + " is told to stop " + task +
                           " run " + std::to_string(run));
-    site_.loop().RunAfter(kStopTime, [this, task, run, boot = boot_] {
+    it->second.stopped_at_work = !draining_ && IsAtWork(task);
+    site_.loop().RunAfter(RandomStopTime(), [this, task, run, boot = boot_] {
       if (boot == boot_ && running_.contains({task, run}))
         End(task, run, "stopped");
     });
@@ -607,7 +642,14 @@
 }
 
 void Worker::End(const std::string& task, int64_t run, const std::string& how) {
-  running_.erase({task, run});
+  auto running = running_.find({task, run});
+  bool at_work = running->second.stopped_at_work;
+  running_.erase(running);
+  if (how == "stopped") {
+    if (at_work)
+      site_.CheckAvailability(task, *this);
+    site_.SetEndedByOrder(task, true);
+  }
   int64_t& closed = closed_[task];
   closed = std::max(closed, run);
   ended_.push_back({next_end_++, task, run, how});
@@ -627,14 +669,27 @@
   });
 }
 
+int64_t Worker::PercentOf(const Running& run) const {
+  const StepOptions* step = site_.FindStep(run.task);
+  Duration age = site_.loop().now() - run.started;
+  if (step != nullptr && step->long_running)
+    return std::min<int64_t>(100, age * 100 / kStartUpTime);
+  return std::min<int64_t>(99,
+                           age * 100 / std::max(run.length, Milliseconds(1)));
+}
+
+bool Worker::IsAtWork(const std::string& task) const {
+  return std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+    return entry.first.first == task && PercentOf(entry.second) == 100;
+  });
+}
+
 HttpResponse Worker::Poll(int64_t acknowledged) {
   json::array running;
   json::array finished;
   for (const auto& [key, run] : running_) {
-    int64_t percent = (site_.loop().now() - run.started) * 100 /
-                      std::max(run.length, Milliseconds(1));
-    running.push_back(json::array{run.task, run.run, "",
-                                  std::min<int64_t>(99, percent), run.cpu});
+    running.push_back(
+        json::array{run.task, run.run, "", PercentOf(run), run.cpu});
   }
   for (const Ended& end : ended_) {
     if (end.sequence > acknowledged)
@@ -897,6 +952,39 @@
   return nullptr;
 }
 
+void Site::SetEndedByOrder(const std::string& task, bool ended) {
+  if (ended)
+    ended_by_order_.insert(task);
+  else
+    ended_by_order_.erase(task);
+}
+
+void Site::CheckAvailability(const std::string& task, const Worker& worker) {
+  const StepOptions* step = FindStep(task);
+  if (step == nullptr || !step->long_running || step->may_miss == 0)
+    return;
+  std::string prefix = task.substr(0, task.rfind('.') + 1);
+  int away = 0;
+  std::string others;
+  for (int i = 0; i < step->count; ++i) {
+    std::string other = prefix + std::to_string(i);
+    bool at_work = std::any_of(
+        workers_.begin(), workers_.end(),
+        [&](const auto& w) { return w->up() && w->IsAtWork(other); });
+    if (other == task || at_work || !ended_by_order_.contains(other))
+      continue;
+    ++away;
+    others += " " + other;
+  }
+  if (away >= step->may_miss) {
+    recorder_.Violation(
+        "AVAIL: " + task + ", at work on worker " + worker.id() +
+        ", which doesn't drain, is ended by a stop while " +
+        std::to_string(away) + " others of its step are away (" + others +
+        " ) and " + std::to_string(step->may_miss) + " may be");
+  }
+}
+
 void Site::Submit(const JobOptions& job) {
   json::array steps;
   for (size_t i = 0; i < job.steps.size(); ++i) {
@@ -909,6 +997,12 @@
       object["requirements"] = step.requirement;
     if (step.speculative)
       object["speculative"] = true;
+    if (step.long_running)
+      object["long_running"] = true;
+    if (step.max_per_server > 0)
+      object["max_per_server"] = step.max_per_server;
+    if (step.may_miss > 0)
+      object["may_miss"] = step.may_miss;
     if (i > 0)
       object["after"] = json::array{i - 1};
     steps.push_back(std::move(object));
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -65,6 +65,9 @@
   int64_t cpu = 1000;
   std::string requirement;
   bool speculative = false;
+  bool long_running = false;  // At work after a start-up of 0.7 s.
+  int max_per_server = 0;
+  int may_miss = 0;
 };
 
 struct JobOptions {
@@ -145,6 +148,9 @@
   // Loses all runs and answers nothing for `length`; then starts again under
   // its id.
   void GoDark(Duration length);
+  // Reports that the worker drains. It leaves after `length`; 1 s later one
+  // with another id starts on the machine.
+  void Drain(Duration length);
   // Ends the worker for an upkeep, after which one with another id starts.
   void BeginUpkeep(Duration length);
 
@@ -158,6 +164,9 @@
   bool idle() const { return running_.empty(); }
   size_t runs() const { return running_.size(); }
   bool Runs(const std::string& task) const;
+  bool draining() const { return draining_; }
+  // True if the work item that lasts has a run that is at work.
+  bool IsAtWork(const std::string& task) const;
 
  private:
   struct Running {
@@ -168,6 +177,9 @@
     Duration length{};
     bool fails = false;
     bool stopping = false;
+    // A stop arrived while the work item was at work and the worker did not
+    // drain.
+    bool stopped_at_work = false;
   };
   struct Ended {
     int64_t sequence = 0;
@@ -183,6 +195,7 @@
   HttpResponse Start(const json::object& body);
   HttpResponse Stop(const json::object& body);
   HttpResponse Poll(int64_t acknowledged);
+  int64_t PercentOf(const Running& run) const;
   void CheckStart(const Running& start);
   void Acknowledge(int64_t cursor);
   void End(const std::string& task, int64_t run, const std::string& how);
@@ -202,6 +215,7 @@
   uint16_t port_ = 0;
   std::unique_ptr<HttpServer> http_;
   bool dark_ = false;
+  bool draining_ = false;
   uint64_t boot_ = 0;  // Number of starts.
   Time booted_;
   int64_t born_ = 0;
@@ -289,6 +303,11 @@
     return done_tasks_.contains(task);
   }
   void SetDone(const std::string& task) { done_tasks_.insert(task); }
+  // Checks AVAIL for a work item that lasts and was at work until an order
+  // ended it. The clause on items that were away for notice_ms is left out.
+  void CheckAvailability(const std::string& task, const Worker& worker);
+  // Records that an order ended the work item, or that it is at work again.
+  void SetEndedByOrder(const std::string& task, bool ended);
   void SetBegun(const std::string& job) { begun_.insert(job); }
   // Returns the worker other than `except` that runs the work item; nullptr if
   // there is none.
@@ -336,6 +355,7 @@
   std::map<std::string, int64_t> machine_tokens_;
   std::set<std::string> done_tasks_;
   std::set<std::string> begun_;  // Jobs.
+  std::set<std::string> ended_by_order_;
   std::optional<Duration> late_upkeep_;
   std::function<void(std::string)> on_late_upkeep_;
   uint64_t next_worker_ = 1;
