--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,7 +1,6 @@
-// A wave of upkeeps, one machine at a time. One call for an upkeep gets no
-// answer and is carried out seconds later; the process that made it is killed.
+// Workers of a service whose starts need tickets are lost for good. Others that
+// may run the next job's step are left, but are never asked about.
 
-#include <csignal>
 #include <iostream>
 
 #include "review/standin/site.h"
@@ -14,51 +13,60 @@
 using radishmoor::Time;
 using review::Site;
 
-constexpr int kWorkers = 6;
-// Calls are carried out 2 to 12 s late.
-constexpr Duration kLateBy = Milliseconds(4000);
-constexpr Duration kKillAfter = Milliseconds(200);
-constexpr Duration kRestartAfter = Milliseconds(3500);
-constexpr Duration kWaveTime = Seconds(40);
+constexpr int kWorkers = 40;
+// Positions, from 0, of the workers that the service for advice admits.
+constexpr size_t kAdmitted[] = {4, 11, 37, 38};
+// The workers that are lost, 6 of 40.
+constexpr size_t kLost[] = {0, 4, 7, 11, 18, 25};
+constexpr Duration kAfterLoss = Seconds(8);
+constexpr Duration kAskAfter = Seconds(30);
+constexpr Duration kMaxIdle = Seconds(3);
+const char kJob[] = "00000000000f0001";
 
 }  // namespace
 
 int main(int argc, char** argv) {
   try {
-    Site site({.services = {{.name = "desk", .workers = kWorkers}},
-               .record_path = argc > 1 ? argv[1] : "record.txt"});
+    Site site(
+        {.services = {{.name = "desk", .workers = kWorkers, .advice = true}},
+         .record_path = argc > 1 ? argv[1] : "record.txt"});
+    std::set<std::string> admitted;
+    for (size_t position : kAdmitted)
+      admitted.insert(site.worker(position).id());
+    site.SetAdmitted(admitted);
     if (!site.StartNodes())
       return 2;
     site.RunFor(Seconds(4));
-    std::string holder;
     if (Site::trouble()) {
-      site.CarryOutNextUpkeepLate(
-          kLateBy, [&holder](const std::string& name) { holder = name; });
+      for (size_t position : kLost)
+        site.worker(position).LoseForGood();
     }
-    std::vector<std::string> machines;
-    for (size_t i = 0; i < site.worker_count(); ++i)
-      machines.push_back(site.worker(i).machine());
-    site.PutWave(1, machines, 1);
-    Time end = site.loop().now() + kWaveTime;
-    Time kill_at = radishmoor::kTimeMax;
-    Time restart_at = radishmoor::kTimeMax;
-    while (site.loop().now() < end) {
-      site.RunFor(Milliseconds(20));
-      Time now = site.loop().now();
-      if (!holder.empty() && kill_at == radishmoor::kTimeMax)
-        kill_at = now + kKillAfter;
-      if (now >= kill_at && restart_at == radishmoor::kTimeMax) {
-        site.FindNode(holder)->Signal(SIGKILL);
-        restart_at = now + kRestartAfter;
-      }
-      if (now >= restart_at) {
-        site.FindNode(holder)->RestartIfEnded();
-        restart_at = end;
+    site.RunFor(kAfterLoss);
+    site.Submit({.id = kJob,
+                 .service = "desk",
+                 .steps = {{.count = 2, .cpu = 1000}},
+                 .run_time = Milliseconds(500)});
+    Time begin = site.loop().now();
+    Time last_at_work = begin;
+    while (site.loop().now() - begin < kAskAfter && !site.AllJobsHaveEnded()) {
+      site.RunFor(Milliseconds(50));
+      for (size_t i = 0; i < site.worker_count(); ++i) {
+        if (!site.worker(i).idle())
+          last_at_work = site.loop().now();
       }
     }
-    if (Site::trouble() && holder.empty())
+    if (site.AllJobsHaveEnded())
+      return site.recorder().violations().empty() ? 0 : 1;
+    Duration idle = site.loop().now() - last_at_work;
+    if (!site.IsAccepted(kJob) || idle <= kMaxIdle)
       return 2;
-    return site.recorder().violations().empty() ? 0 : 1;
+    site.recorder().Violation(
+        std::string("LOST: ") + kJob + " is " + site.StateOf(kJob) +
+        " and has had nothing at work for " +
+        std::to_string(radishmoor::WholeMilliseconds(idle)) +
+        " ms, while the workers " + site.worker(kAdmitted[2]).id() + " and " +
+        site.worker(kAdmitted[3]).id() + ", which may run it, are empty");
+    return 1;
   } catch (const std::exception& error) {
     std::cerr << error.what() << "\n";
     return 2;
