--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -53,7 +53,7 @@
            .service = "desk",
            .steps = {{.count = poison ? 8 : 2, .cpu = poison ? 3500 : 1000}},
            .run_time = poison ? kPoisonRunTime : kRunTime,
-           .fails = poison && Site::trouble()});
+           .failing_runs = poison && Site::trouble() ? 1000 : 0});
       site.RunFor(kJobPeriod);
     }
     Time last_at_work = site.loop().now();
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,7 +1,7 @@
-// Waves of one machine each, while another worker drains: both run work items
-// of the same steps that last, of which one may be away.
+// A wave of upkeeps, one machine at a time. One call for an upkeep gets no
+// answer and is carried out seconds later; the process that made it is killed.
 
-#include <cstdio>
+#include <csignal>
 #include <iostream>
 
 #include "review/standin/site.h"
@@ -13,20 +13,13 @@
 using radishmoor::Seconds;
 using radishmoor::Time;
 using review::Site;
-using review::Worker;
 
-constexpr int kWorkers = 7;
-constexpr int kJobs = 4;
-constexpr int kRounds = 10;
-constexpr Duration kRoundTime = Milliseconds(9500);
-// drain_ms and a little longer.
-constexpr Duration kDrainTime = Milliseconds(4000);
-
-std::string JobId(int number) {
-  char text[17];
-  std::snprintf(text, sizeof(text), "%016x", 0xe0000 + number);
-  return text;
-}
+constexpr int kWorkers = 6;
+// Calls are carried out 2 to 12 s late.
+constexpr Duration kLateBy = Milliseconds(4000);
+constexpr Duration kKillAfter = Milliseconds(200);
+constexpr Duration kRestartAfter = Milliseconds(3500);
+constexpr Duration kWaveTime = Seconds(40);
 
 }  // namespace
 
@@ -36,38 +29,35 @@
                .record_path = argc > 1 ? argv[1] : "record.txt"});
     if (!site.StartNodes())
       return 2;
-    site.RunFor(Seconds(3));
-    for (int i = 1; i <= kJobs; ++i) {
-      site.Submit({.id = JobId(i),
-                   .service = "desk",
-                   .steps = {{.count = 5,
-                              .cpu = 1300,
-                              .long_running = true,
-                              .max_per_server = 1,
-                              .may_miss = 1}}});
-    }
     site.RunFor(Seconds(4));
-    for (int round = 1; round <= kRounds; ++round) {
-      // The machine of the worker with the lowest id that has work; the worker
-      // with the highest id that has work drains.
-      Worker* first = nullptr;
-      Worker* last = nullptr;
-      for (size_t i = 0; i < site.worker_count(); ++i) {
-        Worker& worker = site.worker(i);
-        if (!worker.up() || worker.idle())
-          continue;
-        if (first == nullptr || worker.id() < first->id())
-          first = &worker;
-        if (last == nullptr || worker.id() > last->id())
-          last = &worker;
+    std::string holder;
+    if (Site::trouble()) {
+      site.CarryOutNextUpkeepLate(
+          kLateBy, [&holder](const std::string& name) { holder = name; });
+    }
+    std::vector<std::string> machines;
+    for (size_t i = 0; i < site.worker_count(); ++i)
+      machines.push_back(site.worker(i).machine());
+    site.PutWave(1, machines, 1);
+    Time end = site.loop().now() + kWaveTime;
+    Time kill_at = radishmoor::kTimeMax;
+    Time restart_at = radishmoor::kTimeMax;
+    while (site.loop().now() < end) {
+      site.RunFor(Milliseconds(20));
+      Time now = site.loop().now();
+      if (!holder.empty() && kill_at == radishmoor::kTimeMax)
+        kill_at = now + kKillAfter;
+      if (now >= kill_at && restart_at == radishmoor::kTimeMax) {
+        site.FindNode(holder)->Signal(SIGKILL);
+        restart_at = now + kRestartAfter;
+      }
+      if (now >= restart_at) {
+        site.FindNode(holder)->RestartIfEnded();
+        restart_at = end;
       }
-      if (first == nullptr || first == last)
-        return 2;
-      site.PutWave(round, {first->machine()}, 1);
-      if (Site::trouble())
-        last->Drain(kDrainTime);
-      site.RunFor(kRoundTime);
     }
+    if (Site::trouble() && holder.empty())
+      return 2;
     return site.recorder().violations().empty() ? 0 : 1;
   } catch (const std::exception& error) {
     std::cerr << error.what() << "\n";
--- a/review/standin/site.cc
+++ b/review/standin/site.cc
@@ -40,6 +40,10 @@
 constexpr int64_t kMaxHoldMs = 6000;
 constexpr Duration kUpkeepTime = Seconds(2);
 constexpr Duration kHostApiTime = Milliseconds(10);
+// Times of the service for advice, and how long a ticket is valid.
+constexpr int64_t kAdviceDecideMs = 20;
+constexpr int64_t kAdviceEachMs = 1;
+constexpr int64_t kAdviceValidMs = 3000;
 constexpr Duration kLeaseCheckPeriod = Milliseconds(20);
 // Callers ask for a job's state this often.
 constexpr Duration kStatePeriod = Milliseconds(500);
@@ -49,6 +53,11 @@
 constexpr int kFirstCallerPort = 18624;
 constexpr int kPortTries = 200;
 
+// The processes are in the first zone. One way between and within zones.
+constexpr const char* kZones[] = {"accra-hall", "kumasi-room"};
+constexpr Duration kCrossZoneTime = radishmoor::Microseconds(1400);
+constexpr Duration kInZoneTime = radishmoor::Microseconds(200);
+
 HttpResponse JsonAnswer(unsigned status, const json::object& body) {
   return {
       status, {{"Content-Type", "application/json"}}, json::serialize(body)};
@@ -361,11 +370,13 @@
 Worker::Worker(Site& site,
                std::string machine,
                std::string service,
+               std::string zone,
                int64_t cpu)
     : site_(site),
       id_(site.NewWorkerId()),
       machine_(std::move(machine)),
       service_(std::move(service)),
+      zone_(std::move(zone)),
       cpu_(cpu) {
   site_.loop().RunAfter(kLeaseCheckPeriod, [this] { CheckLease(); });
 }
@@ -428,6 +439,13 @@
   });
 }
 
+void Worker::LoseForGood() {
+  Crash();
+  state_ = "down";
+  site_.loop().RunAfter(3 * kHeartbeat,
+                        [this] { site_.store().Remove("servers", id_); });
+}
+
 void Worker::GoDark(Duration length) {
   site_.recorder().Line("worker " + id_ + " goes dark with " +
                         std::to_string(running_.size()) + " runs");
@@ -456,7 +474,7 @@
       "servers", id_,
       json::object{{"service", service_},
                    {"address", FormatEndpoint({"127.0.0.1", port_})},
-                   {"zone", "hall"},
+                   {"zone", zone_},
                    {"version", "v1"},
                    {"slots", 8},
                    {"state", draining_ ? "draining" : "ready"},
@@ -499,8 +517,14 @@
 }
 
 void Worker::OnRequest(ExchangeId exchange, const HttpRequest& request) {
-  if (dark_)
-    return;
+  Duration one_way = zone_ == kZones[0] ? kInZoneTime : kCrossZoneTime;
+  site_.loop().RunAfter(one_way, [this, exchange, request, boot = boot_] {
+    if (boot == boot_ && up() && !dark_)
+      Answer(exchange, request);
+  });
+}
+
+void Worker::Answer(ExchangeId exchange, const HttpRequest& request) {
   if (request.method == "GET") {
     http_->Respond(exchange, {200, {}, ""});
     return;
@@ -556,13 +580,15 @@
   }
   if (Integer(body, "deadline_ms") <= ClockMs())
     return refuse("late");
+  if (Text(body, "ticket") != site_.TicketFor(start.task, *this))
+    return refuse("ticket");
   ExtendLease(body);
   std::pair<std::string, int64_t> key{start.task, start.run};
   if (running_.contains(key))
     return JsonAnswer(200, {{"clock_ms", ClockMs()}});
   json::object spec = ParseObject(Text(body, "spec"));
   start.length = Milliseconds(Integer(spec, "ms"));
-  start.fails = Integer(spec, "fails") != 0;
+  start.fails = start.run <= Integer(spec, "fails");
   const StepOptions* step = site_.FindStep(start.task);
   start.cpu = step == nullptr ? 0 : step->cpu;
   start.started = site_.loop().now();
@@ -576,7 +602,7 @@
     site_.loop().RunAfter(kStartUpTime,
                           [this, task = start.task, boot = boot_] {
                             if (boot == boot_ && IsAtWork(task))
-                              site_.SetEndedByOrder(task, false);
+                              site_.SetAtWork(task);
                           });
     return JsonAnswer(200, {{"clock_ms", ClockMs()}});
   }
@@ -632,6 +658,7 @@
     it->second.stopping = true;
     site_.recorder().Line("worker " + id_ + " is told to stop " + task +
                           " run " + std::to_string(run));
+    it->second.stop_arrived = site_.loop().now();
     it->second.stopped_at_work = !draining_ && IsAtWork(task);
     site_.loop().RunAfter(RandomStopTime(), [this, task, run, boot = boot_] {
       if (boot == boot_ && running_.contains({task, run}))
@@ -644,11 +671,12 @@
 void Worker::End(const std::string& task, int64_t run, const std::string& how) {
   auto running = running_.find({task, run});
   bool at_work = running->second.stopped_at_work;
+  Time stop_arrived = running->second.stop_arrived;
   running_.erase(running);
   if (how == "stopped") {
     if (at_work)
-      site_.CheckAvailability(task, *this);
-    site_.SetEndedByOrder(task, true);
+      site_.CheckAvailability(task, *this, stop_arrived);
+    site_.SetEndedByOrder(task, stop_arrived);
   }
   int64_t& closed = closed_[task];
   closed = std::max(closed, run);
@@ -728,9 +756,9 @@
       {"machine_class", "edge"},
       {"serves", json::array{"edge"}},
       {"ip", own_ip},
-      {"zone", "hall"},
+      {"zone", kZones[0]},
       {"region", "south"},
-      {"zones", json::object{{"hall", "south"}}},
+      {"zones", json::object{{kZones[0], "south"}, {kZones[1], "south"}}},
       {"listen",
        json::object{{"frontend", FormatEndpoint(caller_address_)},
                     {"readiness", FormatEndpoint(readiness_address_)}}},
@@ -760,6 +788,7 @@
                               {"fencing_enforced", true},
                               {"lease_ms", 3000}}},
       {"orders", "push"},
+      {"advice", FormatEndpoint(site.advice_address())},
       {"platform",
        json::object{{"address", FormatEndpoint(site.store().address())},
                     {"form", "table"},
@@ -830,6 +859,13 @@
                        OnHostApiRequest(id, request);
                      },
                  .on_abandoned = [](ExchangeId) {}}),
+      advice_(loop_,
+              {},
+              {.on_request =
+                   [this](ExchangeId id, const HttpRequest& request) {
+                     OnAdviceRequest(id, request);
+                   },
+               .on_abandoned = [](ExchangeId) {}}),
       fetcher_(loop_) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
@@ -837,12 +873,15 @@
     throw std::runtime_error("cannot create a temporary folder");
   folder_ = pattern;
   host_api_address_ = host_api_.Listen({"127.0.0.1", 0});
-  WriteConfig();
+  advice_address_ = advice_.Listen({"127.0.0.1", 0});
+  PutConfig({});
   int machine = 1;
   for (const ServiceOptions& service : options.services) {
     for (int i = 0; i < service.workers; ++i) {
       workers_.push_back(std::make_unique<Worker>(
-          *this, "m-" + std::to_string(machine++), service.name, service.cpu));
+          *this, "m-" + std::to_string(machine), service.name,
+          kZones[machine % 2], service.cpu));
+      ++machine;
       if (!service.standby)
         workers_.back()->Boot();
     }
@@ -865,14 +904,15 @@
   return value == nullptr || std::string_view(value) != "0";
 }
 
-void Site::WriteConfig() {
+void Site::PutConfig(const std::set<std::string>& without_routes) {
+  ++config_version_;
   json::array routes;
   json::array services;
   for (const ServiceOptions& service : options_.services) {
     services.push_back(json::object{{"name", service.name},
                                     {"standby", service.standby},
                                     {"admission_control", false}});
-    if (service.standby)
+    if (service.standby || without_routes.contains(service.name))
       continue;
     routes.push_back(json::object{{"name", "r-" + service.name},
                                   {"host", "jobs.example"},
@@ -884,10 +924,35 @@
                                   {"service", service.name},
                                   {"max_attempts", service.max_attempts},
                                   {"slack_factor", 1.6}});
+    if (service.advice) {
+      routes.back().as_object()["advice"] =
+          json::object{{"decide_ms", kAdviceDecideMs},
+                       {"each_ms", kAdviceEachMs},
+                       {"valid_ms", kAdviceValidMs}};
+    }
   }
-  store_.Put(
-      "op", "config",
-      json::object{{"version", 1}, {"routes", routes}, {"services", services}});
+  store_.Put("op", "config",
+             json::object{{"version", config_version_},
+                          {"routes", routes},
+                          {"services", services}});
+  recorder_.Line("configuration " + std::to_string(config_version_) +
+                 ", routes: " + std::to_string(routes.size()));
+}
+
+Node* Site::FindOwner(const std::string& service) {
+  Node* owner = nullptr;
+  for (auto& node : nodes_) {
+    fetcher_.Fetch(node->readiness_address(), {"GET", "/pools", {}, ""},
+                   Milliseconds(400),
+                   [&, node = node.get()](const HttpFetcher::Result& result) {
+                     const auto* answer = std::get_if<HttpResponse>(&result);
+                     if (answer != nullptr &&
+                         answer->body.find(service) != std::string::npos)
+                       owner = node;
+                   });
+  }
+  RunFor(Milliseconds(500));
+  return owner;
 }
 
 std::string Site::NewWorkerId() {
@@ -952,14 +1017,9 @@
   return nullptr;
 }
 
-void Site::SetEndedByOrder(const std::string& task, bool ended) {
-  if (ended)
-    ended_by_order_.insert(task);
-  else
-    ended_by_order_.erase(task);
-}
-
-void Site::CheckAvailability(const std::string& task, const Worker& worker) {
+void Site::CheckAvailability(const std::string& task,
+                             const Worker& worker,
+                             Time stop_arrived) {
   const StepOptions* step = FindStep(task);
   if (step == nullptr || !step->long_running || step->may_miss == 0)
     return;
@@ -971,7 +1031,9 @@
     bool at_work = std::any_of(
         workers_.begin(), workers_.end(),
         [&](const auto& w) { return w->up() && w->IsAtWork(other); });
-    if (other == task || at_work || !ended_by_order_.contains(other))
+    auto ended = ended_by_order_.find(other);
+    if (other == task || at_work || ended == ended_by_order_.end() ||
+        ended->second >= stop_arrived)
       continue;
     ++away;
     others += " " + other;
@@ -1008,7 +1070,7 @@
     steps.push_back(std::move(object));
   }
   json::object spec{{"ms", WholeMilliseconds(job.run_time)},
-                    {"fails", job.fails ? 1 : 0}};
+                    {"fails", job.failing_runs}};
   JobState& state = jobs_[job.id];
   state.options = job;
   state.body = json::serialize(
@@ -1130,6 +1192,37 @@
   on_late_upkeep_ = std::move(on_call);
 }
 
+std::string Site::TicketFor(const std::string& task,
+                            const Worker& worker) const {
+  for (const ServiceOptions& service : options_.services) {
+    if (service.name == worker.service() && service.advice)
+      return "t-" + task.substr(0, task.rfind('.')) + "-" + worker.id();
+  }
+  return {};
+}
+
+void Site::OnAdviceRequest(ExchangeId exchange, const HttpRequest& request) {
+  json::object body = ParseObject(request.body);
+  std::string step = Text(body, "step");
+  const json::array& workers = Array(body, "workers");
+  recorder_.Line("advice on " + step + " and " +
+                 std::to_string(workers.size()) +
+                 " workers: " + json::serialize(workers));
+  json::array admitted;
+  for (const json::value& worker : workers) {
+    std::string id(worker.as_string());
+    if (admitted_.contains(id))
+      admitted.push_back(json::array{id, "t-" + step + "-" + id});
+  }
+  auto time = Milliseconds(
+      kAdviceDecideMs + kAdviceEachMs * static_cast<int64_t>(workers.size()));
+  loop_.RunAfter(time, [this, exchange, admitted] {
+    recorder_.Line("advice -> admitted " + json::serialize(admitted));
+    advice_.Respond(exchange, JsonAnswer(200, {{"admitted", admitted},
+                                               {"valid_ms", kAdviceValidMs}}));
+  });
+}
+
 Worker* Site::FindMachine(const std::string& machine) {
   for (auto& worker : workers_) {
     if (worker->machine() == machine)
@@ -1183,7 +1276,7 @@
         {"machine", worker->machine()},
         {"pool", worker->service()},
         {"state", worker->state()},
-        {"zone", "hall"},
+        {"zone", worker->zone()},
         {"labels", json::array{worker->kind(), "r1-1"}},
         {"capacity",
          json::object{
--- a/review/standin/site.h
+++ b/review/standin/site.h
@@ -51,6 +51,8 @@
   int64_t cpu = 16000;  // Thousandths of a core of each worker.
   int64_t max_attempts = 3;
   bool standby = false;
+  // Each start needs a ticket of the service for advice.
+  bool advice = false;
 };
 
 struct SiteOptions {
@@ -75,7 +77,8 @@
   std::string service;
   std::vector<StepOptions> steps;
   Duration run_time{};
-  bool fails = false;  // Each run ends `failed` after `run_time`.
+  // Runs of a work item up to this number end `failed` after `run_time`.
+  int failing_runs = 0;
 };
 
 class Recorder {
@@ -136,7 +139,11 @@
 // upkeep ends it and starts one with another id.
 class Worker {
  public:
-  Worker(Site& site, std::string machine, std::string service, int64_t cpu);
+  Worker(Site& site,
+         std::string machine,
+         std::string service,
+         std::string zone,
+         int64_t cpu);
 
   // Starts the worker and registers it in the store.
   void Boot();
@@ -145,6 +152,8 @@
   // Crashes the worker and starts it again after `downtime`, under its id, with
   // `cpu` thousandths of a core and of the kind `kind`.
   void Restart(Duration downtime, int64_t cpu, const std::string& kind);
+  // Ends the worker for good. Its entry is removed after three heartbeats.
+  void LoseForGood();
   // Loses all runs and answers nothing for `length`; then starts again under
   // its id.
   void GoDark(Duration length);
@@ -157,6 +166,7 @@
   const std::string& id() const { return id_; }
   const std::string& machine() const { return machine_; }
   const std::string& service() const { return service_; }
+  const std::string& zone() const { return zone_; }
   const std::string& state() const { return state_; }
   int64_t cpu() const { return cpu_; }
   const std::string& kind() const { return kind_; }
@@ -177,8 +187,9 @@
     Duration length{};
     bool fails = false;
     bool stopping = false;
-    // A stop arrived while the work item was at work and the worker did not
-    // drain.
+    // When a stop arrived, and whether the work item was at work then and the
+    // worker did not drain.
+    Time stop_arrived;
     bool stopped_at_work = false;
   };
   struct Ended {
@@ -192,6 +203,7 @@
   };
 
   void OnRequest(ExchangeId exchange, const HttpRequest& request);
+  void Answer(ExchangeId exchange, const HttpRequest& request);
   HttpResponse Start(const json::object& body);
   HttpResponse Stop(const json::object& body);
   HttpResponse Poll(int64_t acknowledged);
@@ -209,6 +221,7 @@
   std::string id_;
   std::string machine_;
   std::string service_;
+  std::string zone_;
   std::string state_ = "up";  // Of the machine, as the host API shows it.
   std::string kind_ = "a";
   int64_t cpu_;
@@ -274,10 +287,22 @@
   // called with its name and the number.
   void AskPending(const std::string& service,
                   std::function<void(std::string, int64_t)> on_answer);
+  // Writes the next configuration, without the routes of these services.
+  void PutConfig(const std::set<std::string>& without_routes);
+  // Returns the process that owns the service's pool; nullptr if none says so.
+  Node* FindOwner(const std::string& service);
   void PutWave(int64_t number,
                const std::vector<std::string>& machines,
                int64_t max_count);
 
+  // The service for advice admits these workers to all steps, and no others.
+  void SetAdmitted(const std::set<std::string>& workers) {
+    admitted_ = workers;
+  }
+  // The ticket for the work item's step on the worker; empty if the service's
+  // starts need none.
+  std::string TicketFor(const std::string& task, const Worker& worker) const;
+
   // The next call for an upkeep gets no answer and is carried out after
   // `delay`. `on_call` is called when it arrives, with the caller's name.
   void CarryOutNextUpkeepLate(Duration delay,
@@ -293,6 +318,7 @@
   const std::string& folder() const { return folder_; }
   const SiteOptions& options() const { return options_; }
   Endpoint host_api_address() const { return host_api_address_; }
+  Endpoint advice_address() const { return advice_address_; }
   std::string NewWorkerId();
 
   const JobOptions* FindJob(const std::string& id) const;
@@ -303,11 +329,18 @@
     return done_tasks_.contains(task);
   }
   void SetDone(const std::string& task) { done_tasks_.insert(task); }
-  // Checks AVAIL for a work item that lasts and was at work until an order
-  // ended it. The clause on items that were away for notice_ms is left out.
-  void CheckAvailability(const std::string& task, const Worker& worker);
-  // Records that an order ended the work item, or that it is at work again.
-  void SetEndedByOrder(const std::string& task, bool ended);
+  // Checks AVAIL for a work item that lasts, was at work and has been ended by
+  // a stop that arrived at `stop_arrived`. Counts only others that have been
+  // ended by a stop that arrived earlier; the clause on notice_ms is left out.
+  void CheckAvailability(const std::string& task,
+                         const Worker& worker,
+                         Time stop_arrived);
+  // Records that the work item has been ended by a stop that arrived at
+  // `stop_arrived`.
+  void SetEndedByOrder(const std::string& task, Time stop_arrived) {
+    ended_by_order_[task] = stop_arrived;
+  }
+  void SetAtWork(const std::string& task) { ended_by_order_.erase(task); }
   void SetBegun(const std::string& job) { begun_.insert(job); }
   // Returns the worker other than `except` that runs the work item; nullptr if
   // there is none.
@@ -337,8 +370,8 @@
   void OnHostApiRequest(ExchangeId exchange, const HttpRequest& request);
   HttpResponse ListMachines() const;
   HttpResponse Upkeep(const json::object& body, int64_t token);
+  void OnAdviceRequest(ExchangeId exchange, const HttpRequest& request);
   Worker* FindMachine(const std::string& machine);
-  void WriteConfig();
 
   SiteOptions options_;
   EventLoop loop_;
@@ -347,6 +380,9 @@
   Store store_;
   HttpServer host_api_;
   Endpoint host_api_address_;
+  HttpServer advice_;
+  Endpoint advice_address_;
+  std::set<std::string> admitted_;  // Ids of workers.
   HttpFetcher fetcher_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<std::unique_ptr<Node>> nodes_;
@@ -355,10 +391,12 @@
   std::map<std::string, int64_t> machine_tokens_;
   std::set<std::string> done_tasks_;
   std::set<std::string> begun_;  // Jobs.
-  std::set<std::string> ended_by_order_;
+  // By work item: when the stop arrived that ended it.
+  std::map<std::string, Time> ended_by_order_;
   std::optional<Duration> late_upkeep_;
   std::function<void(std::string)> on_late_upkeep_;
   uint64_t next_worker_ = 1;
+  int64_t config_version_ = 0;
   size_t next_caller_node_ = 0;
 };
 
