--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -16,7 +16,7 @@
 
 constexpr int kWorkers = 6;
 // Calls are carried out 2 to 12 s late.
-constexpr Duration kLateBy = Milliseconds(4000);
+constexpr Duration kLateBy = Milliseconds(2600);
 constexpr Duration kKillAfter = Milliseconds(200);
 constexpr Duration kRestartAfter = Milliseconds(3500);
 constexpr Duration kWaveTime = Seconds(40);
