Keep runs of a restarted server until a poll tells whether it has them

A backend server restarts under its id; tasks that it has just started are started on other servers as well.

Cause: RunControl::EndIncarnation() took every answered start for a run of the earlier incarnation, but the answer to a start does not name the incarnation. The evidence is in the log of the old code: run-over with the reason server-restarted, a second run-started, then unknown-run-stopped for the first run.

Change: a restart ends only runs that a poll has listed on an earlier incarnation; the next poll, which is sent at once, tells about the others. An answer whose clock is behind the known clock shows a restart too. The same cause is closed on related paths: leases and acknowledged ends of the earlier incarnation, answered stops, inherited runs, a list of hosts that was read before the restart, and an answer 421 from the server's earlier address.

The model and the fault soak named the incarnation in every answer and restarted no server within 0.3 s. Both do now what the platform does.

--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -45,6 +45,9 @@
   ServerMillis start_valid_until = 0;
   uint32_t progress_percent = 0;
   Time progress_changed_at;
+  // Incarnation of the server that a poll has listed the run on. Absent before
+  // the first listing: the answer to a start does not name the incarnation.
+  std::optional<WallMillis> incarnation_started_at;
   std::string checkpoint;  // Latest one that a poll listed.
   int64_t load = 0;        // See RunningTask::load.
   uint32_t ordered_pace_percent = 100;
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -171,7 +171,7 @@
         state_.servers.AddRun(run.server,
                               {job.IdOf(occurrence, task), run.number},
                               job.StepOf(task));
-        state_.servers.Find(run.server)->inherited_leases_until =
+        state_.servers.Find(run.server)->other_leases_until =
             options_.earlier_leases_until;
       }
     }
@@ -448,7 +448,7 @@
     bool answered_since =
         server.last_answer_at && *server.last_answer_at >= sent;
     if (!server.runs.empty() && silent && !answered_since &&
-        !existing.contains(id))
+        server.restart_noticed_at < sent && !existing.contains(id))
       runs_.OnServerDead(now, server, outbox);
   }
   plan_needed_ = true;
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -134,8 +134,9 @@
   }
   uint64_t tag = outbox.SendOrder(server->listing.id, server->listing.address,
                                   state_.token, std::move(start));
-  orders_[tag] = {OrderKind::kStart, run->server, ref, now,
-                  run->start_valid_until};
+  orders_[tag] = {
+      OrderKind::kStart,     run->server, server->listing.address, ref, now,
+      run->start_valid_until};
   if (!state_.run_log.Keep(now, job.id))
     return;
   outbox.LogDecision("run-started",
@@ -199,7 +200,8 @@
   uint64_t tag =
       outbox.SendOrder(run->server, server->listing.address, state_.token,
                        PaceRun{ref.task, ref.run, percent});
-  orders_[tag] = {OrderKind::kPace, run->server, ref, now};
+  orders_[tag] = {OrderKind::kPace, run->server, server->listing.address, ref,
+                  now};
   outbox.LogDecision("run-paced", {{"task", FormatTask(ref.task)},
                                    {"run", static_cast<int64_t>(ref.run)},
                                    {"server", run->server.str()},
@@ -215,7 +217,8 @@
     return;
   run.stop_tag = outbox.SendOrder(run.server, server->listing.address,
                                   state_.token, StopRun{ref.task, ref.run});
-  orders_[run.stop_tag] = {OrderKind::kStop, run.server, ref, now};
+  orders_[run.stop_tag] = {OrderKind::kStop, run.server,
+                           server->listing.address, ref, now};
 }
 
 bool RunControl::OnReply(Time now, const ServerReply& reply, Outbox& outbox) {
@@ -230,20 +233,21 @@
   ServerState* server = state_.servers.Find(order.server);
   if (server == nullptr)
     return true;
-  if (reply.incarnation_started_at && server->incarnation_started_at &&
+  // An answer from another server at the address says nothing about this one.
+  bool other_server = reply.outcome == OrderOutcome::kOtherIncarnation;
+  if (!other_server && reply.incarnation_started_at &&
+      server->incarnation_started_at &&
       *reply.incarnation_started_at < *server->incarnation_started_at) {
     OnStaleReply(now, order, *server, reply.tag, outbox);
     return true;
   }
-  if (reply.incarnation_started_at)
+  if (!other_server && reply.incarnation_started_at)
     OnIncarnationListed(now, order.server, *reply.incarnation_started_at,
                         outbox);
-  if (reply.clock) {
-    server->clock.Observe(order.sent, now, *reply.clock);
-    server->last_answer_at = now;
-    RecordGrantedLease(order, *reply.clock, *server);
-  }
-  if (reply.outcome == OrderOutcome::kOtherIncarnation) {
+  if (!other_server && reply.clock)
+    ObserveClock(now, order, reply, *server, outbox);
+  // A server that has restarted elsewhere is not at its earlier address.
+  if (other_server && order.address == server->listing.address) {
     RemoveAllRuns(now, *server, "other-life", outbox);
     // The listing that gave this address for the server is out of date.
     server->listed = false;
@@ -269,6 +273,50 @@
   return true;
 }
 
+void RunControl::ObserveClock(Time now,
+                              const PendingOrder& order,
+                              const ServerReply& reply,
+                              ServerState& server,
+                              Outbox& outbox) {
+  ServerMillis reading = *reply.clock;
+  bool names_incarnation = reply.incarnation_started_at.has_value();
+  bool known = server.clock.known();
+  if (names_incarnation ||
+      (known && !server.clock.IsOfLaterIncarnation(order.sent, reading) &&
+       !server.clock.IsOfEarlierIncarnation(now, reading))) {
+    server.clock.Observe(order.sent, now, reading);
+    server.last_answer_at = now;
+    RecordGrantedLease(order, reading, server);
+    return;
+  }
+  if (known && server.clock.IsOfEarlierIncarnation(now, reading))
+    return;
+  // The server has restarted. The next poll tells what runs there.
+  if (known) {
+    outbox.LogDecision(
+        "server-clock-restarted",
+        {{"server", order.server.str()},
+         {"clock_ms", reading},
+         {"expected_ms", server.clock.LowerBoundAt(order.sent)}});
+  }
+  ForgetIncarnation(now, server);
+  SendPoll(now, server, true, false, outbox);
+}
+
+void RunControl::ForgetIncarnation(Time now, ServerState& server) const {
+  server.clock.Reset();
+  server.lease_until = 0;
+  // The ends of a new incarnation are numbered from 1: a poll must not
+  // acknowledge them by the numbers of an earlier one.
+  server.last_applied_end = server.last_stored_end =
+      server.last_acknowledged_end = 0;
+  server.unstored_ends.clear();
+  server.restart_noticed_at = now;
+  server.other_leases_until =
+      std::max(server.other_leases_until,
+               now + ServerClock::LongestTimeFor(state_.bounds.max_lease));
+}
+
 void RunControl::RecordGrantedLease(const PendingOrder& order,
                                     ServerMillis server_clock,
                                     ServerState& server) const {
@@ -315,18 +363,19 @@
     return;
   outbox.LogDecision("server-restarted",
                      {{"server", id.str()}, {"born", incarnation_started_at}});
-  server->clock.Reset();
+  ForgetIncarnation(now, *server);
   server->last_answer_at.reset();
-  server->lease_until = 0;
-  server->last_applied_end = server->last_stored_end =
-      server->last_acknowledged_end = 0;
-  server->unstored_ends.clear();
   server->next_poll_at = now;
-  EndIncarnation(now, *server, "server-restarted", outbox);
+  EndIncarnation(now, *server, incarnation_started_at, "server-restarted",
+                 outbox);
+  // The regular poll may wait for an answer of the earlier incarnation.
+  if (!server->runs.empty())
+    SendPoll(now, *server, true, false, outbox);
 }
 
 void RunControl::EndIncarnation(Time now,
                                 ServerState& server,
+                                std::optional<WallMillis> present,
                                 std::string_view reason,
                                 Outbox& outbox) {
   std::vector<RunRef> runs = server.runs;
@@ -334,23 +383,30 @@
     Run* run = state_.jobs.FindRun(ref);
     if (run == nullptr || run->phase == RunPhase::kPlanned)
       continue;
-    if (run->phase == RunPhase::kRunning ||
-        run->phase == RunPhase::kInherited) {
+    bool answered =
+        run->phase == RunPhase::kRunning || run->phase == RunPhase::kInherited;
+    bool listed_before = present && run->incarnation_started_at &&
+                         *run->incarnation_started_at < *present;
+    if (answered && (!present || listed_before)) {
       RemoveRun(now, ref, reason, outbox);
       continue;
     }
-    if (run->phase == RunPhase::kOrdered)
-      continue;  // The answer to the start, or its timeout, decides.
+    // A stop that the earlier incarnation has answered has no effect on the
+    // present one.
+    run->stopped_at.reset();
+    // The next poll decides about an answered start; for another one, its
+    // answer or its timeout does.
+    if (answered || run->phase == RunPhase::kOrdered)
+      continue;
     run->phase = RunPhase::kUncertain;
     run->phase_since = now;
-    run->stopped_at.reset();
     RequestRunCheck(now, server.listing.id);
   }
 }
 
 void RunControl::OnServerDead(Time now, ServerState& server, Outbox& outbox) {
   size_t runs = server.runs.size();
-  EndIncarnation(now, server, "server-dead", outbox);
+  EndIncarnation(now, server, std::nullopt, "server-dead", outbox);
   CloseResolved();
   if (runs == server.runs.size())
     return;
@@ -641,8 +697,11 @@
       uint64_t tag =
           outbox.SendOrder(server.listing.id, server.listing.address,
                            state_.token, StopRun{seen.task, seen.run});
-      orders_[tag] = {
-          OrderKind::kStop, server.listing.id, {seen.task, seen.run}, now};
+      orders_[tag] = {OrderKind::kStop,
+                      server.listing.id,
+                      server.listing.address,
+                      {seen.task, seen.run},
+                      now};
       outbox.LogDecision("unknown-run-stopped",
                          {{"task", FormatTask(seen.task)},
                           {"run", static_cast<int64_t>(seen.run)},
@@ -654,6 +713,8 @@
       run->phase_since = now;
       run->progress_changed_at = now;
     }
+    if (reply.incarnation_started_at)
+      run->incarnation_started_at = reply.incarnation_started_at;
     if (run->progress_percent != seen.progress_percent) {
       run->progress_percent = seen.progress_percent;
       run->progress_changed_at = now;
@@ -800,6 +861,7 @@
                          state_.token, server_poll);
   orders_[tag] = {quick ? OrderKind::kQuickPoll : OrderKind::kPoll,
                   server.listing.id,
+                  server.listing.address,
                   {},
                   now,
                   server_poll.lease_until};
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -9,7 +9,7 @@
 // - the server refused the start, or the start was never sent,
 // - the run was running or inherited, or the server answered a stop of it, and
 //   a later poll lists neither the run nor its end,
-// - the incarnation of the server that ran it has ended, or
+// - the incarnation of the server that a poll listed it on has ended, or
 // - all leases on the server have expired.
 // Until then the run keeps its resources on the server and, unless the step
 // allows speculative copies, its task is not started elsewhere.
@@ -55,7 +55,8 @@
 
   // Records the start time of a server's incarnation, as the server list or a
   // reply states it. A start time later than the known one means that the
-  // server has restarted: the runs of the earlier incarnation end.
+  // server has restarted: the runs that polls listed on the earlier incarnation
+  // end. The next poll tells which of the others the new incarnation has.
   void OnIncarnationListed(Time now,
                            const ServerId& server,
                            WallMillis incarnation_started_at,
@@ -84,6 +85,7 @@
   struct PendingOrder {
     OrderKind kind = OrderKind::kPoll;
     ServerId server;
+    std::string address;  // Where the order was sent.
     RunRef run;
     Time sent;
     // End of the leases that the order grants, on the clock of the incarnation
@@ -140,11 +142,14 @@
                  Outbox& outbox);
   // Closes the jobs that have ended and have no runs left.
   void CloseResolved();
-  // Ends the runs of an incarnation of the server that is over. Starts that
-  // were not answered may reach a later incarnation, so these runs are kept
-  // until they are stopped there or are no longer valid.
+  // Ends the runs of an incarnation of the server that is over: all that were
+  // inherited or answered, or only those that a poll listed on an incarnation
+  // before `present`. Starts that were not answered may reach a later
+  // incarnation, so these runs are kept until they are stopped there or are no
+  // longer valid.
   void EndIncarnation(Time now,
                       ServerState& server,
+                      std::optional<WallMillis> present,
                       std::string_view reason,
                       Outbox& outbox);
   void RemoveAllRuns(Time now,
@@ -181,12 +186,23 @@
                          Job& job,
                          Occurrence& occurrence,
                          uint32_t step);
+  // Records the clock reading of an answer and the lease that its order
+  // granted.
+  void ObserveClock(Time now,
+                    const PendingOrder& order,
+                    const ServerReply& reply,
+                    ServerState& server,
+                    Outbox& outbox);
   // Records the leases that an answered order granted. A server that restarted
   // may have carried out an order that was meant for its earlier incarnation,
   // whose clock was ahead.
   void RecordGrantedLease(const PendingOrder& order,
                           ServerMillis server_clock,
                           ServerState& server) const;
+  // Forgets the clock and the ends of an incarnation of the server that seems
+  // to be over. Leases that were granted until now may last for their maximum
+  // length.
+  void ForgetIncarnation(Time now, ServerState& server) const;
   // Minimum time between two polls of a busy server.
   Duration PollInterval(const ServerState& server) const;
   // Updates the server's failure score and slowness and the queue's run time
--- a/radishmoor/jobs/server_table.cc
+++ b/radishmoor/jobs/server_table.cc
@@ -11,6 +11,9 @@
 constexpr double kMaxClockDrift = 0.02;
 // Servers' clocks count whole milliseconds.
 constexpr ServerMillis kClockGranularityMs = 1;
+// Two readings of one clock, and two times in whole milliseconds, differ from
+// the exact difference by less than this.
+constexpr ServerMillis kReadingToleranceMs = 3;
 
 }  // namespace
 
@@ -34,8 +37,31 @@
   return clock_ + static_cast<ServerMillis>(elapsed * (1 - kMaxClockDrift));
 }
 
+bool ServerClock::IsOfLaterIncarnation(Time sent, ServerMillis reading) const {
+  // Before `received_`, the clock was behind `clock_` by no more than the time
+  // that has passed since.
+  ServerMillis lowest = sent < received_
+                            ? clock_ - WholeMilliseconds(received_ - sent)
+                            : LowerBoundAt(sent);
+  return reading + kReadingToleranceMs < lowest;
+}
+
+bool ServerClock::IsOfEarlierIncarnation(Time received,
+                                         ServerMillis reading) const {
+  double elapsed = static_cast<double>((received - sent_).count()) / 1000;
+  auto highest =
+      clock_ + static_cast<ServerMillis>(elapsed * (1 + kMaxClockDrift));
+  return reading > highest + kReadingToleranceMs;
+}
+
+Duration ServerClock::LongestTimeFor(Duration length) {
+  return Duration(static_cast<int64_t>(static_cast<double>(length.count()) /
+                                       (1 - kMaxClockDrift))) +
+         Milliseconds(kClockGranularityMs);
+}
+
 bool ServerState::LeasesExpired(Time now) const {
-  if (now < inherited_leases_until)
+  if (now < other_leases_until)
     return false;
   if (!clock.known())
     return lease_until == 0;
--- a/radishmoor/jobs/server_table.h
+++ b/radishmoor/jobs/server_table.h
@@ -28,6 +28,16 @@
   void Observe(Time sent, Time received, ServerMillis clock);
   void Reset() { known_ = false; }
 
+  // Return whether a reading in the answer to an order that was sent at `sent`,
+  // or arrived at `received`, is too low or too high for the incarnation that
+  // was observed: it comes from a later or an earlier one. The clock must be
+  // known.
+  bool IsOfLaterIncarnation(Time sent, ServerMillis reading) const;
+  bool IsOfEarlierIncarnation(Time received, ServerMillis reading) const;
+
+  // Returns the time within which every server's clock advances by `length`.
+  static Duration LongestTimeFor(Duration length);
+
   bool known() const { return known_; }
   // Returns the clock reading of the last answer plus the time since its
   // arrival. It exceeds the server's clock by no more than the clock's drift in
@@ -58,8 +68,12 @@
   // End of the longest lease that this owner granted, on the server's clock; 0
   // if it granted none.
   ServerMillis lease_until = 0;
-  // All leases that earlier owners granted have expired by this time.
-  Time inherited_leases_until;
+  // All leases that `lease_until` does not cover have expired by this time:
+  // those that earlier owners granted, and those that this owner granted to an
+  // incarnation whose clock it did not know.
+  Time other_leases_until;
+  // When a restart of the server was last noticed.
+  Time restart_noticed_at;
 
   // All runs that may exist on the server and are not known to have ended, and
   // the sum of the resources that they request.
--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -16,6 +16,9 @@
 constexpr Duration kMaintenanceTime = Seconds(2);
 constexpr Duration kMoveTime = Milliseconds(1500);
 constexpr Duration kHostCallTimeout = Milliseconds(1500);
+// Range of the time in which a crashed server starts again under its id.
+constexpr Duration kMinRestartTime = Milliseconds(50);
+constexpr Duration kMaxRestartTime = Milliseconds(400);
 // A server that has ended is listed for this long.
 constexpr Duration kListingExpiry = Milliseconds(4500);
 // The clock of each server runs at a constant rate between this and 1.
@@ -724,7 +727,9 @@
   reply.tag = order.tag;
   reply.server = order.server;
   reply.clock = ServerClock(server);
-  reply.incarnation_started_at = server.incarnation_started_at;
+  // Only lists of runs tell which incarnation has answered.
+  if (std::holds_alternative<PollServer>(order.order))
+    reply.incarnation_started_at = server.incarnation_started_at;
   reply.outcome = OrderOutcome::kDone;
   if (order.token < server.highest_token) {
     reply.outcome = OrderOutcome::kFenced;
@@ -1209,6 +1214,15 @@
   }
 }
 
+void JobSimulation::RestartRandomServer() {
+  if (!server_restarts_enabled_)
+    return;
+  ScheduleAfter(random_.Exponential(options_.server_restart_period),
+                [this] { RestartRandomServer(); });
+  CrashServer(static_cast<int>(random_.Below(servers_.size())),
+              random_.Between(kMinRestartTime, kMaxRestartTime), true);
+}
+
 void JobSimulation::Run(Duration length) {
   submissions_enabled_ = true;
   if (!submission_scheduled_) {
@@ -1219,12 +1233,17 @@
     faults_enabled_ = true;
     ScheduleAfter(Seconds(3), [this] { RandomFault(); });
   }
+  if (options_.server_restart_period > Duration::zero() &&
+      !server_restarts_enabled_) {
+    server_restarts_enabled_ = true;
+    ScheduleAfter(Seconds(3), [this] { RestartRandomServer(); });
+  }
   RunUntil(now_ + length);
 }
 
 void JobSimulation::FinishJobs() {
   submissions_enabled_ = false;
-  faults_enabled_ = false;
+  faults_enabled_ = server_restarts_enabled_ = false;
   options_.lost_answer_share = 0;
   options_.late_order_share = 0;
   RunUntil(now_ + Seconds(40));
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -33,6 +33,9 @@
   double jobs_per_second = 6;
   // Mean time between faults; zero for no faults.
   Duration fault_period{};
+  // Mean time between restarts of backend servers under their ids, each within
+  // some tenths of a second; zero for none.
+  Duration server_restart_period{};
   // Share of store writes whose answer is lost although they are performed.
   double lost_answer_share = 0;
   // Share of orders, other than polls, that servers perform seconds later.
@@ -71,7 +74,7 @@
   explicit JobSimulation(const JobSimulationOptions& options);
   ~JobSimulation();
 
-  // Simulates `length` with new submissions and random faults.
+  // Simulates `length` with new submissions, random faults and restarts.
   void Run(Duration length);
   // Stops submissions and random faults, and simulates 40 s more, in which the
   // jobs should end.
@@ -185,6 +188,7 @@
   void OnCallAnswer(const JobCallAnswer& answer);
   void PollJob(const JobId& id);
   void RandomFault();
+  void RestartRandomServer();
 
   JobSimulationOptions options_;
   Random random_;
@@ -209,6 +213,7 @@
   std::vector<MaintenanceWave> waves_;
   std::set<uint64_t> completed_waves_;
   bool faults_enabled_ = false;
+  bool server_restarts_enabled_ = false;
   bool submissions_enabled_ = false;
   bool submission_scheduled_ = false;
   std::vector<std::string> violations_;
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -60,6 +60,27 @@
   }
 }
 
+// Guards against tasks that run twice because the answer to a start does not
+// tell which incarnation of the server has started the run: the server may have
+// restarted under its id since its owner last polled it.
+TEST_CASE("no task runs twice when servers restart under their ids",
+          "[simulation]") {
+  double relay_orders_per_second =
+      GENERATE(NodeOptions{}.relay_orders_per_second, 0.0);
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    INFO("seed " << seed << ", orders are relayed from "
+                 << relay_orders_per_second << " a second on");
+    JobSimulation simulation(
+        {.seed = seed,
+         .server_restart_period = Milliseconds(500),
+         .relay_orders_per_second = relay_orders_per_second});
+    simulation.Run(Seconds(40));
+    simulation.FinishJobs();
+    RequireNoViolations(simulation);
+    REQUIRE(simulation.counts().completed > 100);
+  }
+}
+
 // Guards against maintenance calls for hosts that still run long-running tasks,
 // or for more hosts at once than the wave allows.
 TEST_CASE("a wave empties each host before its maintenance", "[simulation]") {
--- /dev/null
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -0,0 +1,165 @@
+#include "radishmoor/jobs/run_control.h"
+
+#include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
+
+namespace radishmoor {
+namespace {
+
+constexpr WallMillis kFirstIncarnation = 1'800'000'000'000;
+constexpr WallMillis kSecondIncarnation = kFirstIncarnation + 60'000;
+
+// The runs of one task on one server, which the test answers for.
+class TestServer {
+ public:
+  TestServer() {
+    JobSpec spec;
+    spec.queue = QueueId("q");
+    spec.steps = {StepSpec()};
+    state_.jobs.Add(job_, spec, now_, now_ + Seconds(2));
+    ServerState& server = state_.servers.FindOrAdd(id_);
+    server.listing.pool = state_.pool;
+    server.listing.address = "10.0.0.1:1";
+    server.listing.capacity = {16000, 64000, 0};
+    server.listed = true;
+    server.clock.Observe(now_, now_, 50'000);
+    server.last_answer_at = now_;
+    server.incarnation_started_at = kFirstIncarnation;
+    server.next_poll_at = kTimeMax;
+  }
+
+  ServerState& server() { return *state_.servers.Find(id_); }
+  Run* FindRun() { return state_.jobs.FindRun(ref_); }
+
+  // Plans and starts run 1; returns the tag of the start.
+  uint64_t SendStart() {
+    Job& job = *state_.jobs.Find(job_);
+    Task& task = job.occurrences.at(0).tasks[0];
+    task.last_run = ref_.run;
+    task.runs.push_back({.number = ref_.run, .server = id_});
+    state_.servers.AddRun(id_, ref_, job.StepOf(task));
+    runs_.SendStart(now_, ref_, outbox_);
+    return TakeOrders().at(0).tag;
+  }
+
+  std::vector<OrderToServer> TakeOrders() {
+    std::vector<OrderToServer> orders;
+    for (JobAction& action : outbox_.TakeAllActions()) {
+      if (auto* order = std::get_if<OrderToServer>(&action))
+        orders.push_back(std::move(*order));
+    }
+    return orders;
+  }
+
+  // Answers the order with status 200 and the server's clock.
+  void Answer(uint64_t tag, ServerMillis clock) {
+    ServerReply reply;
+    reply.tag = tag;
+    reply.server = id_;
+    reply.outcome = OrderOutcome::kDone;
+    reply.clock = clock;
+    runs_.OnReply(now_, reply, outbox_);
+  }
+
+  // Answers the poll as the second incarnation, which runs the task or not.
+  void AnswerPoll(uint64_t tag, ServerMillis clock, bool runs_task) {
+    ServerReply reply;
+    reply.tag = tag;
+    reply.server = id_;
+    reply.outcome = OrderOutcome::kDone;
+    reply.clock = clock;
+    reply.incarnation_started_at = kSecondIncarnation;
+    if (runs_task)
+      reply.running.push_back({ref_.task, ref_.run, "", 10, 0});
+    runs_.OnReply(now_, reply, outbox_);
+  }
+
+  Time now_ = kTimeZero + Seconds(100);
+  ServerId id_{"s"};
+  JobId job_{"j"};
+  RunRef ref_{{job_, 0, 0, 0}, 1};
+  JobPoolState state_{PoolId("a"), PlatformBounds()};
+  RunControl runs_{state_};
+  Outbox outbox_;
+};
+
+// Guards against a second run of a task that a restarted server has just
+// started: the list shows the restart after the start was answered.
+TEST_CASE("a restart ends only runs that were listed before", "[run-control]") {
+  for (bool runs_task : {true, false}) {
+    TestServer test;
+    test.Answer(test.SendStart(), 50'001);
+    test.runs_.OnIncarnationListed(test.now_, test.id_, kSecondIncarnation,
+                                   test.outbox_);
+    REQUIRE(test.FindRun() != nullptr);
+    std::vector<OrderToServer> orders = test.TakeOrders();
+    REQUIRE(orders.size() == 1);
+    test.AnswerPoll(orders[0].tag, 120, runs_task);
+    REQUIRE((test.FindRun() != nullptr) == runs_task);
+    // The next restart ends a run that a poll has listed.
+    test.runs_.OnIncarnationListed(test.now_, test.id_, kSecondIncarnation + 1,
+                                   test.outbox_);
+    REQUIRE(test.FindRun() == nullptr);
+  }
+}
+
+// Guards against a lease that is taken to end before it does: a server that has
+// restarted shortens a lease by its own clock, which starts anew.
+TEST_CASE("a clock that falls back shows a restart", "[run-control]") {
+  TestServer test;
+  test.server().last_applied_end = test.server().last_stored_end = 57;
+  test.Answer(test.SendStart(), 300);
+  REQUIRE_FALSE(test.server().clock.known());
+  std::vector<OrderToServer> orders = test.TakeOrders();
+  REQUIRE(orders.size() == 1);
+  const auto& poll = std::get<PollServer>(orders[0].order);
+  // The ends of the new incarnation have other numbers.
+  REQUIRE(poll.acknowledged == 0);
+  REQUIRE(poll.lease_until == 0);
+  Duration longest = ServerClock::LongestTimeFor(test.state_.bounds.max_lease);
+  REQUIRE_FALSE(
+      test.server().LeasesExpired(test.now_ + longest - Milliseconds(1)));
+  REQUIRE(test.server().LeasesExpired(test.now_ + longest));
+}
+
+// Guards against the clock of an earlier incarnation, in an answer that comes
+// late, being taken for the clock of the present one.
+TEST_CASE("readings of an earlier incarnation's clock are ignored",
+          "[run-control]") {
+  TestServer test;
+  uint64_t tag = test.SendStart();
+  test.runs_.OnIncarnationListed(test.now_, test.id_, kSecondIncarnation,
+                                 test.outbox_);
+  test.AnswerPoll(test.TakeOrders().at(0).tag, 120, false);
+  test.now_ += Milliseconds(10);
+  test.Answer(tag, 50'001);
+  REQUIRE(test.server().clock.known());
+  REQUIRE(test.server().clock.EstimateAt(test.now_) == 130);
+}
+
+// Guards against the loss of runs of a server that has restarted at another
+// address, when another server answers at the earlier one.
+TEST_CASE("an answer from an earlier address ends no runs", "[run-control]") {
+  for (bool moved : {true, false}) {
+    TestServer test;
+    test.Answer(test.SendStart(), 50'001);
+    test.server().next_poll_at = test.now_ + Milliseconds(20);
+    test.now_ += Milliseconds(20);
+    test.runs_.Tick(test.now_, true, test.outbox_);
+    ServerReply reply;
+    reply.tag = test.TakeOrders().at(0).tag;
+    reply.server = test.id_;
+    reply.outcome = OrderOutcome::kOtherIncarnation;
+    reply.clock = 5;
+    reply.incarnation_started_at = kSecondIncarnation;
+    if (moved)
+      test.server().listing.address = "10.0.0.2:1";
+    test.runs_.OnReply(test.now_, reply, test.outbox_);
+    REQUIRE((test.FindRun() != nullptr) == moved);
+    REQUIRE(test.server().incarnation_started_at == kFirstIncarnation);
+  }
+}
+
+}  // namespace
+}  // namespace radishmoor
