Start last attempts also when no server of the pool is trusted

A job that failed on all servers of a quiet pool was neither tried again nor shown as failed, for good.

Cause: the last attempt of a task went to trusted servers only, without a limit on the time. A server with failures gets trusted by a success, and a pool without other work has none. pool-load of the old code shows one open job and no CPU in use until the end.

Change: a last attempt waits 1 s for a trusted server; then it runs on another one, unless the pool is busy and has a trusted server that could hold it. On related paths: a quarantine of all servers of a pool does not stop it, and reservations follow the same rule.

--- a/radishmoor/jobs/placement.cc
+++ b/radishmoor/jobs/placement.cc
@@ -16,6 +16,8 @@
 constexpr double kExcessSlownessWeight = 1.0;
 constexpr double kLeavingSoonWeight = 0.5;
 constexpr double kTaskFailedHereWeight = 3.0;
+// For a last attempt: if the server is not trusted.
+constexpr double kUntrustedWeight = 5.0;
 // For a best-effort task: for each latency-sensitive run on the server.
 constexpr double kLatencySensitiveWeight = 0.6;
 // For a latency-sensitive task: for each best-effort run on the server.
@@ -39,9 +41,29 @@
   const StepSpec& step = *task.step;
   if (!HasLabel(server.labels, step.requirement))
     return false;
-  if (step.max_per_server > 0 && server.same_step_runs >= step.max_per_server)
-    return false;
-  return !task.last_attempt || server.trusted;
+  return step.max_per_server == 0 ||
+         server.same_step_runs < step.max_per_server;
+}
+
+// Returns whether the task must not run on servers that are not trusted. A pool
+// whose servers all have failures and no recent success has no trusted one.
+bool NeedsTrustedServer(const PlacementTask& task,
+                        std::span<const PlacementServer> servers) {
+  if (!task.last_attempt || !task.trust_wait_over)
+    return task.last_attempt;
+  Resources request = task.step->counted_request();
+  int64_t capacity = 0;
+  int64_t free = 0;
+  bool has_trusted_server = false;
+  for (const PlacementServer& server : servers) {
+    capacity += server.capacity.cpu_millis;
+    free += server.free_resources.cpu_millis;
+    has_trusted_server = has_trusted_server ||
+                         (server.trusted && request.Fits(server.capacity) &&
+                          HasLabel(server.labels, task.step->requirement));
+  }
+  bool busy = free < capacity / 2;
+  return busy && has_trusted_server;
 }
 
 double FreeShare(const PlacementServer& server) {
@@ -65,6 +87,8 @@
     penalty += kLeavingSoonWeight;
   if (server.task_failed_here)
     penalty += kTaskFailedHereWeight;
+  if (task.last_attempt && !server.trusted)
+    penalty += kUntrustedWeight;
   if (step.long_running && server.long_running_runs > 0)
     penalty -= kLongRunningBonus;
   if (step.best_effort)
@@ -109,12 +133,13 @@
 std::optional<size_t> ChooseServer(const PlacementTask& task,
                                    std::span<const PlacementServer> servers) {
   Resources request = task.step->counted_request();
+  bool needs_trusted_server = NeedsTrustedServer(task, servers);
   std::optional<size_t> best;
   double least_penalty = 0;
   for (size_t i = 0; i < servers.size(); ++i) {
     const PlacementServer& server = servers[i];
     if (server.reserved || !request.Fits(server.free_resources) ||
-        !MayRun(task, server))
+        !MayRun(task, server) || (needs_trusted_server && !server.trusted))
       continue;
     double penalty = Penalty(task, server);
     if (!best || penalty < least_penalty) {
@@ -129,11 +154,12 @@
     const PlacementTask& task,
     std::span<const PlacementServer> servers) {
   Resources request = task.step->counted_request();
+  bool needs_trusted_server = NeedsTrustedServer(task, servers);
   std::optional<size_t> best;
   for (size_t i = 0; i < servers.size(); ++i) {
     const PlacementServer& server = servers[i];
     if (server.reserved || !request.Fits(server.capacity) ||
-        !MayRun(task, server))
+        !MayRun(task, server) || (needs_trusted_server && !server.trusted))
       continue;
     if (!best || server.free_resources.cpu_millis >
                      servers[*best].free_resources.cpu_millis)
--- a/radishmoor/jobs/placement.h
+++ b/radishmoor/jobs/placement.h
@@ -73,8 +73,12 @@
 
 struct PlacementTask {
   const StepSpec* step = nullptr;
-  // True if one more failure fails the job.
+  // True if one more failure fails the job. Such a task waits for a trusted
+  // server.
   bool last_attempt = false;
+  // The task has waited long enough for a trusted server. It runs on another
+  // one unless a trusted server of a busy pool will have room for it.
+  bool trust_wait_over = false;
   // Rack with most of the step's other runs, for colocated steps; may be empty.
   RackId preferred_rack;
   // Run time away from the data, as a multiple of the run time next to it.
@@ -82,7 +86,7 @@
 };
 
 // Returns the index in `servers` of the best server for the task, or nothing if
-// it fits on none. O(n).
+// it fits on none or has to wait for a trusted one. O(n).
 std::optional<size_t> ChooseServer(const PlacementTask& task,
                                    std::span<const PlacementServer> servers);
 
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -42,8 +42,8 @@
 constexpr double kFailureLimit = 3.0;
 constexpr double kMaxFailureScore = 6.0;
 constexpr Duration kFailureQuarantine = Seconds(3);
-// A server that refused a start is quarantined for this time.
-constexpr Duration kRefusalQuarantine = Milliseconds(500);
+// No start is sent to a server for this time after it refused one.
+constexpr Duration kRefusedStartDelay = Milliseconds(500);
 // Weights of one run in the moving averages of a queue's run time ratio and of
 // a server's slowness.
 constexpr double kQueueRatioWeight = 0.05;
@@ -470,8 +470,7 @@
                       {"run", static_cast<int64_t>(order.run.run)},
                       {"server", order.server.str()},
                       {"outcome", static_cast<int64_t>(reply.outcome)}});
-  server.quarantined_until =
-      std::max(server.quarantined_until, now + kRefusalQuarantine);
+  server.starts_refused_until = now + kRefusedStartDelay;
   RemoveRun(now, order.run, "refused", outbox);
 }
 
--- a/radishmoor/jobs/server_table.h
+++ b/radishmoor/jobs/server_table.h
@@ -119,8 +119,11 @@
   // Failures of tasks that had not failed before, less the successful runs. A
   // server with a high score is quarantined.
   double failure_score = 0;
-  // No run is started on the server before this time.
+  // Until this time, runs are started on the server only if all servers of the
+  // pool are in quarantine.
   Time quarantined_until;
+  // No run is started on the server before this time, since it refused one.
+  Time starts_refused_until;
   Time last_success_at;  // When the last successful end was applied.
 
   Time pace_changed_at;  // When the pace of a run was last changed.
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -41,6 +41,9 @@
 constexpr Duration kMaxCheckpointedRemainder = Milliseconds(800);
 // A server with failures is trusted while its last success is at most this old.
 constexpr Duration kMaxTrustedSuccessAge = Seconds(10);
+// A task's last attempt waits this long for a trusted server. A server gets
+// trusted by a success, which a pool without other work does not have.
+constexpr Duration kMaxTrustWait = Seconds(1);
 // A run that takes at least kSlowRunRatio times as long as expected raises the
 // slowness of its server before it ends. The slowness is multiplied by
 // (ratio / slowness) to the power of kSlowRunWeight.
@@ -58,14 +61,23 @@
 }  // namespace
 
 std::vector<PlacementServer> TaskDispatch::CollectServers(Time now) {
+  auto is_usable = [this, now](const ServerState& server) {
+    return server.Serves(state_.pool) && !server.vacating &&
+           server.last_answer_at &&
+           now - *server.last_answer_at <= kMaxAnswerAge &&
+           server.failed_polls == 0 && now >= server.starts_refused_until;
+  };
+  // If all servers have failures, the tasks may be at fault.
+  bool all_quarantined = std::none_of(
+      state_.servers.all().begin(), state_.servers.all().end(),
+      [&](const auto& entry) {
+        return is_usable(entry.second) && now >= entry.second.quarantined_until;
+      });
   std::vector<PlacementServer> servers;
   server_ids_.clear();
   for (auto& [id, server] : state_.servers.all()) {
-    bool usable = server.Serves(state_.pool) && !server.vacating &&
-                  server.last_answer_at &&
-                  now - *server.last_answer_at <= kMaxAnswerAge &&
-                  server.failed_polls == 0 && now >= server.quarantined_until;
-    if (!usable)
+    if (!is_usable(server) ||
+        (now < server.quarantined_until && !all_quarantined))
       continue;
     PlacementServer s;
     s.position = static_cast<uint32_t>(server_ids_.size());
@@ -221,7 +233,7 @@
       waiting_cpu_work_ +=
           step.request.cpu_millis * state_.ExpectedRunTime(job, step).count();
       if (first && starts_left_ > 0)
-        ReserveServer(job, task, servers);
+        ReserveServer(now, job, task, servers);
     }
   }
   // The occurrences of a recurring job appear without a change of the job.
@@ -231,7 +243,8 @@
   }
 }
 
-PlacementTask TaskDispatch::DescribeTask(const Job& job,
+PlacementTask TaskDispatch::DescribeTask(Time now,
+                                         const Job& job,
                                          const Task& task) const {
   PlacementTask described;
   described.step = &job.StepOf(task);
@@ -240,6 +253,7 @@
       queue == state_.queues.end() ? 1 : queue->second.max_attempts;
   described.last_attempt =
       !described.step->long_running && limit > 1 && task.failures + 1 >= limit;
+  described.trust_wait_over = now - task.ready_since >= kMaxTrustWait;
   described.remote_data_slowdown = state_.bounds.remote_data_slowdown;
   return described;
 }
@@ -318,7 +332,7 @@
                             Occurrence& occurrence,
                             Task& task,
                             std::vector<PlacementServer>& servers) {
-  PlacementTask described = DescribeTask(job, task);
+  PlacementTask described = DescribeTask(now, job, task);
   if (described.step->counted_request().cpu_millis > largest_free_cpu_millis_)
     return false;
   bool counted = described.step->max_per_server > 0 ||
@@ -366,7 +380,7 @@
   std::vector<PlacementServer> trial = servers;
   SetStepFields(occurrence, *members.front(), trial);
   std::vector<size_t> choices;
-  PlacementTask described = DescribeTask(job, *members.front());
+  PlacementTask described = DescribeTask(now, job, *members.front());
   for (Task* member : members) {
     (void)member;
     std::optional<size_t> chosen = ChooseServer(described, trial);
@@ -414,13 +428,14 @@
   state_.jobs.MarkChanged(job);
 }
 
-void TaskDispatch::ReserveServer(const Job& job,
+void TaskDispatch::ReserveServer(Time now,
+                                 const Job& job,
                                  const Task& task,
                                  std::vector<PlacementServer>& servers) {
   if (reservations_ >= kMaxReservations)
     return;
   std::optional<size_t> chosen =
-      ChooseReservation(DescribeTask(job, task), servers);
+      ChooseReservation(DescribeTask(now, job, task), servers);
   if (!chosen)
     return;
   servers[*chosen].reserved = true;
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -45,7 +45,8 @@
   Duration expected_wait() const { return expected_wait_; }
 
  private:
-  // The servers on which runs can be planned now.
+  // The servers on which runs can be planned now. Those in quarantine are among
+  // them only if no other server is left.
   std::vector<PlacementServer> CollectServers(Time now);
   struct OrderedJob {
     Job* job = nullptr;
@@ -79,10 +80,11 @@
                 uint32_t step,
                 std::vector<PlacementServer>& servers);
   // Reserves a server for a task that fits nowhere now.
-  void ReserveServer(const Job& job,
+  void ReserveServer(Time now,
+                     const Job& job,
                      const Task& task,
                      std::vector<PlacementServer>& servers);
-  PlacementTask DescribeTask(const Job& job, const Task& task) const;
+  PlacementTask DescribeTask(Time now, const Job& job, const Task& task) const;
   // Sets the fields of the servers that depend on the task: the runs of its
   // step there, and whether the task has failed there.
   void SetStepFields(const Occurrence& occurrence,
--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -16,6 +16,10 @@
 constexpr Duration kMaintenanceTime = Seconds(2);
 constexpr Duration kMoveTime = Milliseconds(1500);
 constexpr Duration kHostCallTimeout = Milliseconds(1500);
+// Run time and number of the tasks of a hopeless job.
+constexpr Duration kMinHopelessRunTime = Seconds(3);
+constexpr Duration kMaxHopelessRunTime = Seconds(7);
+constexpr uint32_t kHopelessTasks = 16;
 // Range of the time in which a crashed server starts again under its id.
 constexpr Duration kMinRestartTime = Milliseconds(50);
 constexpr Duration kMaxRestartTime = Milliseconds(400);
@@ -96,6 +100,7 @@
   PoolId pool;
   std::string path;
   JobSpec spec;
+  bool hopeless = false;  // All runs of its tasks fail.
   int submissions = 0;
   bool accepted = false;
   bool cancel_wanted = false;
@@ -821,6 +826,10 @@
                    : Duration(static_cast<int64_t>(
                          static_cast<double>(step.estimate.count()) * factor));
   run.fails = random_.Chance(0.02);
+  if (caller.hopeless) {
+    run.length = random_.Between(kMinHopelessRunTime, kMaxHopelessRunTime);
+    run.fails = true;
+  }
   server.running[start.task] = run;
   ScheduleAfter(run.length, [this, &server, task = start.task,
                              number = start.run,
@@ -977,6 +986,16 @@
     caller->spec.steps.push_back(step);
   }
   caller->cancel_wanted = long_running || random_.Chance(0.05);
+  if (options_.hopeless_job_share > 0 &&
+      random_.Chance(options_.hopeless_job_share)) {
+    StepSpec step;
+    step.count = kHopelessTasks;
+    step.request = {1000, 100, 0};
+    step.estimate = Milliseconds(500);
+    caller->spec.steps = {step};
+    caller->hopeless = true;
+    caller->cancel_wanted = false;
+  }
   Caller& added = *caller;
   callers_[added.id] = std::move(caller);
   SendCall(added,
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -40,6 +40,8 @@
   double lost_answer_share = 0;
   // Share of orders, other than polls, that servers perform seconds later.
   double late_order_share = 0;
+  // Share of jobs whose runs all fail, each after some seconds.
+  double hopeless_job_share = 0;
   // Adds a maintenance wave over every second server's host.
   bool wave = false;
   // Rate of orders from which on an owner has other nodes send them.
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -81,6 +81,22 @@
   }
 }
 
+// Guards against a job that never ends: each server of its pool has failed a
+// task, no other job is left to succeed there, and the last attempts wait for a
+// server without failures.
+TEST_CASE("a job that fails on all servers of a quiet pool ends",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    INFO("seed " << seed);
+    JobSimulation simulation(
+        {.seed = seed, .jobs_per_second = 2, .hopeless_job_share = 0.15});
+    simulation.Run(Seconds(20));
+    simulation.FinishJobs();
+    RequireNoViolations(simulation);
+    REQUIRE(simulation.counts().failed > 0);
+  }
+}
+
 // Guards against maintenance calls for hosts that still run long-running tasks,
 // or for more hosts at once than the wave allows.
 TEST_CASE("a wave empties each host before its maintenance", "[simulation]") {
--- a/radishmoor/jobs/testing/job_soak_bench.cc
+++ b/radishmoor/jobs/testing/job_soak_bench.cc
@@ -23,6 +23,8 @@
   options.fault_period = Milliseconds(600 + 400 * static_cast<int>(seed % 5));
   if (seed % 2 == 1)
     options.server_restart_period = Milliseconds(1500);
+  if (seed % 4 >= 2)
+    options.hopeless_job_share = 0.03;
   options.lost_answer_share = seed % 3 == 0 ? 0.15 : 0.02;
   options.late_order_share = seed % 2 == 0 ? 0.05 : 0.0;
   options.wave = seed % 4 == 0;
--- a/radishmoor/jobs/testing/placement_test.cc
+++ b/radishmoor/jobs/testing/placement_test.cc
@@ -152,6 +152,40 @@
   REQUIRE(ChooseServer(task, servers) == 0);
 }
 
+// Guards against a last attempt that never starts: in a quiet pool, a server
+// that has failed tasks stays without a success.
+TEST_CASE("the last attempt waits for a trusted server for a limited time",
+          "[placement]") {
+  std::vector<PlacementServer> servers = {MakeServer(16000, 16000),
+                                          MakeServer(16000, 16000),
+                                          MakeServer(16000, 500)};
+  servers[0].trusted = servers[1].trusted = false;
+  servers[0].task_failed_here = true;
+  StepSpec step = MakeStep(1000);
+  PlacementTask task{&step, true};
+  REQUIRE_FALSE(ChooseServer(task, servers));
+  task.trust_wait_over = true;
+  REQUIRE(ChooseServer(task, servers) == 1);
+  // A trusted server with room goes first.
+  servers[2].free_resources.cpu_millis = 16000;
+  REQUIRE(ChooseServer(task, servers) == 2);
+}
+
+// Guards against a last attempt being spent on a server that fails all its
+// tasks, and therefore has room, while the others are busy.
+TEST_CASE("the last attempt waits for a trusted server in a busy pool",
+          "[placement]") {
+  std::vector<PlacementServer> servers = {
+      MakeServer(16000, 16000), MakeServer(16000, 500), MakeServer(16000, 500)};
+  servers[0].trusted = false;
+  StepSpec step = MakeStep(1000);
+  PlacementTask task{&step, true};
+  task.trust_wait_over = true;
+  REQUIRE_FALSE(ChooseServer(task, servers));
+  servers[1].trusted = servers[2].trusted = false;
+  REQUIRE(ChooseServer(task, servers) == 0);
+}
+
 // Guards against large tasks that never start because small ones take all free
 // resources.
 TEST_CASE("a task that fits nowhere reserves the server with the most free CPU",
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -130,6 +130,29 @@
   REQUIRE(pool.state_.servers.Find(ServerId("s1"))->quarantined_until > kNow);
 }
 
+// Guards against a pool at rest for seconds because one job has failed on all
+// of its servers.
+TEST_CASE("a quarantine of all servers of a pool does not stop it",
+          "[dispatch]") {
+  StepSpec step;
+  step.count = 4;
+  step.request = {1000, 100, 0};
+  TestPool pool(step);
+  ServerState& a = pool.AddServer("a");
+  ServerState& b = pool.AddServer("b");
+  a.quarantined_until = b.quarantined_until = kNow + Seconds(3);
+  Outbox outbox;
+  REQUIRE(pool.dispatch_.PlanReadyTasks(kNow, outbox, 2) == 2);
+  // Servers that refuse starts are not used all the same.
+  a.starts_refused_until = b.starts_refused_until = kNow + Seconds(1);
+  REQUIRE(pool.dispatch_.PlanReadyTasks(kNow, outbox, 2) == 0);
+  // A server outside the quarantine is preferred to all others.
+  pool.AddServer("c");
+  a.starts_refused_until = b.starts_refused_until = Time{};
+  REQUIRE(pool.dispatch_.PlanReadyTasks(kNow, outbox, 2) == 2);
+  REQUIRE(pool.state_.servers.Find(ServerId("c"))->runs.size() == 2);
+}
+
 // Guards against a plan that starts a task twice or exceeds the free resources
 // of a server.
 TEST_CASE("ready tasks are planned once, within the free resources",
