--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -20,6 +20,14 @@
   13: i32 allowed_missing
 }
 
+struct QueueSettings {
+  1: i32 priority
+  2: i32 max_attempts
+  3: double slack_factor
+  4: i64 latency_objective_ms
+  5: bool needs_advice
+}
+
 struct Job {
   1: string queue
   2: string spec
@@ -28,6 +36,7 @@
   5: i64 start_at_ms
   6: i64 interval_ms
   7: i64 submitted_wall_ms
+  8: optional QueueSettings queue_settings
 }
 
 struct Run {
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -399,6 +399,195 @@
 }
 
 
+QueueSettings::~QueueSettings() noexcept {
+}
+
+
+void QueueSettings::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void QueueSettings::__set_max_attempts(const int32_t val) {
+  this->max_attempts = val;
+}
+
+void QueueSettings::__set_slack_factor(const double val) {
+  this->slack_factor = val;
+}
+
+void QueueSettings::__set_latency_objective_ms(const int64_t val) {
+  this->latency_objective_ms = val;
+}
+
+void QueueSettings::__set_needs_advice(const bool val) {
+  this->needs_advice = val;
+}
+std::ostream& operator<<(std::ostream& out, const QueueSettings& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QueueSettings::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_attempts);
+          this->__isset.max_attempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->slack_factor);
+          this->__isset.slack_factor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->latency_objective_ms);
+          this->__isset.latency_objective_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->needs_advice);
+          this->__isset.needs_advice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QueueSettings::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QueueSettings");
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_attempts", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->max_attempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("slack_factor", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->slack_factor);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("latency_objective_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->latency_objective_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("needs_advice", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->needs_advice);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QueueSettings &a, QueueSettings &b) {
+  using ::std::swap;
+  swap(a.priority, b.priority);
+  swap(a.max_attempts, b.max_attempts);
+  swap(a.slack_factor, b.slack_factor);
+  swap(a.latency_objective_ms, b.latency_objective_ms);
+  swap(a.needs_advice, b.needs_advice);
+  swap(a.__isset, b.__isset);
+}
+
+QueueSettings::QueueSettings(const QueueSettings& other10) noexcept {
+  priority = other10.priority;
+  max_attempts = other10.max_attempts;
+  slack_factor = other10.slack_factor;
+  latency_objective_ms = other10.latency_objective_ms;
+  needs_advice = other10.needs_advice;
+  __isset = other10.__isset;
+}
+QueueSettings::QueueSettings(QueueSettings&& other11) noexcept {
+  priority = other11.priority;
+  max_attempts = other11.max_attempts;
+  slack_factor = other11.slack_factor;
+  latency_objective_ms = other11.latency_objective_ms;
+  needs_advice = other11.needs_advice;
+  __isset = other11.__isset;
+}
+QueueSettings& QueueSettings::operator=(const QueueSettings& other12) noexcept {
+  priority = other12.priority;
+  max_attempts = other12.max_attempts;
+  slack_factor = other12.slack_factor;
+  latency_objective_ms = other12.latency_objective_ms;
+  needs_advice = other12.needs_advice;
+  __isset = other12.__isset;
+  return *this;
+}
+QueueSettings& QueueSettings::operator=(QueueSettings&& other13) noexcept {
+  priority = other13.priority;
+  max_attempts = other13.max_attempts;
+  slack_factor = other13.slack_factor;
+  latency_objective_ms = other13.latency_objective_ms;
+  needs_advice = other13.needs_advice;
+  __isset = other13.__isset;
+  return *this;
+}
+void QueueSettings::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QueueSettings(";
+  out << "priority=" << to_string(priority);
+  out << ", " << "max_attempts=" << to_string(max_attempts);
+  out << ", " << "slack_factor=" << to_string(slack_factor);
+  out << ", " << "latency_objective_ms=" << to_string(latency_objective_ms);
+  out << ", " << "needs_advice=" << to_string(needs_advice);
+  out << ")";
+}
+
+
 Job::~Job() noexcept {
 }
 
@@ -430,6 +619,11 @@
 void Job::__set_submitted_wall_ms(const int64_t val) {
   this->submitted_wall_ms = val;
 }
+
+void Job::__set_queue_settings(const QueueSettings& val) {
+  this->queue_settings = val;
+__isset.queue_settings = true;
+}
 std::ostream& operator<<(std::ostream& out, const Job& obj)
 {
   obj.printTo(out);
@@ -478,14 +672,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->steps.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->steps.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->steps.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += this->steps[_i14].read(iprot);
+              xfer += this->steps[_i18].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -526,6 +720,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->queue_settings.read(iprot);
+          this->__isset.queue_settings = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -554,10 +756,10 @@
   xfer += oprot->writeFieldBegin("steps", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->steps.size()));
-    std::vector<Step> ::const_iterator _iter15;
-    for (_iter15 = this->steps.begin(); _iter15 != this->steps.end(); ++_iter15)
+    std::vector<Step> ::const_iterator _iter19;
+    for (_iter19 = this->steps.begin(); _iter19 != this->steps.end(); ++_iter19)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += (*_iter19).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -579,6 +781,11 @@
   xfer += oprot->writeI64(this->submitted_wall_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.queue_settings) {
+    xfer += oprot->writeFieldBegin("queue_settings", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->queue_settings.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -593,49 +800,54 @@
   swap(a.start_at_ms, b.start_at_ms);
   swap(a.interval_ms, b.interval_ms);
   swap(a.submitted_wall_ms, b.submitted_wall_ms);
+  swap(a.queue_settings, b.queue_settings);
   swap(a.__isset, b.__isset);
 }
 
-Job::Job(const Job& other16) {
-  queue = other16.queue;
-  spec = other16.spec;
-  steps = other16.steps;
-  repeat_count = other16.repeat_count;
-  start_at_ms = other16.start_at_ms;
-  interval_ms = other16.interval_ms;
-  submitted_wall_ms = other16.submitted_wall_ms;
-  __isset = other16.__isset;
-}
-Job::Job(Job&& other17) noexcept {
-  queue = std::move(other17.queue);
-  spec = std::move(other17.spec);
-  steps = std::move(other17.steps);
-  repeat_count = other17.repeat_count;
-  start_at_ms = other17.start_at_ms;
-  interval_ms = other17.interval_ms;
-  submitted_wall_ms = other17.submitted_wall_ms;
-  __isset = other17.__isset;
-}
-Job& Job::operator=(const Job& other18) {
-  queue = other18.queue;
-  spec = other18.spec;
-  steps = other18.steps;
-  repeat_count = other18.repeat_count;
-  start_at_ms = other18.start_at_ms;
-  interval_ms = other18.interval_ms;
-  submitted_wall_ms = other18.submitted_wall_ms;
-  __isset = other18.__isset;
+Job::Job(const Job& other20) {
+  queue = other20.queue;
+  spec = other20.spec;
+  steps = other20.steps;
+  repeat_count = other20.repeat_count;
+  start_at_ms = other20.start_at_ms;
+  interval_ms = other20.interval_ms;
+  submitted_wall_ms = other20.submitted_wall_ms;
+  queue_settings = other20.queue_settings;
+  __isset = other20.__isset;
+}
+Job::Job(Job&& other21) noexcept {
+  queue = std::move(other21.queue);
+  spec = std::move(other21.spec);
+  steps = std::move(other21.steps);
+  repeat_count = other21.repeat_count;
+  start_at_ms = other21.start_at_ms;
+  interval_ms = other21.interval_ms;
+  submitted_wall_ms = other21.submitted_wall_ms;
+  queue_settings = std::move(other21.queue_settings);
+  __isset = other21.__isset;
+}
+Job& Job::operator=(const Job& other22) {
+  queue = other22.queue;
+  spec = other22.spec;
+  steps = other22.steps;
+  repeat_count = other22.repeat_count;
+  start_at_ms = other22.start_at_ms;
+  interval_ms = other22.interval_ms;
+  submitted_wall_ms = other22.submitted_wall_ms;
+  queue_settings = other22.queue_settings;
+  __isset = other22.__isset;
   return *this;
 }
-Job& Job::operator=(Job&& other19) noexcept {
-  queue = std::move(other19.queue);
-  spec = std::move(other19.spec);
-  steps = std::move(other19.steps);
-  repeat_count = other19.repeat_count;
-  start_at_ms = other19.start_at_ms;
-  interval_ms = other19.interval_ms;
-  submitted_wall_ms = other19.submitted_wall_ms;
-  __isset = other19.__isset;
+Job& Job::operator=(Job&& other23) noexcept {
+  queue = std::move(other23.queue);
+  spec = std::move(other23.spec);
+  steps = std::move(other23.steps);
+  repeat_count = other23.repeat_count;
+  start_at_ms = other23.start_at_ms;
+  interval_ms = other23.interval_ms;
+  submitted_wall_ms = other23.submitted_wall_ms;
+  queue_settings = std::move(other23.queue_settings);
+  __isset = other23.__isset;
   return *this;
 }
 void Job::printTo(std::ostream& out) const {
@@ -648,6 +860,7 @@
   out << ", " << "start_at_ms=" << to_string(start_at_ms);
   out << ", " << "interval_ms=" << to_string(interval_ms);
   out << ", " << "submitted_wall_ms=" << to_string(submitted_wall_ms);
+  out << ", " << "queue_settings="; (__isset.queue_settings ? (out << to_string(queue_settings)) : (out << "<null>"));
   out << ")";
 }
 
@@ -744,26 +957,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Run::Run(const Run& other20) {
-  number = other20.number;
-  server = other20.server;
-  __isset = other20.__isset;
+Run::Run(const Run& other24) {
+  number = other24.number;
+  server = other24.server;
+  __isset = other24.__isset;
 }
-Run::Run(Run&& other21) noexcept {
-  number = other21.number;
-  server = std::move(other21.server);
-  __isset = other21.__isset;
+Run::Run(Run&& other25) noexcept {
+  number = other25.number;
+  server = std::move(other25.server);
+  __isset = other25.__isset;
 }
-Run& Run::operator=(const Run& other22) {
-  number = other22.number;
-  server = other22.server;
-  __isset = other22.__isset;
+Run& Run::operator=(const Run& other26) {
+  number = other26.number;
+  server = other26.server;
+  __isset = other26.__isset;
   return *this;
 }
-Run& Run::operator=(Run&& other23) noexcept {
-  number = other23.number;
-  server = std::move(other23.server);
-  __isset = other23.__isset;
+Run& Run::operator=(Run&& other27) noexcept {
+  number = other27.number;
+  server = std::move(other27.server);
+  __isset = other27.__isset;
   return *this;
 }
 void Run::printTo(std::ostream& out) const {
@@ -874,14 +1087,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->runs.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->runs.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->runs[_i28].read(iprot);
+              xfer += this->runs[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -930,10 +1143,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<Run> ::const_iterator _iter29;
-    for (_iter29 = this->runs.begin(); _iter29 != this->runs.end(); ++_iter29)
+    std::vector<Run> ::const_iterator _iter33;
+    for (_iter33 = this->runs.begin(); _iter33 != this->runs.end(); ++_iter33)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter33).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -955,42 +1168,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Task::Task(const Task& other30) {
-  position = other30.position;
-  state = other30.state;
-  failures = other30.failures;
-  last_run = other30.last_run;
-  checkpoint = other30.checkpoint;
-  runs = other30.runs;
-  __isset = other30.__isset;
-}
-Task::Task(Task&& other31) noexcept {
-  position = other31.position;
-  state = other31.state;
-  failures = other31.failures;
-  last_run = other31.last_run;
-  checkpoint = std::move(other31.checkpoint);
-  runs = std::move(other31.runs);
-  __isset = other31.__isset;
-}
-Task& Task::operator=(const Task& other32) {
-  position = other32.position;
-  state = other32.state;
-  failures = other32.failures;
-  last_run = other32.last_run;
-  checkpoint = other32.checkpoint;
-  runs = other32.runs;
-  __isset = other32.__isset;
+Task::Task(const Task& other34) {
+  position = other34.position;
+  state = other34.state;
+  failures = other34.failures;
+  last_run = other34.last_run;
+  checkpoint = other34.checkpoint;
+  runs = other34.runs;
+  __isset = other34.__isset;
+}
+Task::Task(Task&& other35) noexcept {
+  position = other35.position;
+  state = other35.state;
+  failures = other35.failures;
+  last_run = other35.last_run;
+  checkpoint = std::move(other35.checkpoint);
+  runs = std::move(other35.runs);
+  __isset = other35.__isset;
+}
+Task& Task::operator=(const Task& other36) {
+  position = other36.position;
+  state = other36.state;
+  failures = other36.failures;
+  last_run = other36.last_run;
+  checkpoint = other36.checkpoint;
+  runs = other36.runs;
+  __isset = other36.__isset;
   return *this;
 }
-Task& Task::operator=(Task&& other33) noexcept {
-  position = other33.position;
-  state = other33.state;
-  failures = other33.failures;
-  last_run = other33.last_run;
-  checkpoint = std::move(other33.checkpoint);
-  runs = std::move(other33.runs);
-  __isset = other33.__isset;
+Task& Task::operator=(Task&& other37) noexcept {
+  position = other37.position;
+  state = other37.state;
+  failures = other37.failures;
+  last_run = other37.last_run;
+  checkpoint = std::move(other37.checkpoint);
+  runs = std::move(other37.runs);
+  __isset = other37.__isset;
   return *this;
 }
 void Task::printTo(std::ostream& out) const {
@@ -1057,14 +1270,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->tasks.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->tasks.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->tasks[_i38].read(iprot);
+              xfer += this->tasks[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1097,10 +1310,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<Task> ::const_iterator _iter39;
-    for (_iter39 = this->tasks.begin(); _iter39 != this->tasks.end(); ++_iter39)
+    std::vector<Task> ::const_iterator _iter43;
+    for (_iter43 = this->tasks.begin(); _iter43 != this->tasks.end(); ++_iter43)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1118,26 +1331,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Occurrence::Occurrence(const Occurrence& other40) {
-  number = other40.number;
-  tasks = other40.tasks;
-  __isset = other40.__isset;
+Occurrence::Occurrence(const Occurrence& other44) {
+  number = other44.number;
+  tasks = other44.tasks;
+  __isset = other44.__isset;
 }
-Occurrence::Occurrence(Occurrence&& other41) noexcept {
-  number = other41.number;
-  tasks = std::move(other41.tasks);
-  __isset = other41.__isset;
+Occurrence::Occurrence(Occurrence&& other45) noexcept {
+  number = other45.number;
+  tasks = std::move(other45.tasks);
+  __isset = other45.__isset;
 }
-Occurrence& Occurrence::operator=(const Occurrence& other42) {
-  number = other42.number;
-  tasks = other42.tasks;
-  __isset = other42.__isset;
+Occurrence& Occurrence::operator=(const Occurrence& other46) {
+  number = other46.number;
+  tasks = other46.tasks;
+  __isset = other46.__isset;
   return *this;
 }
-Occurrence& Occurrence::operator=(Occurrence&& other43) noexcept {
-  number = other43.number;
-  tasks = std::move(other43.tasks);
-  __isset = other43.__isset;
+Occurrence& Occurrence::operator=(Occurrence&& other47) noexcept {
+  number = other47.number;
+  tasks = std::move(other47.tasks);
+  __isset = other47.__isset;
   return *this;
 }
 void Occurrence::printTo(std::ostream& out) const {
@@ -1224,14 +1437,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->occurrences.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->occurrences.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->occurrences.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->occurrences[_i48].read(iprot);
+              xfer += this->occurrences[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1272,10 +1485,10 @@
   xfer += oprot->writeFieldBegin("occurrences", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->occurrences.size()));
-    std::vector<Occurrence> ::const_iterator _iter49;
-    for (_iter49 = this->occurrences.begin(); _iter49 != this->occurrences.end(); ++_iter49)
+    std::vector<Occurrence> ::const_iterator _iter53;
+    for (_iter53 = this->occurrences.begin(); _iter53 != this->occurrences.end(); ++_iter53)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1295,34 +1508,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Progress::Progress(const Progress& other50) {
-  state = other50.state;
-  begun = other50.begun;
-  finished_below = other50.finished_below;
-  occurrences = other50.occurrences;
-  __isset = other50.__isset;
-}
-Progress::Progress(Progress&& other51) noexcept {
-  state = other51.state;
-  begun = other51.begun;
-  finished_below = other51.finished_below;
-  occurrences = std::move(other51.occurrences);
-  __isset = other51.__isset;
-}
-Progress& Progress::operator=(const Progress& other52) {
-  state = other52.state;
-  begun = other52.begun;
-  finished_below = other52.finished_below;
-  occurrences = other52.occurrences;
-  __isset = other52.__isset;
+Progress::Progress(const Progress& other54) {
+  state = other54.state;
+  begun = other54.begun;
+  finished_below = other54.finished_below;
+  occurrences = other54.occurrences;
+  __isset = other54.__isset;
+}
+Progress::Progress(Progress&& other55) noexcept {
+  state = other55.state;
+  begun = other55.begun;
+  finished_below = other55.finished_below;
+  occurrences = std::move(other55.occurrences);
+  __isset = other55.__isset;
+}
+Progress& Progress::operator=(const Progress& other56) {
+  state = other56.state;
+  begun = other56.begun;
+  finished_below = other56.finished_below;
+  occurrences = other56.occurrences;
+  __isset = other56.__isset;
   return *this;
 }
-Progress& Progress::operator=(Progress&& other53) noexcept {
-  state = other53.state;
-  begun = other53.begun;
-  finished_below = other53.finished_below;
-  occurrences = std::move(other53.occurrences);
-  __isset = other53.__isset;
+Progress& Progress::operator=(Progress&& other57) noexcept {
+  state = other57.state;
+  begun = other57.begun;
+  finished_below = other57.finished_below;
+  occurrences = std::move(other57.occurrences);
+  __isset = other57.__isset;
   return *this;
 }
 void Progress::printTo(std::ostream& out) const {
@@ -1530,50 +1743,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Lease::Lease(const Lease& other54) {
-  holder = other54.holder;
-  address = other54.address;
-  token = other54.token;
-  sequence = other54.sequence;
-  released = other54.released;
-  successor = other54.successor;
-  earlier_leases_ms = other54.earlier_leases_ms;
-  store_clock_ms = other54.store_clock_ms;
-  __isset = other54.__isset;
+Lease::Lease(const Lease& other58) {
+  holder = other58.holder;
+  address = other58.address;
+  token = other58.token;
+  sequence = other58.sequence;
+  released = other58.released;
+  successor = other58.successor;
+  earlier_leases_ms = other58.earlier_leases_ms;
+  store_clock_ms = other58.store_clock_ms;
+  __isset = other58.__isset;
 }
-Lease::Lease(Lease&& other55) noexcept {
-  holder = std::move(other55.holder);
-  address = std::move(other55.address);
-  token = other55.token;
-  sequence = other55.sequence;
-  released = other55.released;
-  successor = std::move(other55.successor);
-  earlier_leases_ms = other55.earlier_leases_ms;
-  store_clock_ms = other55.store_clock_ms;
-  __isset = other55.__isset;
+Lease::Lease(Lease&& other59) noexcept {
+  holder = std::move(other59.holder);
+  address = std::move(other59.address);
+  token = other59.token;
+  sequence = other59.sequence;
+  released = other59.released;
+  successor = std::move(other59.successor);
+  earlier_leases_ms = other59.earlier_leases_ms;
+  store_clock_ms = other59.store_clock_ms;
+  __isset = other59.__isset;
 }
-Lease& Lease::operator=(const Lease& other56) {
-  holder = other56.holder;
-  address = other56.address;
-  token = other56.token;
-  sequence = other56.sequence;
-  released = other56.released;
-  successor = other56.successor;
-  earlier_leases_ms = other56.earlier_leases_ms;
-  store_clock_ms = other56.store_clock_ms;
-  __isset = other56.__isset;
+Lease& Lease::operator=(const Lease& other60) {
+  holder = other60.holder;
+  address = other60.address;
+  token = other60.token;
+  sequence = other60.sequence;
+  released = other60.released;
+  successor = other60.successor;
+  earlier_leases_ms = other60.earlier_leases_ms;
+  store_clock_ms = other60.store_clock_ms;
+  __isset = other60.__isset;
   return *this;
 }
-Lease& Lease::operator=(Lease&& other57) noexcept {
-  holder = std::move(other57.holder);
-  address = std::move(other57.address);
-  token = other57.token;
-  sequence = other57.sequence;
-  released = other57.released;
-  successor = std::move(other57.successor);
-  earlier_leases_ms = other57.earlier_leases_ms;
-  store_clock_ms = other57.store_clock_ms;
-  __isset = other57.__isset;
+Lease& Lease::operator=(Lease&& other61) noexcept {
+  holder = std::move(other61.holder);
+  address = std::move(other61.address);
+  token = other61.token;
+  sequence = other61.sequence;
+  released = other61.released;
+  successor = std::move(other61.successor);
+  earlier_leases_ms = other61.earlier_leases_ms;
+  store_clock_ms = other61.store_clock_ms;
+  __isset = other61.__isset;
   return *this;
 }
 void Lease::printTo(std::ostream& out) const {
@@ -1751,42 +1964,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Node::Node(const Node& other58) {
-  name = other58.name;
-  address = other58.address;
-  zone = other58.zone;
-  incarnation = other58.incarnation;
-  leaving = other58.leaving;
-  capacity = other58.capacity;
-  __isset = other58.__isset;
+Node::Node(const Node& other62) {
+  name = other62.name;
+  address = other62.address;
+  zone = other62.zone;
+  incarnation = other62.incarnation;
+  leaving = other62.leaving;
+  capacity = other62.capacity;
+  __isset = other62.__isset;
 }
-Node::Node(Node&& other59) noexcept {
-  name = std::move(other59.name);
-  address = std::move(other59.address);
-  zone = std::move(other59.zone);
-  incarnation = other59.incarnation;
-  leaving = other59.leaving;
-  capacity = other59.capacity;
-  __isset = other59.__isset;
+Node::Node(Node&& other63) noexcept {
+  name = std::move(other63.name);
+  address = std::move(other63.address);
+  zone = std::move(other63.zone);
+  incarnation = other63.incarnation;
+  leaving = other63.leaving;
+  capacity = other63.capacity;
+  __isset = other63.__isset;
 }
-Node& Node::operator=(const Node& other60) {
-  name = other60.name;
-  address = other60.address;
-  zone = other60.zone;
-  incarnation = other60.incarnation;
-  leaving = other60.leaving;
-  capacity = other60.capacity;
-  __isset = other60.__isset;
+Node& Node::operator=(const Node& other64) {
+  name = other64.name;
+  address = other64.address;
+  zone = other64.zone;
+  incarnation = other64.incarnation;
+  leaving = other64.leaving;
+  capacity = other64.capacity;
+  __isset = other64.__isset;
   return *this;
 }
-Node& Node::operator=(Node&& other61) noexcept {
-  name = std::move(other61.name);
-  address = std::move(other61.address);
-  zone = std::move(other61.zone);
-  incarnation = other61.incarnation;
-  leaving = other61.leaving;
-  capacity = other61.capacity;
-  __isset = other61.__isset;
+Node& Node::operator=(Node&& other65) noexcept {
+  name = std::move(other65.name);
+  address = std::move(other65.address);
+  zone = std::move(other65.zone);
+  incarnation = other65.incarnation;
+  leaving = other65.leaving;
+  capacity = other65.capacity;
+  __isset = other65.__isset;
   return *this;
 }
 void Node::printTo(std::ostream& out) const {
@@ -1945,38 +2158,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Duty::Duty(const Duty& other62) {
-  host = other62.host;
-  kind = other62.kind;
-  pool = other62.pool;
-  wave = other62.wave;
-  server = other62.server;
-  __isset = other62.__isset;
+Duty::Duty(const Duty& other66) {
+  host = other66.host;
+  kind = other66.kind;
+  pool = other66.pool;
+  wave = other66.wave;
+  server = other66.server;
+  __isset = other66.__isset;
 }
-Duty::Duty(Duty&& other63) noexcept {
-  host = std::move(other63.host);
-  kind = other63.kind;
-  pool = std::move(other63.pool);
-  wave = other63.wave;
-  server = std::move(other63.server);
-  __isset = other63.__isset;
+Duty::Duty(Duty&& other67) noexcept {
+  host = std::move(other67.host);
+  kind = other67.kind;
+  pool = std::move(other67.pool);
+  wave = other67.wave;
+  server = std::move(other67.server);
+  __isset = other67.__isset;
 }
-Duty& Duty::operator=(const Duty& other64) {
-  host = other64.host;
-  kind = other64.kind;
-  pool = other64.pool;
-  wave = other64.wave;
-  server = other64.server;
-  __isset = other64.__isset;
+Duty& Duty::operator=(const Duty& other68) {
+  host = other68.host;
+  kind = other68.kind;
+  pool = other68.pool;
+  wave = other68.wave;
+  server = other68.server;
+  __isset = other68.__isset;
   return *this;
 }
-Duty& Duty::operator=(Duty&& other65) noexcept {
-  host = std::move(other65.host);
-  kind = other65.kind;
-  pool = std::move(other65.pool);
-  wave = other65.wave;
-  server = std::move(other65.server);
-  __isset = other65.__isset;
+Duty& Duty::operator=(Duty&& other69) noexcept {
+  host = std::move(other69.host);
+  kind = other69.kind;
+  pool = std::move(other69.pool);
+  wave = other69.wave;
+  server = std::move(other69.server);
+  __isset = other69.__isset;
   return *this;
 }
 void Duty::printTo(std::ostream& out) const {
@@ -2100,30 +2313,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueLoad::QueueLoad(const QueueLoad& other66) {
-  queue = other66.queue;
-  pending = other66.pending;
-  wait_ms = other66.wait_ms;
-  __isset = other66.__isset;
+QueueLoad::QueueLoad(const QueueLoad& other70) {
+  queue = other70.queue;
+  pending = other70.pending;
+  wait_ms = other70.wait_ms;
+  __isset = other70.__isset;
 }
-QueueLoad::QueueLoad(QueueLoad&& other67) noexcept {
-  queue = std::move(other67.queue);
-  pending = other67.pending;
-  wait_ms = other67.wait_ms;
-  __isset = other67.__isset;
+QueueLoad::QueueLoad(QueueLoad&& other71) noexcept {
+  queue = std::move(other71.queue);
+  pending = other71.pending;
+  wait_ms = other71.wait_ms;
+  __isset = other71.__isset;
 }
-QueueLoad& QueueLoad::operator=(const QueueLoad& other68) {
-  queue = other68.queue;
-  pending = other68.pending;
-  wait_ms = other68.wait_ms;
-  __isset = other68.__isset;
+QueueLoad& QueueLoad::operator=(const QueueLoad& other72) {
+  queue = other72.queue;
+  pending = other72.pending;
+  wait_ms = other72.wait_ms;
+  __isset = other72.__isset;
   return *this;
 }
-QueueLoad& QueueLoad::operator=(QueueLoad&& other69) noexcept {
-  queue = std::move(other69.queue);
-  pending = other69.pending;
-  wait_ms = other69.wait_ms;
-  __isset = other69.__isset;
+QueueLoad& QueueLoad::operator=(QueueLoad&& other73) noexcept {
+  queue = std::move(other73.queue);
+  pending = other73.pending;
+  wait_ms = other73.wait_ms;
+  __isset = other73.__isset;
   return *this;
 }
 void QueueLoad::printTo(std::ostream& out) const {
@@ -2263,14 +2476,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->queues.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->queues.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->queues.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->queues[_i74].read(iprot);
+              xfer += this->queues[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2331,14 +2544,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->spare_servers.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->spare_servers.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->spare_servers.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += iprot->readString(this->spare_servers[_i79]);
+              xfer += iprot->readString(this->spare_servers[_i83]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2367,14 +2580,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->silent_zones.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->silent_zones.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->silent_zones.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += iprot->readString(this->silent_zones[_i84]);
+              xfer += iprot->readString(this->silent_zones[_i88]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2419,10 +2632,10 @@
   xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
-    std::vector<QueueLoad> ::const_iterator _iter85;
-    for (_iter85 = this->queues.begin(); _iter85 != this->queues.end(); ++_iter85)
+    std::vector<QueueLoad> ::const_iterator _iter89;
+    for (_iter89 = this->queues.begin(); _iter89 != this->queues.end(); ++_iter89)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2455,10 +2668,10 @@
   xfer += oprot->writeFieldBegin("spare_servers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->spare_servers.size()));
-    std::vector<std::string> ::const_iterator _iter86;
-    for (_iter86 = this->spare_servers.begin(); _iter86 != this->spare_servers.end(); ++_iter86)
+    std::vector<std::string> ::const_iterator _iter90;
+    for (_iter90 = this->spare_servers.begin(); _iter90 != this->spare_servers.end(); ++_iter90)
     {
-      xfer += oprot->writeString((*_iter86));
+      xfer += oprot->writeString((*_iter90));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2475,10 +2688,10 @@
   xfer += oprot->writeFieldBegin("silent_zones", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->silent_zones.size()));
-    std::vector<std::string> ::const_iterator _iter87;
-    for (_iter87 = this->silent_zones.begin(); _iter87 != this->silent_zones.end(); ++_iter87)
+    std::vector<std::string> ::const_iterator _iter91;
+    for (_iter91 = this->silent_zones.begin(); _iter91 != this->silent_zones.end(); ++_iter91)
     {
-      xfer += oprot->writeString((*_iter87));
+      xfer += oprot->writeString((*_iter91));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2509,78 +2722,78 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerBeat::OwnerBeat(const OwnerBeat& other88) {
-  pool = other88.pool;
-  token = other88.token;
-  lease_version = other88.lease_version;
-  renewed_age_ms = other88.renewed_age_ms;
-  queues = other88.queues;
-  released = other88.released;
-  successor = other88.successor;
-  demand_cores = other88.demand_cores;
-  capacity_cores = other88.capacity_cores;
-  servers = other88.servers;
-  min_servers = other88.min_servers;
-  spare_servers = other88.spare_servers;
-  offered_cores = other88.offered_cores;
-  silent_servers = other88.silent_servers;
-  silent_zones = other88.silent_zones;
-  __isset = other88.__isset;
-}
-OwnerBeat::OwnerBeat(OwnerBeat&& other89) noexcept {
-  pool = std::move(other89.pool);
-  token = other89.token;
-  lease_version = other89.lease_version;
-  renewed_age_ms = other89.renewed_age_ms;
-  queues = std::move(other89.queues);
-  released = other89.released;
-  successor = std::move(other89.successor);
-  demand_cores = other89.demand_cores;
-  capacity_cores = other89.capacity_cores;
-  servers = other89.servers;
-  min_servers = other89.min_servers;
-  spare_servers = std::move(other89.spare_servers);
-  offered_cores = other89.offered_cores;
-  silent_servers = other89.silent_servers;
-  silent_zones = std::move(other89.silent_zones);
-  __isset = other89.__isset;
-}
-OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other90) {
-  pool = other90.pool;
-  token = other90.token;
-  lease_version = other90.lease_version;
-  renewed_age_ms = other90.renewed_age_ms;
-  queues = other90.queues;
-  released = other90.released;
-  successor = other90.successor;
-  demand_cores = other90.demand_cores;
-  capacity_cores = other90.capacity_cores;
-  servers = other90.servers;
-  min_servers = other90.min_servers;
-  spare_servers = other90.spare_servers;
-  offered_cores = other90.offered_cores;
-  silent_servers = other90.silent_servers;
-  silent_zones = other90.silent_zones;
-  __isset = other90.__isset;
+OwnerBeat::OwnerBeat(const OwnerBeat& other92) {
+  pool = other92.pool;
+  token = other92.token;
+  lease_version = other92.lease_version;
+  renewed_age_ms = other92.renewed_age_ms;
+  queues = other92.queues;
+  released = other92.released;
+  successor = other92.successor;
+  demand_cores = other92.demand_cores;
+  capacity_cores = other92.capacity_cores;
+  servers = other92.servers;
+  min_servers = other92.min_servers;
+  spare_servers = other92.spare_servers;
+  offered_cores = other92.offered_cores;
+  silent_servers = other92.silent_servers;
+  silent_zones = other92.silent_zones;
+  __isset = other92.__isset;
+}
+OwnerBeat::OwnerBeat(OwnerBeat&& other93) noexcept {
+  pool = std::move(other93.pool);
+  token = other93.token;
+  lease_version = other93.lease_version;
+  renewed_age_ms = other93.renewed_age_ms;
+  queues = std::move(other93.queues);
+  released = other93.released;
+  successor = std::move(other93.successor);
+  demand_cores = other93.demand_cores;
+  capacity_cores = other93.capacity_cores;
+  servers = other93.servers;
+  min_servers = other93.min_servers;
+  spare_servers = std::move(other93.spare_servers);
+  offered_cores = other93.offered_cores;
+  silent_servers = other93.silent_servers;
+  silent_zones = std::move(other93.silent_zones);
+  __isset = other93.__isset;
+}
+OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other94) {
+  pool = other94.pool;
+  token = other94.token;
+  lease_version = other94.lease_version;
+  renewed_age_ms = other94.renewed_age_ms;
+  queues = other94.queues;
+  released = other94.released;
+  successor = other94.successor;
+  demand_cores = other94.demand_cores;
+  capacity_cores = other94.capacity_cores;
+  servers = other94.servers;
+  min_servers = other94.min_servers;
+  spare_servers = other94.spare_servers;
+  offered_cores = other94.offered_cores;
+  silent_servers = other94.silent_servers;
+  silent_zones = other94.silent_zones;
+  __isset = other94.__isset;
   return *this;
 }
-OwnerBeat& OwnerBeat::operator=(OwnerBeat&& other91) noexcept {
-  pool = std::move(other91.pool);
-  token = other91.token;
-  lease_version = other91.lease_version;
-  renewed_age_ms = other91.renewed_age_ms;
-  queues = std::move(other91.queues);
-  released = other91.released;
-  successor = std::move(other91.successor);
-  demand_cores = other91.demand_cores;
-  capacity_cores = other91.capacity_cores;
-  servers = other91.servers;
-  min_servers = other91.min_servers;
-  spare_servers = std::move(other91.spare_servers);
-  offered_cores = other91.offered_cores;
-  silent_servers = other91.silent_servers;
-  silent_zones = std::move(other91.silent_zones);
-  __isset = other91.__isset;
+OwnerBeat& OwnerBeat::operator=(OwnerBeat&& other95) noexcept {
+  pool = std::move(other95.pool);
+  token = other95.token;
+  lease_version = other95.lease_version;
+  renewed_age_ms = other95.renewed_age_ms;
+  queues = std::move(other95.queues);
+  released = other95.released;
+  successor = std::move(other95.successor);
+  demand_cores = other95.demand_cores;
+  capacity_cores = other95.capacity_cores;
+  servers = other95.servers;
+  min_servers = other95.min_servers;
+  spare_servers = std::move(other95.spare_servers);
+  offered_cores = other95.offered_cores;
+  silent_servers = other95.silent_servers;
+  silent_zones = std::move(other95.silent_zones);
+  __isset = other95.__isset;
   return *this;
 }
 void OwnerBeat::printTo(std::ostream& out) const {
@@ -2748,38 +2961,38 @@
   swap(a.__isset, b.__isset);
 }
 
-JobNotice::JobNotice(const JobNotice& other92) {
-  pool = other92.pool;
-  job = other92.job;
-  definition = other92.definition;
-  age_ms = other92.age_ms;
-  request = other92.request;
-  __isset = other92.__isset;
+JobNotice::JobNotice(const JobNotice& other96) {
+  pool = other96.pool;
+  job = other96.job;
+  definition = other96.definition;
+  age_ms = other96.age_ms;
+  request = other96.request;
+  __isset = other96.__isset;
 }
-JobNotice::JobNotice(JobNotice&& other93) noexcept {
-  pool = std::move(other93.pool);
-  job = std::move(other93.job);
-  definition = std::move(other93.definition);
-  age_ms = other93.age_ms;
-  request = other93.request;
-  __isset = other93.__isset;
+JobNotice::JobNotice(JobNotice&& other97) noexcept {
+  pool = std::move(other97.pool);
+  job = std::move(other97.job);
+  definition = std::move(other97.definition);
+  age_ms = other97.age_ms;
+  request = other97.request;
+  __isset = other97.__isset;
 }
-JobNotice& JobNotice::operator=(const JobNotice& other94) {
-  pool = other94.pool;
-  job = other94.job;
-  definition = other94.definition;
-  age_ms = other94.age_ms;
-  request = other94.request;
-  __isset = other94.__isset;
+JobNotice& JobNotice::operator=(const JobNotice& other98) {
+  pool = other98.pool;
+  job = other98.job;
+  definition = other98.definition;
+  age_ms = other98.age_ms;
+  request = other98.request;
+  __isset = other98.__isset;
   return *this;
 }
-JobNotice& JobNotice::operator=(JobNotice&& other95) noexcept {
-  pool = std::move(other95.pool);
-  job = std::move(other95.job);
-  definition = std::move(other95.definition);
-  age_ms = other95.age_ms;
-  request = other95.request;
-  __isset = other95.__isset;
+JobNotice& JobNotice::operator=(JobNotice&& other99) noexcept {
+  pool = std::move(other99.pool);
+  job = std::move(other99.job);
+  definition = std::move(other99.definition);
+  age_ms = other99.age_ms;
+  request = other99.request;
+  __isset = other99.__isset;
   return *this;
 }
 void JobNotice::printTo(std::ostream& out) const {
@@ -2920,34 +3133,34 @@
   swap(a.__isset, b.__isset);
 }
 
-JobQuery::JobQuery(const JobQuery& other96) {
-  request = other96.request;
-  pool = other96.pool;
-  job = other96.job;
-  cancel = other96.cancel;
-  __isset = other96.__isset;
+JobQuery::JobQuery(const JobQuery& other100) {
+  request = other100.request;
+  pool = other100.pool;
+  job = other100.job;
+  cancel = other100.cancel;
+  __isset = other100.__isset;
 }
-JobQuery::JobQuery(JobQuery&& other97) noexcept {
-  request = other97.request;
-  pool = std::move(other97.pool);
-  job = std::move(other97.job);
-  cancel = other97.cancel;
-  __isset = other97.__isset;
+JobQuery::JobQuery(JobQuery&& other101) noexcept {
+  request = other101.request;
+  pool = std::move(other101.pool);
+  job = std::move(other101.job);
+  cancel = other101.cancel;
+  __isset = other101.__isset;
 }
-JobQuery& JobQuery::operator=(const JobQuery& other98) {
-  request = other98.request;
-  pool = other98.pool;
-  job = other98.job;
-  cancel = other98.cancel;
-  __isset = other98.__isset;
+JobQuery& JobQuery::operator=(const JobQuery& other102) {
+  request = other102.request;
+  pool = other102.pool;
+  job = other102.job;
+  cancel = other102.cancel;
+  __isset = other102.__isset;
   return *this;
 }
-JobQuery& JobQuery::operator=(JobQuery&& other99) noexcept {
-  request = other99.request;
-  pool = std::move(other99.pool);
-  job = std::move(other99.job);
-  cancel = other99.cancel;
-  __isset = other99.__isset;
+JobQuery& JobQuery::operator=(JobQuery&& other103) noexcept {
+  request = other103.request;
+  pool = std::move(other103.pool);
+  job = std::move(other103.job);
+  cancel = other103.cancel;
+  __isset = other103.__isset;
   return *this;
 }
 void JobQuery::printTo(std::ostream& out) const {
@@ -3053,26 +3266,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other100) noexcept {
-  request = other100.request;
-  state = other100.state;
-  __isset = other100.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other104) noexcept {
+  request = other104.request;
+  state = other104.state;
+  __isset = other104.__isset;
 }
-JobAnswer::JobAnswer(JobAnswer&& other101) noexcept {
-  request = other101.request;
-  state = other101.state;
-  __isset = other101.__isset;
+JobAnswer::JobAnswer(JobAnswer&& other105) noexcept {
+  request = other105.request;
+  state = other105.state;
+  __isset = other105.__isset;
 }
-JobAnswer& JobAnswer::operator=(const JobAnswer& other102) noexcept {
-  request = other102.request;
-  state = other102.state;
-  __isset = other102.__isset;
+JobAnswer& JobAnswer::operator=(const JobAnswer& other106) noexcept {
+  request = other106.request;
+  state = other106.state;
+  __isset = other106.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other103) noexcept {
-  request = other103.request;
-  state = other103.state;
-  __isset = other103.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other107) noexcept {
+  request = other107.request;
+  state = other107.state;
+  __isset = other107.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -3193,30 +3406,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VacateRequest::VacateRequest(const VacateRequest& other104) {
-  pool = other104.pool;
-  server = other104.server;
-  withdraw = other104.withdraw;
-  __isset = other104.__isset;
+VacateRequest::VacateRequest(const VacateRequest& other108) {
+  pool = other108.pool;
+  server = other108.server;
+  withdraw = other108.withdraw;
+  __isset = other108.__isset;
 }
-VacateRequest::VacateRequest(VacateRequest&& other105) noexcept {
-  pool = std::move(other105.pool);
-  server = std::move(other105.server);
-  withdraw = other105.withdraw;
-  __isset = other105.__isset;
+VacateRequest::VacateRequest(VacateRequest&& other109) noexcept {
+  pool = std::move(other109.pool);
+  server = std::move(other109.server);
+  withdraw = other109.withdraw;
+  __isset = other109.__isset;
 }
-VacateRequest& VacateRequest::operator=(const VacateRequest& other106) {
-  pool = other106.pool;
-  server = other106.server;
-  withdraw = other106.withdraw;
-  __isset = other106.__isset;
+VacateRequest& VacateRequest::operator=(const VacateRequest& other110) {
+  pool = other110.pool;
+  server = other110.server;
+  withdraw = other110.withdraw;
+  __isset = other110.__isset;
   return *this;
 }
-VacateRequest& VacateRequest::operator=(VacateRequest&& other107) noexcept {
-  pool = std::move(other107.pool);
-  server = std::move(other107.server);
-  withdraw = other107.withdraw;
-  __isset = other107.__isset;
+VacateRequest& VacateRequest::operator=(VacateRequest&& other111) noexcept {
+  pool = std::move(other111.pool);
+  server = std::move(other111.server);
+  withdraw = other111.withdraw;
+  __isset = other111.__isset;
   return *this;
 }
 void VacateRequest::printTo(std::ostream& out) const {
@@ -3355,34 +3568,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VacateAnswer::VacateAnswer(const VacateAnswer& other108) {
-  pool = other108.pool;
-  server = other108.server;
-  state = other108.state;
-  token = other108.token;
-  __isset = other108.__isset;
+VacateAnswer::VacateAnswer(const VacateAnswer& other112) {
+  pool = other112.pool;
+  server = other112.server;
+  state = other112.state;
+  token = other112.token;
+  __isset = other112.__isset;
 }
-VacateAnswer::VacateAnswer(VacateAnswer&& other109) noexcept {
-  pool = std::move(other109.pool);
-  server = std::move(other109.server);
-  state = other109.state;
-  token = other109.token;
-  __isset = other109.__isset;
+VacateAnswer::VacateAnswer(VacateAnswer&& other113) noexcept {
+  pool = std::move(other113.pool);
+  server = std::move(other113.server);
+  state = other113.state;
+  token = other113.token;
+  __isset = other113.__isset;
 }
-VacateAnswer& VacateAnswer::operator=(const VacateAnswer& other110) {
-  pool = other110.pool;
-  server = other110.server;
-  state = other110.state;
-  token = other110.token;
-  __isset = other110.__isset;
+VacateAnswer& VacateAnswer::operator=(const VacateAnswer& other114) {
+  pool = other114.pool;
+  server = other114.server;
+  state = other114.state;
+  token = other114.token;
+  __isset = other114.__isset;
   return *this;
 }
-VacateAnswer& VacateAnswer::operator=(VacateAnswer&& other111) noexcept {
-  pool = std::move(other111.pool);
-  server = std::move(other111.server);
-  state = other111.state;
-  token = other111.token;
-  __isset = other111.__isset;
+VacateAnswer& VacateAnswer::operator=(VacateAnswer&& other115) noexcept {
+  pool = std::move(other115.pool);
+  server = std::move(other115.server);
+  state = other115.state;
+  token = other115.token;
+  __isset = other115.__isset;
   return *this;
 }
 void VacateAnswer::printTo(std::ostream& out) const {
@@ -3692,74 +3905,74 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedOrder::RelayedOrder(const RelayedOrder& other112) {
-  tag = other112.tag;
-  server = other112.server;
-  address = other112.address;
-  token = other112.token;
-  kind = other112.kind;
-  task = other112.task;
-  run = other112.run;
-  payload = other112.payload;
-  lease_until = other112.lease_until;
-  checkpoint = other112.checkpoint;
-  ticket = other112.ticket;
-  acknowledged = other112.acknowledged;
-  wait_ms = other112.wait_ms;
-  pace_percent = other112.pace_percent;
-  __isset = other112.__isset;
+RelayedOrder::RelayedOrder(const RelayedOrder& other116) {
+  tag = other116.tag;
+  server = other116.server;
+  address = other116.address;
+  token = other116.token;
+  kind = other116.kind;
+  task = other116.task;
+  run = other116.run;
+  payload = other116.payload;
+  lease_until = other116.lease_until;
+  checkpoint = other116.checkpoint;
+  ticket = other116.ticket;
+  acknowledged = other116.acknowledged;
+  wait_ms = other116.wait_ms;
+  pace_percent = other116.pace_percent;
+  __isset = other116.__isset;
 }
-RelayedOrder::RelayedOrder(RelayedOrder&& other113) noexcept {
-  tag = other113.tag;
-  server = std::move(other113.server);
-  address = std::move(other113.address);
-  token = other113.token;
-  kind = other113.kind;
-  task = std::move(other113.task);
-  run = other113.run;
-  payload = std::move(other113.payload);
-  lease_until = other113.lease_until;
-  checkpoint = std::move(other113.checkpoint);
-  ticket = std::move(other113.ticket);
-  acknowledged = other113.acknowledged;
-  wait_ms = other113.wait_ms;
-  pace_percent = other113.pace_percent;
-  __isset = other113.__isset;
+RelayedOrder::RelayedOrder(RelayedOrder&& other117) noexcept {
+  tag = other117.tag;
+  server = std::move(other117.server);
+  address = std::move(other117.address);
+  token = other117.token;
+  kind = other117.kind;
+  task = std::move(other117.task);
+  run = other117.run;
+  payload = std::move(other117.payload);
+  lease_until = other117.lease_until;
+  checkpoint = std::move(other117.checkpoint);
+  ticket = std::move(other117.ticket);
+  acknowledged = other117.acknowledged;
+  wait_ms = other117.wait_ms;
+  pace_percent = other117.pace_percent;
+  __isset = other117.__isset;
 }
-RelayedOrder& RelayedOrder::operator=(const RelayedOrder& other114) {
-  tag = other114.tag;
-  server = other114.server;
-  address = other114.address;
-  token = other114.token;
-  kind = other114.kind;
-  task = other114.task;
-  run = other114.run;
-  payload = other114.payload;
-  lease_until = other114.lease_until;
-  checkpoint = other114.checkpoint;
-  ticket = other114.ticket;
-  acknowledged = other114.acknowledged;
-  wait_ms = other114.wait_ms;
-  pace_percent = other114.pace_percent;
-  __isset = other114.__isset;
+RelayedOrder& RelayedOrder::operator=(const RelayedOrder& other118) {
+  tag = other118.tag;
+  server = other118.server;
+  address = other118.address;
+  token = other118.token;
+  kind = other118.kind;
+  task = other118.task;
+  run = other118.run;
+  payload = other118.payload;
+  lease_until = other118.lease_until;
+  checkpoint = other118.checkpoint;
+  ticket = other118.ticket;
+  acknowledged = other118.acknowledged;
+  wait_ms = other118.wait_ms;
+  pace_percent = other118.pace_percent;
+  __isset = other118.__isset;
   return *this;
 }
-RelayedOrder& RelayedOrder::operator=(RelayedOrder&& other115) noexcept {
-  tag = other115.tag;
-  server = std::move(other115.server);
-  address = std::move(other115.address);
-  token = other115.token;
-  kind = other115.kind;
-  task = std::move(other115.task);
-  run = other115.run;
-  payload = std::move(other115.payload);
-  lease_until = other115.lease_until;
-  checkpoint = std::move(other115.checkpoint);
-  ticket = std::move(other115.ticket);
-  acknowledged = other115.acknowledged;
-  wait_ms = other115.wait_ms;
-  pace_percent = other115.pace_percent;
-  __isset = other115.__isset;
+RelayedOrder& RelayedOrder::operator=(RelayedOrder&& other119) noexcept {
+  tag = other119.tag;
+  server = std::move(other119.server);
+  address = std::move(other119.address);
+  token = other119.token;
+  kind = other119.kind;
+  task = std::move(other119.task);
+  run = other119.run;
+  payload = std::move(other119.payload);
+  lease_until = other119.lease_until;
+  checkpoint = std::move(other119.checkpoint);
+  ticket = std::move(other119.ticket);
+  acknowledged = other119.acknowledged;
+  wait_ms = other119.wait_ms;
+  pace_percent = other119.pace_percent;
+  __isset = other119.__isset;
   return *this;
 }
 void RelayedOrder::printTo(std::ostream& out) const {
@@ -3926,38 +4139,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningRun::RunningRun(const RunningRun& other116) {
-  task = other116.task;
-  run = other116.run;
-  checkpoint = other116.checkpoint;
-  progress_percent = other116.progress_percent;
-  load = other116.load;
-  __isset = other116.__isset;
+RunningRun::RunningRun(const RunningRun& other120) {
+  task = other120.task;
+  run = other120.run;
+  checkpoint = other120.checkpoint;
+  progress_percent = other120.progress_percent;
+  load = other120.load;
+  __isset = other120.__isset;
 }
-RunningRun::RunningRun(RunningRun&& other117) noexcept {
-  task = std::move(other117.task);
-  run = other117.run;
-  checkpoint = std::move(other117.checkpoint);
-  progress_percent = other117.progress_percent;
-  load = other117.load;
-  __isset = other117.__isset;
+RunningRun::RunningRun(RunningRun&& other121) noexcept {
+  task = std::move(other121.task);
+  run = other121.run;
+  checkpoint = std::move(other121.checkpoint);
+  progress_percent = other121.progress_percent;
+  load = other121.load;
+  __isset = other121.__isset;
 }
-RunningRun& RunningRun::operator=(const RunningRun& other118) {
-  task = other118.task;
-  run = other118.run;
-  checkpoint = other118.checkpoint;
-  progress_percent = other118.progress_percent;
-  load = other118.load;
-  __isset = other118.__isset;
+RunningRun& RunningRun::operator=(const RunningRun& other122) {
+  task = other122.task;
+  run = other122.run;
+  checkpoint = other122.checkpoint;
+  progress_percent = other122.progress_percent;
+  load = other122.load;
+  __isset = other122.__isset;
   return *this;
 }
-RunningRun& RunningRun::operator=(RunningRun&& other119) noexcept {
-  task = std::move(other119.task);
-  run = other119.run;
-  checkpoint = std::move(other119.checkpoint);
-  progress_percent = other119.progress_percent;
-  load = other119.load;
-  __isset = other119.__isset;
+RunningRun& RunningRun::operator=(RunningRun&& other123) noexcept {
+  task = std::move(other123.task);
+  run = other123.run;
+  checkpoint = std::move(other123.checkpoint);
+  progress_percent = other123.progress_percent;
+  load = other123.load;
+  __isset = other123.__isset;
   return *this;
 }
 void RunningRun::printTo(std::ostream& out) const {
@@ -4115,38 +4328,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedRun::EndedRun(const EndedRun& other120) {
-  sequence = other120.sequence;
-  task = other120.task;
-  run = other120.run;
-  run_end = other120.run_end;
-  checkpoint = other120.checkpoint;
-  __isset = other120.__isset;
-}
-EndedRun::EndedRun(EndedRun&& other121) noexcept {
-  sequence = other121.sequence;
-  task = std::move(other121.task);
-  run = other121.run;
-  run_end = other121.run_end;
-  checkpoint = std::move(other121.checkpoint);
-  __isset = other121.__isset;
-}
-EndedRun& EndedRun::operator=(const EndedRun& other122) {
-  sequence = other122.sequence;
-  task = other122.task;
-  run = other122.run;
-  run_end = other122.run_end;
-  checkpoint = other122.checkpoint;
-  __isset = other122.__isset;
+EndedRun::EndedRun(const EndedRun& other124) {
+  sequence = other124.sequence;
+  task = other124.task;
+  run = other124.run;
+  run_end = other124.run_end;
+  checkpoint = other124.checkpoint;
+  __isset = other124.__isset;
+}
+EndedRun::EndedRun(EndedRun&& other125) noexcept {
+  sequence = other125.sequence;
+  task = std::move(other125.task);
+  run = other125.run;
+  run_end = other125.run_end;
+  checkpoint = std::move(other125.checkpoint);
+  __isset = other125.__isset;
+}
+EndedRun& EndedRun::operator=(const EndedRun& other126) {
+  sequence = other126.sequence;
+  task = other126.task;
+  run = other126.run;
+  run_end = other126.run_end;
+  checkpoint = other126.checkpoint;
+  __isset = other126.__isset;
   return *this;
 }
-EndedRun& EndedRun::operator=(EndedRun&& other123) noexcept {
-  sequence = other123.sequence;
-  task = std::move(other123.task);
-  run = other123.run;
-  run_end = other123.run_end;
-  checkpoint = std::move(other123.checkpoint);
-  __isset = other123.__isset;
+EndedRun& EndedRun::operator=(EndedRun&& other127) noexcept {
+  sequence = other127.sequence;
+  task = std::move(other127.task);
+  run = other127.run;
+  run_end = other127.run_end;
+  checkpoint = std::move(other127.checkpoint);
+  __isset = other127.__isset;
   return *this;
 }
 void EndedRun::printTo(std::ostream& out) const {
@@ -4266,14 +4479,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->running.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->running.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->running[_i128].read(iprot);
+              xfer += this->running[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4286,14 +4499,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->ended.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->ended.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->ended[_i133].read(iprot);
+              xfer += this->ended[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4344,10 +4557,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningRun> ::const_iterator _iter134;
-    for (_iter134 = this->running.begin(); _iter134 != this->running.end(); ++_iter134)
+    std::vector<RunningRun> ::const_iterator _iter138;
+    for (_iter138 = this->running.begin(); _iter138 != this->running.end(); ++_iter138)
     {
-      xfer += (*_iter134).write(oprot);
+      xfer += (*_iter138).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4356,10 +4569,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedRun> ::const_iterator _iter135;
-    for (_iter135 = this->ended.begin(); _iter135 != this->ended.end(); ++_iter135)
+    std::vector<EndedRun> ::const_iterator _iter139;
+    for (_iter139 = this->ended.begin(); _iter139 != this->ended.end(); ++_iter139)
     {
-      xfer += (*_iter135).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4382,46 +4595,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedReply::RelayedReply(const RelayedReply& other136) {
-  tag = other136.tag;
-  server = other136.server;
-  outcome = other136.outcome;
-  clock_ms = other136.clock_ms;
-  born_ms = other136.born_ms;
-  running = other136.running;
-  ended = other136.ended;
-  __isset = other136.__isset;
-}
-RelayedReply::RelayedReply(RelayedReply&& other137) noexcept {
-  tag = other137.tag;
-  server = std::move(other137.server);
-  outcome = other137.outcome;
-  clock_ms = other137.clock_ms;
-  born_ms = other137.born_ms;
-  running = std::move(other137.running);
-  ended = std::move(other137.ended);
-  __isset = other137.__isset;
-}
-RelayedReply& RelayedReply::operator=(const RelayedReply& other138) {
-  tag = other138.tag;
-  server = other138.server;
-  outcome = other138.outcome;
-  clock_ms = other138.clock_ms;
-  born_ms = other138.born_ms;
-  running = other138.running;
-  ended = other138.ended;
-  __isset = other138.__isset;
+RelayedReply::RelayedReply(const RelayedReply& other140) {
+  tag = other140.tag;
+  server = other140.server;
+  outcome = other140.outcome;
+  clock_ms = other140.clock_ms;
+  born_ms = other140.born_ms;
+  running = other140.running;
+  ended = other140.ended;
+  __isset = other140.__isset;
+}
+RelayedReply::RelayedReply(RelayedReply&& other141) noexcept {
+  tag = other141.tag;
+  server = std::move(other141.server);
+  outcome = other141.outcome;
+  clock_ms = other141.clock_ms;
+  born_ms = other141.born_ms;
+  running = std::move(other141.running);
+  ended = std::move(other141.ended);
+  __isset = other141.__isset;
+}
+RelayedReply& RelayedReply::operator=(const RelayedReply& other142) {
+  tag = other142.tag;
+  server = other142.server;
+  outcome = other142.outcome;
+  clock_ms = other142.clock_ms;
+  born_ms = other142.born_ms;
+  running = other142.running;
+  ended = other142.ended;
+  __isset = other142.__isset;
   return *this;
 }
-RelayedReply& RelayedReply::operator=(RelayedReply&& other139) noexcept {
-  tag = other139.tag;
-  server = std::move(other139.server);
-  outcome = other139.outcome;
-  clock_ms = other139.clock_ms;
-  born_ms = other139.born_ms;
-  running = std::move(other139.running);
-  ended = std::move(other139.ended);
-  __isset = other139.__isset;
+RelayedReply& RelayedReply::operator=(RelayedReply&& other143) noexcept {
+  tag = other143.tag;
+  server = std::move(other143.server);
+  outcome = other143.outcome;
+  clock_ms = other143.clock_ms;
+  born_ms = other143.born_ms;
+  running = std::move(other143.running);
+  ended = std::move(other143.ended);
+  __isset = other143.__isset;
   return *this;
 }
 void RelayedReply::printTo(std::ostream& out) const {
@@ -4493,14 +4706,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->orders.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->orders.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->orders[_i144].read(iprot);
+              xfer += this->orders[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4541,10 +4754,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<RelayedOrder> ::const_iterator _iter145;
-    for (_iter145 = this->orders.begin(); _iter145 != this->orders.end(); ++_iter145)
+    std::vector<RelayedOrder> ::const_iterator _iter149;
+    for (_iter149 = this->orders.begin(); _iter149 != this->orders.end(); ++_iter149)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4567,30 +4780,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderBatch::OrderBatch(const OrderBatch& other146) {
-  session = other146.session;
-  orders = other146.orders;
-  valid_until_ms = other146.valid_until_ms;
-  __isset = other146.__isset;
+OrderBatch::OrderBatch(const OrderBatch& other150) {
+  session = other150.session;
+  orders = other150.orders;
+  valid_until_ms = other150.valid_until_ms;
+  __isset = other150.__isset;
 }
-OrderBatch::OrderBatch(OrderBatch&& other147) noexcept {
-  session = other147.session;
-  orders = std::move(other147.orders);
-  valid_until_ms = other147.valid_until_ms;
-  __isset = other147.__isset;
+OrderBatch::OrderBatch(OrderBatch&& other151) noexcept {
+  session = other151.session;
+  orders = std::move(other151.orders);
+  valid_until_ms = other151.valid_until_ms;
+  __isset = other151.__isset;
 }
-OrderBatch& OrderBatch::operator=(const OrderBatch& other148) {
-  session = other148.session;
-  orders = other148.orders;
-  valid_until_ms = other148.valid_until_ms;
-  __isset = other148.__isset;
+OrderBatch& OrderBatch::operator=(const OrderBatch& other152) {
+  session = other152.session;
+  orders = other152.orders;
+  valid_until_ms = other152.valid_until_ms;
+  __isset = other152.__isset;
   return *this;
 }
-OrderBatch& OrderBatch::operator=(OrderBatch&& other149) noexcept {
-  session = other149.session;
-  orders = std::move(other149.orders);
-  valid_until_ms = other149.valid_until_ms;
-  __isset = other149.__isset;
+OrderBatch& OrderBatch::operator=(OrderBatch&& other153) noexcept {
+  session = other153.session;
+  orders = std::move(other153.orders);
+  valid_until_ms = other153.valid_until_ms;
+  __isset = other153.__isset;
   return *this;
 }
 void OrderBatch::printTo(std::ostream& out) const {
@@ -4658,14 +4871,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->replies.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->replies.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->replies[_i154].read(iprot);
+              xfer += this->replies[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4706,10 +4919,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<RelayedReply> ::const_iterator _iter155;
-    for (_iter155 = this->replies.begin(); _iter155 != this->replies.end(); ++_iter155)
+    std::vector<RelayedReply> ::const_iterator _iter159;
+    for (_iter159 = this->replies.begin(); _iter159 != this->replies.end(); ++_iter159)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4732,30 +4945,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplyBatch::ReplyBatch(const ReplyBatch& other156) {
-  session = other156.session;
-  replies = other156.replies;
-  clock_ms = other156.clock_ms;
-  __isset = other156.__isset;
+ReplyBatch::ReplyBatch(const ReplyBatch& other160) {
+  session = other160.session;
+  replies = other160.replies;
+  clock_ms = other160.clock_ms;
+  __isset = other160.__isset;
 }
-ReplyBatch::ReplyBatch(ReplyBatch&& other157) noexcept {
-  session = other157.session;
-  replies = std::move(other157.replies);
-  clock_ms = other157.clock_ms;
-  __isset = other157.__isset;
+ReplyBatch::ReplyBatch(ReplyBatch&& other161) noexcept {
+  session = other161.session;
+  replies = std::move(other161.replies);
+  clock_ms = other161.clock_ms;
+  __isset = other161.__isset;
 }
-ReplyBatch& ReplyBatch::operator=(const ReplyBatch& other158) {
-  session = other158.session;
-  replies = other158.replies;
-  clock_ms = other158.clock_ms;
-  __isset = other158.__isset;
+ReplyBatch& ReplyBatch::operator=(const ReplyBatch& other162) {
+  session = other162.session;
+  replies = other162.replies;
+  clock_ms = other162.clock_ms;
+  __isset = other162.__isset;
   return *this;
 }
-ReplyBatch& ReplyBatch::operator=(ReplyBatch&& other159) noexcept {
-  session = other159.session;
-  replies = std::move(other159.replies);
-  clock_ms = other159.clock_ms;
-  __isset = other159.__isset;
+ReplyBatch& ReplyBatch::operator=(ReplyBatch&& other163) noexcept {
+  session = other163.session;
+  replies = std::move(other163.replies);
+  clock_ms = other163.clock_ms;
+  __isset = other163.__isset;
   return *this;
 }
 void ReplyBatch::printTo(std::ostream& out) const {
@@ -5012,58 +5225,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other160) {
-  sender = other160.sender;
-  address = other160.address;
-  owner_beat = other160.owner_beat;
-  job_notice = other160.job_notice;
-  job_query = other160.job_query;
-  job_answer = other160.job_answer;
-  vacate_request = other160.vacate_request;
-  vacate_answer = other160.vacate_answer;
-  order_batch = other160.order_batch;
-  reply_batch = other160.reply_batch;
-  __isset = other160.__isset;
-}
-Envelope::Envelope(Envelope&& other161) noexcept {
-  sender = std::move(other161.sender);
-  address = std::move(other161.address);
-  owner_beat = std::move(other161.owner_beat);
-  job_notice = std::move(other161.job_notice);
-  job_query = std::move(other161.job_query);
-  job_answer = std::move(other161.job_answer);
-  vacate_request = std::move(other161.vacate_request);
-  vacate_answer = std::move(other161.vacate_answer);
-  order_batch = std::move(other161.order_batch);
-  reply_batch = std::move(other161.reply_batch);
-  __isset = other161.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other162) {
-  sender = other162.sender;
-  address = other162.address;
-  owner_beat = other162.owner_beat;
-  job_notice = other162.job_notice;
-  job_query = other162.job_query;
-  job_answer = other162.job_answer;
-  vacate_request = other162.vacate_request;
-  vacate_answer = other162.vacate_answer;
-  order_batch = other162.order_batch;
-  reply_batch = other162.reply_batch;
-  __isset = other162.__isset;
+Envelope::Envelope(const Envelope& other164) {
+  sender = other164.sender;
+  address = other164.address;
+  owner_beat = other164.owner_beat;
+  job_notice = other164.job_notice;
+  job_query = other164.job_query;
+  job_answer = other164.job_answer;
+  vacate_request = other164.vacate_request;
+  vacate_answer = other164.vacate_answer;
+  order_batch = other164.order_batch;
+  reply_batch = other164.reply_batch;
+  __isset = other164.__isset;
+}
+Envelope::Envelope(Envelope&& other165) noexcept {
+  sender = std::move(other165.sender);
+  address = std::move(other165.address);
+  owner_beat = std::move(other165.owner_beat);
+  job_notice = std::move(other165.job_notice);
+  job_query = std::move(other165.job_query);
+  job_answer = std::move(other165.job_answer);
+  vacate_request = std::move(other165.vacate_request);
+  vacate_answer = std::move(other165.vacate_answer);
+  order_batch = std::move(other165.order_batch);
+  reply_batch = std::move(other165.reply_batch);
+  __isset = other165.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other166) {
+  sender = other166.sender;
+  address = other166.address;
+  owner_beat = other166.owner_beat;
+  job_notice = other166.job_notice;
+  job_query = other166.job_query;
+  job_answer = other166.job_answer;
+  vacate_request = other166.vacate_request;
+  vacate_answer = other166.vacate_answer;
+  order_batch = other166.order_batch;
+  reply_batch = other166.reply_batch;
+  __isset = other166.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other163) noexcept {
-  sender = std::move(other163.sender);
-  address = std::move(other163.address);
-  owner_beat = std::move(other163.owner_beat);
-  job_notice = std::move(other163.job_notice);
-  job_query = std::move(other163.job_query);
-  job_answer = std::move(other163.job_answer);
-  vacate_request = std::move(other163.vacate_request);
-  vacate_answer = std::move(other163.vacate_answer);
-  order_batch = std::move(other163.order_batch);
-  reply_batch = std::move(other163.reply_batch);
-  __isset = other163.__isset;
+Envelope& Envelope::operator=(Envelope&& other167) noexcept {
+  sender = std::move(other167.sender);
+  address = std::move(other167.address);
+  owner_beat = std::move(other167.owner_beat);
+  job_notice = std::move(other167.job_notice);
+  job_query = std::move(other167.job_query);
+  job_answer = std::move(other167.job_answer);
+  vacate_request = std::move(other167.vacate_request);
+  vacate_answer = std::move(other167.vacate_answer);
+  order_batch = std::move(other167.order_batch);
+  reply_batch = std::move(other167.reply_batch);
+  __isset = other167.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -23,6 +23,8 @@
 
 class Step;
 
+class QueueSettings;
+
 class Job;
 
 class Run;
@@ -195,8 +197,81 @@
 
 std::ostream& operator<<(std::ostream& out, const Step& obj);
 
+typedef struct _QueueSettings__isset {
+  _QueueSettings__isset() : priority(false), max_attempts(false), slack_factor(false), latency_objective_ms(false), needs_advice(false) {}
+  bool priority :1;
+  bool max_attempts :1;
+  bool slack_factor :1;
+  bool latency_objective_ms :1;
+  bool needs_advice :1;
+} _QueueSettings__isset;
+
+class QueueSettings : public virtual ::apache::thrift::TBase {
+ public:
+
+  QueueSettings(const QueueSettings&) noexcept;
+  QueueSettings(QueueSettings&&) noexcept;
+  QueueSettings& operator=(const QueueSettings&) noexcept;
+  QueueSettings& operator=(QueueSettings&&) noexcept;
+  QueueSettings() noexcept
+                : priority(0),
+                  max_attempts(0),
+                  slack_factor(0),
+                  latency_objective_ms(0),
+                  needs_advice(0) {
+  }
+
+  virtual ~QueueSettings() noexcept;
+  int32_t priority;
+  int32_t max_attempts;
+  double slack_factor;
+  int64_t latency_objective_ms;
+  bool needs_advice;
+
+  _QueueSettings__isset __isset;
+
+  void __set_priority(const int32_t val);
+
+  void __set_max_attempts(const int32_t val);
+
+  void __set_slack_factor(const double val);
+
+  void __set_latency_objective_ms(const int64_t val);
+
+  void __set_needs_advice(const bool val);
+
+  bool operator == (const QueueSettings & rhs) const
+  {
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(max_attempts == rhs.max_attempts))
+      return false;
+    if (!(slack_factor == rhs.slack_factor))
+      return false;
+    if (!(latency_objective_ms == rhs.latency_objective_ms))
+      return false;
+    if (!(needs_advice == rhs.needs_advice))
+      return false;
+    return true;
+  }
+  bool operator != (const QueueSettings &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QueueSettings & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QueueSettings &a, QueueSettings &b);
+
+std::ostream& operator<<(std::ostream& out, const QueueSettings& obj);
+
 typedef struct _Job__isset {
-  _Job__isset() : queue(false), spec(false), steps(false), repeat_count(false), start_at_ms(false), interval_ms(false), submitted_wall_ms(false) {}
+  _Job__isset() : queue(false), spec(false), steps(false), repeat_count(false), start_at_ms(false), interval_ms(false), submitted_wall_ms(false), queue_settings(false) {}
   bool queue :1;
   bool spec :1;
   bool steps :1;
@@ -204,6 +279,7 @@
   bool start_at_ms :1;
   bool interval_ms :1;
   bool submitted_wall_ms :1;
+  bool queue_settings :1;
 } _Job__isset;
 
 class Job : public virtual ::apache::thrift::TBase {
@@ -230,6 +306,7 @@
   int64_t start_at_ms;
   int64_t interval_ms;
   int64_t submitted_wall_ms;
+  QueueSettings queue_settings;
 
   _Job__isset __isset;
 
@@ -247,6 +324,8 @@
 
   void __set_submitted_wall_ms(const int64_t val);
 
+  void __set_queue_settings(const QueueSettings& val);
+
   bool operator == (const Job & rhs) const
   {
     if (!(queue == rhs.queue))
@@ -263,6 +342,10 @@
       return false;
     if (!(submitted_wall_ms == rhs.submitted_wall_ms))
       return false;
+    if (__isset.queue_settings != rhs.__isset.queue_settings)
+      return false;
+    else if (__isset.queue_settings && !(queue_settings == rhs.queue_settings))
+      return false;
     return true;
   }
   bool operator != (const Job &rhs) const {
--- a/radishmoor/jobs/job.h
+++ b/radishmoor/jobs/job.h
@@ -132,8 +132,26 @@
   return longest;
 }
 
+// How the jobs of a queue are scheduled.
+struct QueueSettings {
+  uint32_t priority = 0;      // Jobs with lower values come first.
+  uint32_t max_attempts = 1;  // A job fails at this many failures of one task.
+  // A job should complete within latency_objective plus slack_factor times the
+  // estimate of its longest path, counted from its arrival.
+  double slack_factor = 1.0;
+  Duration latency_objective{};
+  // Each start needs a ticket of the placement adviser.
+  bool needs_advice = false;
+
+  friend bool operator==(const QueueSettings&, const QueueSettings&) = default;
+};
+
 struct JobSpec {
   QueueId queue;
+  // The queue's settings when the job was submitted. They apply when the
+  // configuration does not have the queue any more. Absent if an earlier
+  // version of this program has stored the job.
+  std::optional<QueueSettings> queue_settings;
   std::string payload;  // Sent unchanged with the start of each run.
   std::vector<StepSpec> steps;
   uint32_t repeat_count = 0;  // Number of occurrences; 0: not recurring.
@@ -208,14 +226,7 @@
   std::string host;
   std::string path_prefix;
   PoolId pool;
-  uint32_t priority = 0;      // Jobs with lower values come first.
-  uint32_t max_attempts = 1;  // A job fails at this many failures of one task.
-  // A job should complete within latency_objective plus slack_factor times the
-  // estimate of its longest path, counted from its arrival.
-  double slack_factor = 1.0;
-  Duration latency_objective{};
-  // Each start needs a ticket of the placement adviser.
-  bool needs_advice = false;
+  QueueSettings settings;
 
   friend bool operator==(const QueueConfig&, const QueueConfig&) = default;
 };
--- a/radishmoor/jobs/job_request_handler.cc
+++ b/radishmoor/jobs/job_request_handler.cc
@@ -160,6 +160,7 @@
   if (submit != nullptr) {
     open.spec = std::move(submit->spec);
     open.spec.queue = open.queue;
+    open.spec.queue_settings = route.queue->settings;
     open.spec.submitted_at = wall;
     if (std::optional<std::string> fault = CheckJob(open.spec)) {
       Refuse(call.id, CallOutcome::kBadJob, {}, *fault, outbox);
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -1,5 +1,6 @@
 #include "radishmoor/jobs/job_rows.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "radishmoor/jobs/job_wire.h"
@@ -17,6 +18,9 @@
   return key;
 }
 
+// Larger factors in a damaged row are not used.
+constexpr double kMaxSlackFactor = 1'000'000;
+
 enum StepFlag : int32_t {
   kCheckpointing = 1,
   kGang = 2,
@@ -76,6 +80,28 @@
   return step;
 }
 
+jobs_wire::QueueSettings SettingsToWire(const QueueSettings& settings) {
+  jobs_wire::QueueSettings wire;
+  wire.priority = static_cast<int32_t>(settings.priority);
+  wire.max_attempts = static_cast<int32_t>(settings.max_attempts);
+  wire.slack_factor = settings.slack_factor;
+  wire.latency_objective_ms = WholeMilliseconds(settings.latency_objective);
+  wire.needs_advice = settings.needs_advice;
+  return wire;
+}
+
+QueueSettings SettingsFromWire(const jobs_wire::QueueSettings& wire) {
+  QueueSettings settings;
+  settings.priority = static_cast<uint32_t>(std::max(0, wire.priority));
+  settings.max_attempts = static_cast<uint32_t>(std::max(1, wire.max_attempts));
+  // The comparison is also false for a factor that is not a number.
+  if (wire.slack_factor >= 0 && wire.slack_factor <= kMaxSlackFactor)
+    settings.slack_factor = wire.slack_factor;
+  settings.latency_objective = DecodedMilliseconds(wire.latency_objective_ms);
+  settings.needs_advice = wire.needs_advice;
+  return settings;
+}
+
 jobs_wire::Task TaskToWire(const StoredTask& task) {
   jobs_wire::Task wire;
   wire.position = static_cast<int32_t>(task.position);
@@ -156,6 +182,8 @@
   wire.start_at_ms = spec.start_at;
   wire.interval_ms = WholeMilliseconds(spec.interval);
   wire.submitted_wall_ms = spec.submitted_at;
+  if (spec.queue_settings)
+    wire.__set_queue_settings(SettingsToWire(*spec.queue_settings));
   return wire;
 }
 
@@ -169,6 +197,8 @@
   spec.start_at = wire.start_at_ms;
   spec.interval = DecodedMilliseconds(wire.interval_ms);
   spec.submitted_at = wire.submitted_wall_ms;
+  if (wire.__isset.queue_settings)
+    spec.queue_settings = SettingsFromWire(wire.queue_settings);
   return spec;
 }
 
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -197,15 +197,12 @@
 }
 
 Time PoolScheduler::ObjectiveOf(const JobSpec& spec, Time arrived) const {
-  auto it = state_.queues.find(spec.queue);
-  double slack = it == state_.queues.end() ? 1.0 : it->second.slack_factor;
-  Duration goal = it == state_.queues.end() ? Duration::zero()
-                                            : it->second.latency_objective;
+  const QueueSettings& settings = state_.SettingsOf(spec);
   Duration chain = LongestChain(
       spec.steps, [&spec](size_t i) { return spec.steps[i].estimate; });
-  return arrived + goal +
-         Duration(
-             static_cast<int64_t>(slack * static_cast<double>(chain.count())));
+  return arrived + settings.latency_objective +
+         Duration(static_cast<int64_t>(settings.slack_factor *
+                                       static_cast<double>(chain.count())));
 }
 
 void PoolScheduler::AcceptJob(Time now,
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -100,12 +100,14 @@
   // arrive.
   static constexpr Duration kServerLeaseSlack = Milliseconds(260);
 
-  // Returns the configuration of the job's queue. A queue that is not known is
-  // added with default values.
-  const QueueConfig& QueueOf(const Job& job) {
-    QueueConfig& queue = queues[job.spec.queue];
-    queue.id = job.spec.queue;
-    return queue;
+  // Returns the settings that apply to the job: those of its queue, or those
+  // that were stored with the job if this process has not seen the queue.
+  const QueueSettings& SettingsOf(const JobSpec& spec) const {
+    static constexpr QueueSettings kDefaults;
+    auto queue = queues.find(spec.queue);
+    if (queue != queues.end())
+      return queue->second.settings;
+    return spec.queue_settings ? *spec.queue_settings : kDefaults;
   }
 
   // Returns the estimate of a task's run time, corrected by the observed run
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -649,7 +649,7 @@
   }
   ++task.failures;
   task.failed_on.push_back(server.listing.id);
-  uint32_t limit = std::max(1u, state_.QueueOf(job).max_attempts);
+  uint32_t limit = std::max(1u, state_.SettingsOf(job.spec).max_attempts);
   if (job.StepOf(task).long_running || task.failures < limit ||
       IsFinal(job.state))
     return;
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -131,7 +131,7 @@
       continue;
     JobOrderInput input;
     input.position = static_cast<uint32_t>(jobs.size());
-    input.priority = state_.QueueOf(*job).priority;
+    input.priority = state_.SettingsOf(job->spec).priority;
     input.long_running = job->spec.long_running();
     input.objective = job->objective;
     input.arrived = job->arrived;
@@ -186,7 +186,7 @@
   }
   int64_t demand_before = demand_cpu_millis_;
   bool has_idle_tasks = false;
-  bool advised = state_.QueueOf(job).needs_advice;
+  bool advised = state_.SettingsOf(job.spec).needs_advice;
   for (auto& [number, occurrence] : job.occurrences) {
     if (occurrence.finished)
       continue;
@@ -248,9 +248,7 @@
                                          const Task& task) const {
   PlacementTask described;
   described.step = &job.StepOf(task);
-  auto queue = state_.queues.find(job.spec.queue);
-  uint32_t limit =
-      queue == state_.queues.end() ? 1 : queue->second.max_attempts;
+  uint32_t limit = state_.SettingsOf(job.spec).max_attempts;
   described.last_attempt =
       !described.step->long_running && limit > 1 && task.failures + 1 >= limit;
   described.trust_wait_over = now - task.ready_since >= kMaxTrustWait;
--- a/radishmoor/jobs/testing/job_codec_test.cc
+++ b/radishmoor/jobs/testing/job_codec_test.cc
@@ -28,6 +28,7 @@
   second.allowed_missing = 2;
   spec.steps = {first, second};
   spec.submitted_at = 1'800'000'000'123;
+  spec.queue_settings = QueueSettings{2, 3, 1.6, Milliseconds(600), true};
   return spec;
 }
 
@@ -45,6 +46,20 @@
   REQUIRE(decoded->steps[1].long_running);
   REQUIRE(decoded->steps[1].tail_limit == Milliseconds(40));
   REQUIRE(decoded->submitted_at == spec.submitted_at);
+  REQUIRE(decoded->queue_settings == spec.queue_settings);
+  spec.queue_settings.reset();
+  REQUIRE_FALSE(DecodeJob(EncodeJob(spec))->queue_settings);
+}
+
+// Guards against a damaged row whose job would fail at once, or whose objective
+// would not be a valid time.
+TEST_CASE("damaged queue settings are replaced by valid ones", "[codec]") {
+  JobSpec spec = SampleJob();
+  spec.queue_settings = QueueSettings{0, 0, 1e300, Duration::zero(), false};
+  std::optional<JobSpec> decoded = DecodeJob(EncodeJob(spec));
+  REQUIRE(decoded);
+  REQUIRE(decoded->queue_settings->max_attempts == 1);
+  REQUIRE(decoded->queue_settings->slack_factor == 1.0);
 }
 
 TEST_CASE("decoded progress and lease rows equal the encoded ones", "[codec]") {
--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -16,6 +16,11 @@
 constexpr Duration kMaintenanceTime = Seconds(2);
 constexpr Duration kMoveTime = Milliseconds(1500);
 constexpr Duration kHostCallTimeout = Milliseconds(1500);
+// A job fails when one of its tasks has failed this often.
+constexpr uint32_t kMaxAttempts = 3;
+// Range of the time for which a queue is missing from the configuration.
+constexpr Duration kMinQueueAbsence = Seconds(2);
+constexpr Duration kMaxQueueAbsence = Seconds(8);
 // Run time and number of the tasks of a hopeless job.
 constexpr Duration kMinHopelessRunTime = Seconds(3);
 constexpr Duration kMaxHopelessRunTime = Seconds(7);
@@ -36,6 +41,18 @@
   return text;
 }
 
+std::string FormatDecision(const Decision& decision) {
+  std::string line(decision.event);
+  for (const DecisionField& field : decision.fields) {
+    line += " " + std::string(field.key) + "=";
+    if (const auto* number = std::get_if<int64_t>(&field.value))
+      line += std::to_string(*number);
+    else
+      line += std::get<std::string>(field.value);
+  }
+  return line;
+}
+
 }  // namespace
 
 struct JobSimulation::Node {
@@ -111,11 +128,19 @@
   bool task_started = false;
   // Failed runs of each task; UINT32_MAX once a run of the task has succeeded.
   std::map<TaskId, uint32_t> failures;
+  // Failed runs of each task, also of those that have succeeded, and the
+  // highest number of them.
+  std::map<TaskId, std::set<RunNumber>> failed_runs;
+  uint32_t most_failures = 0;
   // Number of tasks of each step that have succeeded, and the last success.
   std::map<uint32_t, std::pair<uint32_t, Time>> successes;
   std::set<uint32_t> started_steps;
   // When the owner first acknowledged the success of a task to its server.
   std::map<TaskId, Time> acknowledged_done_at;
+  // Runs of each task that had failed at its last start, and those whose
+  // failures the owner has acknowledged to the servers.
+  std::map<TaskId, std::set<RunNumber>> failed_before_start;
+  std::map<TaskId, std::set<RunNumber>> acknowledged_failures;
   Time last_call_at;
 };
 
@@ -129,9 +154,9 @@
     queue.host = "jobs.example";
     queue.path_prefix = std::string("/") + name + "/";
     queue.pool = PoolId(name);
-    queue.max_attempts = 3;
-    queue.slack_factor = 1.6;
-    queue.latency_objective = Milliseconds(600);
+    queue.settings.max_attempts = kMaxAttempts;
+    queue.settings.slack_factor = 1.6;
+    queue.settings.latency_objective = Milliseconds(600);
     config_.queues.push_back(queue);
     for (int i = 0; i < options.servers_per_pool; ++i) {
       auto server = std::make_unique<Server>();
@@ -144,6 +169,7 @@
                   ServerId("s" + std::to_string(next_server_++)));
     }
   }
+  all_queues_ = config_.queues;
   config_.pools.push_back({PoolId("spare"), true});
   for (int i = 0; i < options.nodes; ++i) {
     auto node = std::make_unique<Node>();
@@ -311,6 +337,9 @@
     }
   } else if (auto* answer = std::get_if<JobCallAnswer>(&action)) {
     OnCallAnswer(*answer);
+  } else if (auto* decision = std::get_if<Decision>(&action)) {
+    if (options_.on_decision)
+      options_.on_decision(now_, node.name, FormatDecision(*decision));
   } else if (std::holds_alternative<EndJobProcess>(action)) {
     node.up = false;
     ScheduleAfter(Milliseconds(400), [this, index] { StartNode(index); });
@@ -403,11 +432,11 @@
   reply.answered = now_ >= node.store_cut_until && now_ >= store_down_until_;
   Duration delay = watch.after == 0 ? RandomLatency() * 2 : watch.wait;
   if (reply.answered) {
-    reply.version = 1;
-    if (watch.after == 0) {
+    reply.version = config_.version;
+    if (watch.after < config_.version)
       reply.config = config_;
+    if (watch.after == 0)
       reply.waves = waves_;
-    }
   }
   ScheduleAfter(delay, [this, index, incarnation_number, reply] {
     RunOnNode(index, incarnation_number, [this, reply](NodeCore& core) {
@@ -771,8 +800,14 @@
       bool received =
           ended.sequence <= server_poll->acknowledged &&
           server.lease_expired_at < server.end_times[ended.sequence];
-      if (received && ended.end == RunEnd::kDone && caller != callers_.end())
+      if (!received || caller == callers_.end())
+        continue;
+      if (ended.end == RunEnd::kDone)
         caller->second->acknowledged_done_at.try_emplace(ended.task, now_);
+      if (ended.end == RunEnd::kFailed) {
+        caller->second->acknowledged_failures[ended.task].insert(ended.run);
+        CheckAttempts(*caller->second, ended.task);
+      }
     }
     std::erase_if(server.ended, [server_poll](const EndedRun& ended) {
       return ended.sequence <= server_poll->acknowledged;
@@ -825,7 +860,7 @@
                    ? Seconds(100'000)
                    : Duration(static_cast<int64_t>(
                          static_cast<double>(step.estimate.count()) * factor));
-  run.fails = random_.Chance(0.02);
+  run.fails = random_.Chance(options_.failing_run_share);
   if (caller.hopeless) {
     run.length = random_.Between(kMinHopelessRunTime, kMaxHopelessRunTime);
     run.fails = true;
@@ -899,10 +934,25 @@
   }
   if (!used.Fits(server.capacity))
     AddViolation(name + " does not fit on " + server.id.str());
-  if (!step.long_running && caller.failures.contains(start.task) &&
-      caller.failures[start.task] != UINT32_MAX &&
-      caller.failures[start.task] >= 3)
-    AddViolation(name + " starts after its last allowed attempt failed");
+  // The failures may still be lost with their servers.
+  if (!step.long_running) {
+    caller.failed_before_start[start.task] = caller.failed_runs[start.task];
+    CheckAttempts(caller, start.task);
+  }
+}
+
+void JobSimulation::CheckAttempts(const Caller& caller, const TaskId& task) {
+  auto before = caller.failed_before_start.find(task);
+  auto acknowledged = caller.acknowledged_failures.find(task);
+  if (before == caller.failed_before_start.end() ||
+      acknowledged == caller.acknowledged_failures.end())
+    return;
+  auto both = std::count_if(
+      before->second.begin(), before->second.end(),
+      [&](RunNumber run) { return acknowledged->second.contains(run); });
+  if (both >= static_cast<std::ptrdiff_t>(kMaxAttempts))
+    AddViolation(FormatTask(task) +
+                 " starts after its last allowed attempt failed");
 }
 
 void JobSimulation::EndRun(Server& server, const TaskId& task, RunEnd end) {
@@ -927,6 +977,12 @@
       failures = UINT32_MAX;
     else if (end == RunEnd::kFailed && failures != UINT32_MAX)
       ++failures;
+    std::set<RunNumber>& failed_runs = caller->second->failed_runs[task];
+    if (end == RunEnd::kFailed)
+      failed_runs.insert(run);
+    caller->second->most_failures =
+        std::max(caller->second->most_failures,
+                 static_cast<uint32_t>(failed_runs.size()));
   }
   for (Server::HeldPoll& held : std::exchange(server.held_polls, {}))
     held.answer();
@@ -1071,6 +1127,11 @@
           }
         }
       }
+      if (answer.state == JobState::kFailed &&
+          caller.most_failures < kMaxAttempts)
+        AddViolation(caller.id.str() + " is reported as failed after " +
+                     std::to_string(caller.most_failures) +
+                     " failed runs of a task");
       if (answer.state == JobState::kCancelled && !caller.cancel_wanted)
         AddViolation(caller.id.str() +
                      " is reported as cancelled without a cancel call");
@@ -1242,6 +1303,31 @@
               random_.Between(kMinRestartTime, kMaxRestartTime), true);
 }
 
+void JobSimulation::SetQueueConfigured(const PoolId& pool, bool configured) {
+  std::erase_if(config_.queues, [&pool](const QueueConfig& queue) {
+    return queue.pool == pool;
+  });
+  for (const QueueConfig& queue : all_queues_) {
+    if (configured && queue.pool == pool)
+      config_.queues.push_back(queue);
+  }
+  ++config_.version;
+}
+
+void JobSimulation::RemoveRandomQueue() {
+  if (!queue_removals_enabled_)
+    return;
+  ScheduleAfter(random_.Exponential(options_.queue_removal_period),
+                [this] { RemoveRandomQueue(); });
+  // One queue is always there.
+  if (config_.queues.size() < all_queues_.size())
+    return;
+  PoolId pool = all_queues_[random_.Below(all_queues_.size())].pool;
+  SetQueueConfigured(pool, false);
+  ScheduleAfter(random_.Between(kMinQueueAbsence, kMaxQueueAbsence),
+                [this, pool] { SetQueueConfigured(pool, true); });
+}
+
 void JobSimulation::Run(Duration length) {
   submissions_enabled_ = true;
   if (!submission_scheduled_) {
@@ -1257,12 +1343,17 @@
     server_restarts_enabled_ = true;
     ScheduleAfter(Seconds(3), [this] { RestartRandomServer(); });
   }
+  if (options_.queue_removal_period > Duration::zero() &&
+      !queue_removals_enabled_) {
+    queue_removals_enabled_ = true;
+    ScheduleAfter(Seconds(3), [this] { RemoveRandomQueue(); });
+  }
   RunUntil(now_ + length);
 }
 
 void JobSimulation::FinishJobs() {
   submissions_enabled_ = false;
-  faults_enabled_ = server_restarts_enabled_ = false;
+  faults_enabled_ = server_restarts_enabled_ = queue_removals_enabled_ = false;
   options_.lost_answer_share = 0;
   options_.late_order_share = 0;
   RunUntil(now_ + Seconds(40));
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -40,12 +40,20 @@
   double lost_answer_share = 0;
   // Share of orders, other than polls, that servers perform seconds later.
   double late_order_share = 0;
+  // Share of runs that fail.
+  double failing_run_share = 0.02;
+  // Mean time between removals of a queue from the configuration; zero for
+  // none. The queue comes back some seconds later.
+  Duration queue_removal_period{};
   // Share of jobs whose runs all fail, each after some seconds.
   double hopeless_job_share = 0;
   // Adds a maintenance wave over every second server's host.
   bool wave = false;
   // Rate of orders from which on an owner has other nodes send them.
   double relay_orders_per_second = NodeOptions{}.relay_orders_per_second;
+  // If set, gets each line that a node logs.
+  std::function<void(Time, const MemberId& node, const std::string& line)>
+      on_decision;
   // If set, returns the processor time that the simulation has used. The time
   // in each node's core is then added up.
   Duration (*processor_time)() = nullptr;
@@ -98,6 +106,8 @@
   // Starts the server again after `down`, with the same id or a new one.
   void CrashServer(int server, Duration down, bool same_id);
   void StoreOutage(Duration length);
+  // Removes the pool's queue from the configuration, or puts it back.
+  void SetQueueConfigured(const PoolId& pool, bool configured);
   // For `length`, the store's answers and transactions take `factor` times as
   // long.
   void SlowStore(double factor, Duration length);
@@ -181,6 +191,9 @@
   ServerReply ApplyOrder(Server& server, const OrderToServer& order);
   void ApplyStart(Server& server, const StartRun& start, ServerReply& reply);
   void CheckStart(const Server& server, const StartRun& start);
+  // Checks that the task has not started after its last allowed attempt, as
+  // far as the owner has acknowledged the failures.
+  void CheckAttempts(const Caller& caller, const TaskId& task);
   void EndRun(Server& server, const TaskId& task, RunEnd end);
   void EndRunsIfLeaseExpired(Server& server);
   ServerMillis ServerClock(const Server& server) const;
@@ -191,6 +204,7 @@
   void PollJob(const JobId& id);
   void RandomFault();
   void RestartRandomServer();
+  void RemoveRandomQueue();
 
   JobSimulationOptions options_;
   Random random_;
@@ -199,6 +213,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   MemoryTable table_;
   JobConfig config_;
+  std::vector<QueueConfig> all_queues_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::unique_ptr<Server>> servers_;
   std::map<JobId, std::unique_ptr<Caller>> callers_;
@@ -216,6 +231,7 @@
   std::set<uint64_t> completed_waves_;
   bool faults_enabled_ = false;
   bool server_restarts_enabled_ = false;
+  bool queue_removals_enabled_ = false;
   bool submissions_enabled_ = false;
   bool submission_scheduled_ = false;
   std::vector<std::string> violations_;
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -97,6 +97,30 @@
   }
 }
 
+// Guards against a job that fails before its last attempt: the new owner of a
+// pool has never seen the configuration of a queue that was removed before.
+TEST_CASE("a job keeps its attempts when its queue is removed",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= 6; ++seed) {
+    INFO("seed " << seed);
+    JobSimulation simulation({.seed = seed, .failing_run_share = 0.25});
+    simulation.Run(Seconds(5));
+    PoolId pool("beta");
+    for (int round = 0; round < 4; ++round) {
+      simulation.SetQueueConfigured(pool, false);
+      simulation.Run(Milliseconds(1200));
+      int owner = simulation.OwnerOf(pool);
+      if (owner >= 0)
+        simulation.StopNode(owner);
+      simulation.Run(Seconds(3));
+      simulation.SetQueueConfigured(pool, true);
+      simulation.Run(Seconds(3));
+    }
+    simulation.FinishJobs();
+    RequireNoViolations(simulation);
+  }
+}
+
 // Guards against maintenance calls for hosts that still run long-running tasks,
 // or for more hosts at once than the wave allows.
 TEST_CASE("a wave empties each host before its maintenance", "[simulation]") {
--- a/radishmoor/jobs/testing/pool_scheduler_test.cc
+++ b/radishmoor/jobs/testing/pool_scheduler_test.cc
@@ -134,6 +134,33 @@
   }
 }
 
+// Guards against a job that fails at its first failure: the new owner of a pool
+// has never seen the job's queue, which was removed from the configuration.
+TEST_CASE("a job keeps the settings of a removed queue", "[scheduler]") {
+  OwnerHarness harness;
+  JobSpec spec = OneTask();
+  spec.queue_settings = QueueSettings{1, 3, 2.0, Milliseconds(600), true};
+  JobId job("job");
+  harness.Put(JobKey(harness.pool_, job), EncodeJob(spec));
+  harness.config_.queues.clear();
+  harness.TakeOver();
+  harness.Run(Milliseconds(500));
+  const Job* loaded = harness.owner_->state().jobs.Find(job);
+  REQUIRE(loaded != nullptr);
+  REQUIRE(harness.owner_->state().SettingsOf(loaded->spec) ==
+          *spec.queue_settings);
+  // 600 ms and twice the estimate of 500 ms.
+  REQUIRE(loaded->objective - loaded->arrived == Milliseconds(1600));
+  // A configuration that has the queue goes first.
+  QueueConfig queue;
+  queue.id = spec.queue;
+  queue.pool = harness.pool_;
+  queue.settings.max_attempts = 5;
+  harness.config_.queues = {queue};
+  harness.owner_->OnConfig(harness.config_);
+  REQUIRE(harness.owner_->state().SettingsOf(loaded->spec).max_attempts == 5);
+}
+
 // Guards against inbox rows that are never removed because the changes of many
 // jobs fill each commit.
 TEST_CASE("inbox rows are removed while many jobs change", "[scheduler]") {
