Start no runs and extend no leases after the pool's lease has run out

Cause: the age of the lease was checked when a run was planned, not when its start was sent. The log of the paused owner has run-started right after the end of the pause, 6 s after pool-taken of its successor.

Change: no start is sent when the last renewal is more than 3 s old. A suspension of the host is noticed before anything else, and a commit that was in flight counts as sent earlier. Quick polls, which extended leases without limit, ask for the age of the pool's lease as other polls do.

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -49,13 +49,18 @@
   successor_ = successor;
 }
 
+void CommitChain::OnProcessResumed(Duration pause) {
+  set_renewed(renewed() - pause);
+  commit_.pause += pause;
+}
+
 void CommitChain::Tick(Time now, Outbox& outbox) {
   next_wake_ = kTimeMax;
   if (commit_.tag != 0 || lost_ || released_)
     return;
   bool changed = !state_.jobs.dirty().empty() || !rows_.empty() || releasing_;
   Time due =
-      changed ? last_sent_ + MinCommitInterval() : renewed_ + kRenewPeriod;
+      changed ? last_sent_ + MinCommitInterval() : renewed() + kRenewPeriod;
   due = std::max(due, retry_not_before_);
   if (now < due) {
     next_wake_ = due;
@@ -186,7 +191,7 @@
   heartbeat.pool = state_.pool;
   heartbeat.token = state_.token;
   heartbeat.lease_version = options_.lease_version;
-  heartbeat.renewed_age = now - renewed_;
+  heartbeat.renewed_age = now - renewed();
   heartbeat.released = released_;
   return heartbeat;
 }
@@ -225,7 +230,7 @@
   store_clock_ = reply.clock;
   store_clock_at_ = now;
   sequence_ = commit_.sequence;
-  renewed_ = commit_.sent;
+  set_renewed(commit_.sent - commit_.pause);
   for (const InFlight::JobSnapshot& snapshot : commit_.jobs) {
     Job* job = state_.jobs.Find(snapshot.job);
     if (job == nullptr)
@@ -274,7 +279,8 @@
     if (own && lease->sequence >= sequence_) {
       options_.lease_version = row.version;
       sequence_ = lease->sequence;
-      renewed_ = std::max(renewed_, commit_.sent - kMaxTimeout);
+      set_renewed(
+          std::max(renewed(), commit_.sent - commit_.pause - kMaxTimeout));
       return;
     }
     lost_ = true;
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -76,8 +76,11 @@
   bool lost() const { return lost_; }
 
   // Returns when the commit that last renewed the lease was sent.
-  Time renewed() const { return renewed_; }
-  void set_renewed(Time at) { renewed_ = at; }
+  Time renewed() const { return state_.lease_renewed_at; }
+  void set_renewed(Time at) { state_.lease_renewed_at = at; }
+  // Makes the last renewal, and one in flight, count as sent earlier by
+  // `pause`, which the clock has not counted.
+  void OnProcessResumed(Duration pause);
   // Returns a heartbeat with the fields that describe the lease; the others are
   // left empty.
   OwnerHeartbeat LeaseHeartbeat(Time now) const;
@@ -87,6 +90,7 @@
   struct InFlight {
     uint64_t tag = 0;  // 0: no commit is in flight.
     Time sent;
+    Duration pause{};  // Of the process, since `sent`; see OnProcessResumed().
     uint64_t sequence = 0;
     // State of a job as the commit contains it.
     struct JobSnapshot {
@@ -125,7 +129,6 @@
   };
   std::map<std::string, PendingRow> rows_;  // Other rows to write, by key.
   uint64_t changes_ = 0;                    // Number of calls of Write().
-  Time renewed_;
   Time last_sent_;
   Time retry_not_before_;  // No commit is sent before this time.
   Time next_wake_ = kTimeMax;
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -21,9 +21,6 @@
 // this.
 constexpr Duration kMaxUnlistedAnswerAge = Milliseconds(1500);
 constexpr Duration kForgetServerDelay = Seconds(30);
-// Nothing new is planned when the last lease renewal is older than this, since
-// the plan could probably not be stored.
-constexpr Duration kMaxRenewalAgeForPlanning = Seconds(3);
 // A new owner has polled all servers within this time.
 constexpr Duration kFirstPollGrace = Milliseconds(400);
 // The owner answers queries only while its last lease renewal is younger than
@@ -558,11 +555,10 @@
     return;
   }
   bool may_order = !chain_.release_sent() && !chain_.released();
-  runs_.Tick(now, may_order && renewed_age(now) < kUnrenewedLeaseExtension,
-             outbox);
+  runs_.Tick(now, may_order, outbox);
   PollInbox(now, outbox);
   UpdateScheduled(now, wall);
-  if (may_order && renewed_age(now) < kMaxRenewalAgeForPlanning) {
+  if (may_order && state_.MayStartRuns(now)) {
     if (now - last_reviewed_at_ >= kReviewPeriod) {
       last_reviewed_at_ = now;
       for (auto& [id, server] : state_.servers.all()) {
@@ -645,7 +641,8 @@
 }
 
 void PoolScheduler::OnProcessResumed() {
-  chain_.set_renewed(chain_.renewed() - kUnrenewedLeaseExtension);
+  // The length of the pause is not known. After this one, no lease holds.
+  chain_.OnProcessResumed(kUnrenewedLeaseExtension);
 }
 
 OwnerHeartbeat PoolScheduler::MakeHeartbeat(Time now) const {
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -43,6 +43,11 @@
 // these leases to expire.
 inline constexpr Duration kUnrenewedLeaseExtension = Seconds(5);
 
+// Nothing is planned or started when the last lease renewal is older than this.
+// A plan could probably not be stored, and after a pause of the process its
+// tasks may have another owner.
+inline constexpr Duration kMaxRenewalAgeForStarts = Seconds(3);
+
 struct QueueStats {
   // Moving average of the ratio of observed to estimated run times.
   double run_time_ratio = 1.0;
@@ -72,9 +77,21 @@
   // Returns the length of the leases that this owner grants to backend servers.
   Duration lease() const { return std::min(bounds.max_lease, kServerLease); }
 
+  // Returns whether this owner may still extend the leases of backend servers.
+  bool MayExtendLeases(Time now) const {
+    return now - lease_renewed_at < kUnrenewedLeaseExtension;
+  }
+  // Returns whether this owner may plan and start runs. The pool may have
+  // another owner if the lease was renewed too long ago.
+  bool MayStartRuns(Time now) const {
+    return now - lease_renewed_at < kMaxRenewalAgeForStarts;
+  }
+
   PoolId pool;
   PlatformBounds bounds;
   FencingToken token = 0;
+  // When the stored commit that last renewed the pool's lease was sent.
+  Time lease_renewed_at;
   bool standby = false;
   // All queues that this process has seen; a queue that was removed from the
   // configuration stays.
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -112,6 +112,10 @@
     RemoveRun(now, ref, "not-wanted", outbox);
     return;
   }
+  if (!state_.MayStartRuns(now)) {
+    RemoveRun(now, ref, "lease-not-renewed", outbox);
+    return;
+  }
   StartRun start;
   start.task = ref.task;
   start.run = ref.run;
@@ -842,7 +846,8 @@
   // receive them, and each renewal would delay the time at which its tasks can
   // start elsewhere.
   bool answers = server.failed_polls == 0;
-  if (renew_leases && answers && server.clock.known() && !server.runs.empty()) {
+  if (renew_leases && state_.MayExtendLeases(now) && answers &&
+      server.clock.known() && !server.runs.empty()) {
     server_poll.lease_until =
         server.clock.EstimateAt(now) + WholeMilliseconds(state_.lease());
     server.lease_until = std::max(server.lease_until, server_poll.lease_until);
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -68,8 +68,8 @@
 
   // Sends the polls and repeated stops that are due, and removes runs whose
   // leases have expired. If `renew_leases` is false, regular polls do not renew
-  // leases; quick polls always do. Returns at once before next_wake(),
-  // otherwise the cost is linear in the servers of the pool and their runs.
+  // leases. Returns at once before next_wake(), otherwise the cost is linear in
+  // the servers of the pool and their runs.
   void Tick(Time now, bool renew_leases, Outbox& outbox);
   Time next_wake() const;
   // Called after each stored commit: the next polls acknowledge the ends of
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -121,6 +121,26 @@
   }
 }
 
+// Guards against runs that a paused owner starts after its pause, when the
+// answer to its last commit arrives. The servers have restarted in the meantime
+// and do not refuse its token.
+TEST_CASE("a paused owner starts nothing after its pause", "[simulation]") {
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    INFO("seed " << seed);
+    JobSimulation simulation({.seed = seed, .jobs_per_second = 30});
+    simulation.Run(Seconds(8));
+    int owner = simulation.OwnerOf(PoolId("alpha"));
+    REQUIRE(owner >= 0);
+    simulation.FreezeNode(owner, Seconds(6));
+    simulation.Run(Milliseconds(5900));
+    for (int server = 0; server < 4; ++server)
+      simulation.CrashServer(server, Milliseconds(50), true);
+    simulation.Run(Seconds(5));
+    simulation.FinishJobs();
+    RequireNoViolations(simulation);
+  }
+}
+
 // Guards against maintenance calls for hosts that still run long-running tasks,
 // or for more hosts at once than the wave allows.
 TEST_CASE("a wave empties each host before its maintenance", "[simulation]") {
--- a/radishmoor/jobs/testing/run_control_test.cc
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -14,6 +14,7 @@
 class TestServer {
  public:
   TestServer() {
+    state_.lease_renewed_at = now_;
     JobSpec spec;
     spec.queue = QueueId("q");
     spec.steps = {StepSpec()};
@@ -32,13 +33,17 @@
   ServerState& server() { return *state_.servers.Find(id_); }
   Run* FindRun() { return state_.jobs.FindRun(ref_); }
 
-  // Plans and starts run 1; returns the tag of the start.
-  uint64_t SendStart() {
+  void PlanRun() {
     Job& job = *state_.jobs.Find(job_);
     Task& task = job.occurrences.at(0).tasks[0];
     task.last_run = ref_.run;
     task.runs.push_back({.number = ref_.run, .server = id_});
     state_.servers.AddRun(id_, ref_, job.StepOf(task));
+  }
+
+  // Plans and starts the run; returns the tag of the start.
+  uint64_t SendStart() {
+    PlanRun();
     runs_.SendStart(now_, ref_, outbox_);
     return TakeOrders().at(0).tag;
   }
@@ -138,6 +143,41 @@
   REQUIRE(test.server().clock.EstimateAt(test.now_) == 130);
 }
 
+// Guards against a second run of a task: the process was paused between a
+// commit and its answer, and the tasks have another owner by then.
+TEST_CASE("no run is started when the lease was renewed too long ago",
+          "[run-control]") {
+  TestServer test;
+  test.now_ += kMaxRenewalAgeForStarts;
+  test.PlanRun();
+  test.runs_.SendStart(test.now_, test.ref_, test.outbox_);
+  REQUIRE(test.TakeOrders().empty());
+  REQUIRE(test.FindRun() == nullptr);
+}
+
+// Guards against a second run of a task on a server that only an earlier owner
+// reaches: its successor waits for the leases that the earlier owner extended
+// for kUnrenewedLeaseExtension after its last renewal.
+TEST_CASE("no poll extends leases when the pool's lease was not renewed",
+          "[run-control]") {
+  for (bool renewed : {true, false}) {
+    TestServer test;
+    test.Answer(test.SendStart(), 50'001);
+    test.runs_.RequestStop(test.now_, test.ref_.task, test.ref_.run, "test",
+                           test.outbox_);
+    uint64_t stop = test.TakeOrders().at(0).tag;
+    test.now_ += Milliseconds(10);
+    if (!renewed)
+      test.state_.lease_renewed_at = test.now_ - kUnrenewedLeaseExtension;
+    // The answer to a stop causes a quick poll.
+    test.Answer(stop, 50'011);
+    std::vector<OrderToServer> orders = test.TakeOrders();
+    REQUIRE(orders.size() == 1);
+    const auto& poll = std::get<PollServer>(orders[0].order);
+    REQUIRE((poll.lease_until > 0) == renewed);
+  }
+}
+
 // Guards against the loss of runs of a server that has restarted at another
 // address, when another server answers at the earlier one.
 TEST_CASE("an answer from an earlier address ends no runs", "[run-control]") {
