Ask the placement adviser about all servers in turn

A job whose queue needs advice never started, although two empty servers may run it.

Cause: the adviser was asked about the first 30 usable servers each time, and no record was kept of those that it had refused.

Change: refused servers are kept, others are asked about at once, and only when all are refused the requests wait and begin anew. The servers that are asked about have room for the task, so that a job whose admitted servers are full asks about others.

--- a/radishmoor/jobs/placement.cc
+++ b/radishmoor/jobs/placement.cc
@@ -130,16 +130,21 @@
   return order;
 }
 
+bool MayHold(const StepSpec& step, const PlacementServer& server) {
+  return !server.reserved &&
+         step.counted_request().Fits(server.free_resources) &&
+         HasLabel(server.labels, step.requirement);
+}
+
 std::optional<size_t> ChooseServer(const PlacementTask& task,
                                    std::span<const PlacementServer> servers) {
-  Resources request = task.step->counted_request();
   bool needs_trusted_server = NeedsTrustedServer(task, servers);
   std::optional<size_t> best;
   double least_penalty = 0;
   for (size_t i = 0; i < servers.size(); ++i) {
     const PlacementServer& server = servers[i];
-    if (server.reserved || !request.Fits(server.free_resources) ||
-        !MayRun(task, server) || (needs_trusted_server && !server.trusted))
+    if (!MayHold(*task.step, server) || !MayRun(task, server) ||
+        (needs_trusted_server && !server.trusted))
       continue;
     double penalty = Penalty(task, server);
     if (!best || penalty < least_penalty) {
--- a/radishmoor/jobs/placement.h
+++ b/radishmoor/jobs/placement.h
@@ -85,6 +85,10 @@
   double remote_data_slowdown = 1.0;
 };
 
+// Returns whether the server has room now for a task of the step, and the label
+// that the step needs.
+bool MayHold(const StepSpec& step, const PlacementServer& server);
+
 // Returns the index in `servers` of the best server for the task, or nothing if
 // it fits on none or has to wait for a trusted one. O(n).
 std::optional<size_t> ChooseServer(const PlacementTask& task,
--- a/radishmoor/jobs/placement_advice_cache.cc
+++ b/radishmoor/jobs/placement_advice_cache.cc
@@ -12,6 +12,8 @@
 // A ticket is used for a plan only while it stays valid for this long: the
 // start is stored and sent within this time.
 constexpr Duration kMinTicketValidity = Milliseconds(300);
+// Time until a request is repeated that was not answered, or after which no
+// server was left to ask about.
 constexpr Duration kNextRequestDelay = Milliseconds(500);
 
 }  // namespace
@@ -23,20 +25,35 @@
     Outbox& outbox) {
   StepKey key{task.job, task.occurrence, task.step};
   StepAdvice& advice = steps_[key];
-  if (!advice.tickets.empty() && now + kMinTicketValidity < advice.valid_until)
-    return advice.tickets;
-  if (advice.request_tag != 0 || now < advice.next_request_at ||
-      servers.empty())
-    return {};
+  std::map<ServerId, std::string> valid;
+  std::vector<ServerId> unknown;
+  for (const ServerId& server : servers) {
+    auto ticket = advice.tickets.find(server);
+    if (ticket != advice.tickets.end() &&
+        now + kMinTicketValidity < ticket->second.valid_until)
+      valid[server] = ticket->second.text;
+    else if (!advice.refused.contains(server))
+      unknown.push_back(server);
+  }
+  if (!valid.empty() || advice.request_tag != 0 || servers.empty() ||
+      now < advice.next_request_at)
+    return valid;
+  if (unknown.empty()) {
+    advice.refused.clear();
+    unknown.assign(servers.begin(), servers.end());
+  }
+  // If this request leaves no server out, the next one has to wait, since its
+  // answer will be the same.
+  advice.next_request_at = unknown.size() <= kMaxServersPerRequest
+                               ? now + kNextRequestDelay
+                               : Time{};
+  unknown.resize(std::min(unknown.size(), kMaxServersPerRequest));
   PlacementAdviceRequest request;
   request.job = task.job;
   request.occurrence = task.occurrence;
   request.step = task.step;
-  request.servers.assign(
-      servers.begin(),
-      servers.begin() + static_cast<std::ptrdiff_t>(
-                            std::min(servers.size(), kMaxServersPerRequest)));
-  advice.tickets.clear();
+  request.servers = unknown;
+  advice.requested = std::move(unknown);
   advice.request_tag = outbox.RequestAdvice(std::move(request));
   requested_steps_[advice.request_tag] = key;
   return {};
@@ -48,7 +65,8 @@
   if (step == steps_.end())
     return {};
   auto ticket = step->second.tickets.find(server);
-  return ticket == step->second.tickets.end() ? std::string() : ticket->second;
+  return ticket == step->second.tickets.end() ? std::string()
+                                              : ticket->second.text;
 }
 
 void PlacementAdviceCache::Drop(const TaskId& task, const ServerId& server) {
@@ -67,14 +85,15 @@
     return true;
   StepAdvice& advice = step->second;
   advice.request_tag = 0;
-  // A step for which no server was admitted is requested again, since other
-  // servers may have joined by then.
-  advice.next_request_at = now + kNextRequestDelay;
-  if (!reply.answered)
+  if (!reply.answered) {
+    advice.next_request_at = now + kNextRequestDelay;
     return true;
-  advice.valid_until = now + reply.valid;
-  for (const AdmittedServer& admitted : reply.admitted)
-    advice.tickets[admitted.server] = admitted.ticket;
+  }
+  advice.refused.insert(advice.requested.begin(), advice.requested.end());
+  for (const AdmittedServer& admitted : reply.admitted) {
+    advice.refused.erase(admitted.server);
+    advice.tickets[admitted.server] = {admitted.ticket, now + reply.valid};
+  }
   return true;
 }
 
--- a/radishmoor/jobs/placement_advice_cache.h
+++ b/radishmoor/jobs/placement_advice_cache.h
@@ -3,15 +3,18 @@
 // carry.
 //
 // The adviser's answer takes time for each server in the request, and it
-// handles one request of a process at a time. Each step is therefore requested
-// once, for all servers that could run it up to a limit, and requested again
-// only after its tickets have expired or no server was admitted.
+// handles one request of a process at a time. A request therefore names a
+// limited number of servers, and a step is requested again only for servers
+// about which nothing is known: not asked about yet, or with a ticket that has
+// expired. When the adviser has refused all servers, it is asked again after a
+// while.
 
 #ifndef RADISHMOOR_JOBS_PLACEMENT_ADVICE_CACHE_H_
 #define RADISHMOOR_JOBS_PLACEMENT_ADVICE_CACHE_H_
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -23,9 +26,9 @@
 
 class PlacementAdviceCache {
  public:
-  // Returns the tickets of the task's step, by server, that are valid for a
-  // start now. If there are none, requests them for `servers`, unless a request
-  // is in flight or was answered a moment ago.
+  // Returns those tickets of the task's step, by server, that are valid for a
+  // start now on one of `servers`, which have room for the task. If there are
+  // none, requests them, unless a request is in flight.
   std::map<ServerId, std::string> GetOrRequestTickets(
       Time now,
       const TaskId& task,
@@ -47,9 +50,14 @@
     uint32_t step = 0;
     friend auto operator<=>(const StepKey&, const StepKey&) = default;
   };
-  struct StepAdvice {
-    std::map<ServerId, std::string> tickets;
+  struct Ticket {
+    std::string text;
     Time valid_until;
+  };
+  struct StepAdvice {
+    std::map<ServerId, Ticket> tickets;
+    std::set<ServerId> refused;       // Servers that the adviser did not admit.
+    std::vector<ServerId> requested;  // Servers in the request in flight.
     Time next_request_at;
     uint64_t request_tag = 0;  // Of the request in flight; 0: none.
   };
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -210,7 +210,8 @@
         planned = false;
       } else if (advised) {
         std::vector<PlacementServer> admitted = servers;
-        KeepAdmittedServers(now, job.IdOf(occurrence, task), admitted, outbox);
+        KeepAdmittedServers(now, step, job.IdOf(occurrence, task), admitted,
+                            outbox);
         planned = step.gang
                       ? PlanGang(now, job, occurrence, task.step, admitted)
                       : PlanTask(now, job, occurrence, task, admitted);
@@ -283,13 +284,16 @@
 }
 
 void TaskDispatch::KeepAdmittedServers(Time now,
+                                       const StepSpec& step,
                                        const TaskId& task,
                                        std::vector<PlacementServer>& servers,
                                        Outbox& outbox) {
   std::vector<ServerId> candidates;
   candidates.reserve(servers.size());
-  for (const PlacementServer& server : servers)
-    candidates.push_back(server_ids_[server.position]);
+  for (const PlacementServer& server : servers) {
+    if (MayHold(step, server))
+      candidates.push_back(server_ids_[server.position]);
+  }
   std::map<ServerId, std::string> tickets =
       state_.advice.GetOrRequestTickets(now, task, candidates, outbox);
   std::erase_if(servers, [&](const PlacementServer& server) {
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -70,6 +70,7 @@
   // Removes the servers that the placement adviser has not admitted for the
   // step.
   void KeepAdmittedServers(Time now,
+                           const StepSpec& step,
                            const TaskId& task,
                            std::vector<PlacementServer>& servers,
                            Outbox& outbox);
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -1,6 +1,8 @@
 #include "radishmoor/jobs/task_dispatch.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
 
 namespace radishmoor {
 namespace {
@@ -222,6 +224,70 @@
   REQUIRE(pool.state_.advice.TicketFor(task, ServerId("s2")).empty());
 }
 
+// Answers all requests to the placement adviser that are in `outbox`. It admits
+// the servers of `admitted`. Returns the number of servers asked about.
+size_t Advise(TestPool& pool,
+              Outbox& outbox,
+              const std::set<ServerId>& admitted) {
+  size_t asked = 0;
+  for (const JobAction& action : outbox.TakeAllActions()) {
+    const auto* request = std::get_if<PlacementAdviceRequest>(&action);
+    if (request == nullptr)
+      continue;
+    PlacementAdviceReply reply;
+    reply.tag = request->tag;
+    reply.answered = true;
+    reply.valid = Seconds(10);
+    for (const ServerId& server : request->servers) {
+      ++asked;
+      if (admitted.contains(server))
+        reply.admitted.push_back({server, "ticket"});
+    }
+    pool.state_.advice.OnReply(kNow, reply);
+  }
+  return asked;
+}
+
+// Guards against a job that never starts, because the adviser is asked about
+// the same servers again and again while it would admit another one.
+TEST_CASE("the adviser is asked about all servers in turn", "[dispatch]") {
+  StepSpec step;
+  step.count = 2;
+  step.request = {10'000, 100, 0};
+  TestPool pool(step);
+  for (int i = 100; i < 170; ++i)
+    pool.AddServer(("s" + std::to_string(i)).c_str());
+  pool.state_.queues[QueueId("q")].settings.needs_advice = true;
+  // s105 is admitted, but has room for one task only.
+  std::set<ServerId> admitted{ServerId("s105"), ServerId("s165")};
+  Outbox outbox;
+  size_t asked = 0;
+  for (int plan = 0; plan < 6; ++plan) {
+    pool.dispatch_.PlanReadyTasks(kNow, outbox);
+    asked += Advise(pool, outbox, admitted);
+  }
+  REQUIRE(asked == 70);
+  REQUIRE(pool.state_.servers.Find(ServerId("s105"))->runs.size() == 1);
+  REQUIRE(pool.state_.servers.Find(ServerId("s165"))->runs.size() == 1);
+}
+
+// Guards against requests to the adviser with each plan when it has refused all
+// servers.
+TEST_CASE("the adviser is asked again after a while", "[dispatch]") {
+  StepSpec step;
+  step.request = {1000, 100, 0};
+  TestPool pool(step);
+  pool.AddServer("s1");
+  pool.state_.queues[QueueId("q")].settings.needs_advice = true;
+  Outbox outbox;
+  size_t asked = 0;
+  for (int plan = 0; plan < 6; ++plan) {
+    pool.dispatch_.PlanReadyTasks(kNow, outbox);
+    asked += Advise(pool, outbox, {});
+  }
+  REQUIRE(asked == 1);
+}
+
 // Guards against a task that never ends because each server that it is moved to
 // is emptied next: one task was stopped 39 times in 40 s.
 TEST_CASE("a task is moved off emptied servers at most twice", "[dispatch]") {
