Start nothing on a server by the listing of its earlier incarnation

A server that restarted under its id as another kind got runs by the labels and the capacity of its earlier incarnation, although a poll had shown the restart.

Cause: the listing was used without a comparison of incarnations.

Measured: task_dispatch_test, "no run is planned by the listing of an earlier incarnation", plans one run with the code before and none now.

--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -107,7 +107,8 @@
   ServerState* server = state_.servers.Find(run->server);
   bool wanted = !run->stop_wanted && !IsFinal(job.state) && !task->done &&
                 server != nullptr && server->listed &&
-                !server->listing.draining && server->clock.known();
+                !server->listing.draining && !server->ListingIsOutdated() &&
+                server->clock.known();
   if (!wanted) {
     RemoveRun(now, ref, "not-wanted", outbox);
     return;
--- a/radishmoor/jobs/server_table.h
+++ b/radishmoor/jobs/server_table.h
@@ -137,6 +137,12 @@
   bool Serves(const PoolId& pool) const {
     return listed && listing.pool == pool && !listing.draining;
   }
+  // Returns true if the listing is from an earlier incarnation than the one
+  // that has answered. Its capacity, labels and address may differ.
+  bool ListingIsOutdated() const {
+    return incarnation_started_at && listing.incarnation_started_at != 0 &&
+           listing.incarnation_started_at < *incarnation_started_at;
+  }
   // Returns the capacity that no run uses.
   Resources FreeResources() const {
     Resources room = listing.capacity;
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -62,8 +62,8 @@
 
 std::vector<PlacementServer> TaskDispatch::CollectServers(Time now) {
   auto is_usable = [this, now](const ServerState& server) {
-    return server.Serves(state_.pool) && !server.vacating &&
-           server.last_answer_at &&
+    return server.Serves(state_.pool) && !server.ListingIsOutdated() &&
+           !server.vacating && server.last_answer_at &&
            now - *server.last_answer_at <= kMaxAnswerAge &&
            server.failed_polls == 0 && now >= server.starts_refused_until;
   };
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -190,6 +190,22 @@
   REQUIRE(pool.state_.planned[JobId("j")].size() == 3);
 }
 
+// Guards against starts by the capacity and the labels of a server's earlier
+// incarnation: a server may restart under its id as another kind.
+TEST_CASE("no run is planned by the listing of an earlier incarnation",
+          "[dispatch]") {
+  StepSpec step;
+  step.request = {1000, 100, 0};
+  TestPool pool(step);
+  ServerState& server = pool.AddServer("s1");
+  server.listing.incarnation_started_at = 1000;
+  server.incarnation_started_at = 2000;
+  Outbox outbox;
+  REQUIRE(pool.dispatch_.PlanReadyTasks(kNow, outbox) == 0);
+  server.listing.incarnation_started_at = 2000;
+  REQUIRE(pool.dispatch_.PlanReadyTasks(kNow, outbox) == 1);
+}
+
 // Guards against starts on servers that the placement adviser has not admitted,
 // and against a request to the adviser with each plan.
 TEST_CASE("a step that needs advice is planned only on admitted servers",
