Give the owners of large pools longer leases

Cause: an owner with half a core does not renew a lease of 1.2 s while it is busy with such a pool, and less so while it takes it up (renewed_age_ms 2,037 after a takeover). Each takeover costs the next owner the same.

Change: a lease is longer by 2.5 ms for each server, up to 3 s. The holder writes the length into the lease row; other processes limit it.

Measured: pool_leases_test, "the owner of a large pool may renew its lease later", failed before and passes.

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -13,6 +13,10 @@
 constexpr Duration kMinCommitInterval = Milliseconds(15);
 // Without changes, a commit is sent this often to renew the lease.
 constexpr Duration kRenewPeriod = Milliseconds(400);
+// The lease of a pool is longer by this for each backend server. A process with
+// a small processor share that takes up a pool of 1,000 servers with thousands
+// of runs is too busy to renew its lease for two seconds and more.
+constexpr Duration kLeaseLengthPerServer = Microseconds(2500);
 // Limits of one commit. The store takes at most 100 entries and 1 MB in one
 // transaction.
 constexpr size_t kMaxEntries = 95;
@@ -112,6 +116,8 @@
   lease.earlier_leases_remaining =
       std::max(Duration::zero(), options_.earlier_leases_until - now) +
       Milliseconds(1);
+  lease.length =
+      kLeaseLengthPerServer * static_cast<int64_t>(state_.servers.all().size());
   if (store_clock_)
     lease.store_clock = *store_clock_ + (now - store_clock_at_);
   std::string key = OwnerLeaseKey(state_.pool);
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -9,8 +9,10 @@
 namespace {
 
 // An owner renews its lease at least every 400 ms. If the row has not changed
-// for three times as long, the owner cannot commit anything.
+// for three times as long, the owner cannot commit anything. The owner of a
+// large pool may ask for more time, up to the maximum.
 constexpr Duration kOwnerLeaseLength = Milliseconds(1200);
+constexpr Duration kMaxOwnerLeaseLength = Milliseconds(3000);
 // A slow store delays renewals. The lease length is therefore extended by this
 // multiple of the largest latency of a read within kReadLatencyMemory. A
 // renewal that was sent while the store was slow may still be under way.
@@ -259,8 +261,10 @@
   if (watched.row_read && watched.read_tag == 0) {
     bool vacant = watched.version == 0;
     bool released = watched.row && watched.row->released;
-    Time due = watched.renewed_at + kOwnerLeaseLength +
-               kReadLatencyFactor * read_latency_;
+    Duration length =
+        std::clamp(watched.row ? watched.row->length : Duration::zero(),
+                   kOwnerLeaseLength, kMaxOwnerLeaseLength);
+    Time due = watched.renewed_at + length + kReadLatencyFactor * read_latency_;
     if (vacant)
       due = watched.watched_since + kNewPoolDelay + AcquireDelay(pool);
     if (released)
