Spread the attempts of many processes to acquire a lease

Cause: all processes became due within 0.42 s and repeated a refused attempt each 0.3 s; with 147 processes that is more than twice what a partition carries, so that neither the owner's renewals nor any attempt got through.

Change: the delay by rank is not capped, so that processes try one after the other, and a failed attempt is repeated after 0.3 s and a random share of 40 ms for each process. With 8 processes nothing changes in the first part.

--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -26,15 +26,18 @@
 constexpr Duration kReadPeriod = Milliseconds(300);
 constexpr Duration kReadTimeout = Milliseconds(800);
 constexpr Duration kAcquireTimeout = Milliseconds(1200);
-// An acquisition that the store refused is repeated after this time.
-constexpr Duration kRefusedAcquireDelay = Milliseconds(300);
+// An acquisition that failed is repeated after this time plus a random share of
+// kRetrySpreadPerCandidate for each candidate, so that all processes together
+// leave most of a partition's 200 transactions a second to its owner.
+constexpr Duration kFailedAcquireDelay = Milliseconds(300);
+constexpr Duration kRetrySpreadPerCandidate = Milliseconds(40);
 // After a store outage an owner repeats its failed commit, which renews the
 // lease, within this time.
 constexpr Duration kStoreRecoveryGrace = Milliseconds(500);
 // Candidates acquire a lease in the order of their rank for the pool; each
-// waits this long for each candidate of a higher rank.
+// waits this long for each candidate of a higher rank, so that few of them try
+// before one has succeeded.
 constexpr Duration kRankDelay = Milliseconds(60);
-constexpr Duration kMaxRankDelay = Milliseconds(420);
 // A process waits this much longer if another candidate has a larger processor
 // share.
 constexpr Duration kSmallerShareDelay = Milliseconds(900);
@@ -119,8 +122,8 @@
       // The commit failed or its outcome is unknown. The next read shows who
       // holds the lease.
       watched.next_read = now;
-      if (std::holds_alternative<UnavailableReply>(answer.reply))
-        watched.next_read += kRefusedAcquireDelay;
+      if (!std::holds_alternative<ConflictReply>(answer.reply))
+        watched.next_read += RetryDelay(pool, watched);
       watched.row_read = false;
     }
     return true;
@@ -217,6 +220,19 @@
       }));
 }
 
+Duration PoolLeases::RetryDelay(const PoolId& pool,
+                                WatchedPool& watched) const {
+  std::string attempt =
+      pool.str() + "#" + std::to_string(++watched.failed_acquisitions);
+  double share = static_cast<double>(RendezvousWeight(attempt, node_.str())) /
+                 static_cast<double>(UINT64_MAX);
+  auto spread =
+      kRetrySpreadPerCandidate * static_cast<int64_t>(candidates_.size());
+  return kFailedAcquireDelay +
+         Duration(
+             static_cast<int64_t>(share * static_cast<double>(spread.count())));
+}
+
 Duration PoolLeases::AcquireDelay(const PoolId& pool) const {
   uint64_t own = RendezvousWeight(pool.str(), node_.str());
   int64_t rank = 0;
@@ -227,7 +243,7 @@
     if (same && RendezvousWeight(pool.str(), other.node.str()) > own)
       ++rank;
   }
-  return std::min(kRankDelay * rank, kMaxRankDelay) +
+  return kRankDelay * rank +
          kDelayPerOwnedPool * static_cast<int64_t>(OwnedCount()) +
          (has_smaller_share ? kSmallerShareDelay : Duration::zero());
 }
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -123,6 +123,7 @@
     // The transaction that acquires the lease; a tag of 0 means that none is in
     // flight. The other fields become those of the AcquiredLease.
     uint64_t acquire_tag = 0;
+    uint32_t failed_acquisitions = 0;
     Time acquire_sent_at;
     FencingToken acquire_token = 0;
     bool acquire_as_first_owner = false;
@@ -151,6 +152,9 @@
                        const PoolId& pool,
                        WatchedPool& watched,
                        RowVersion version);
+  // Returns the time until the next attempt after a failed acquisition. It is
+  // random, but the same in each run with the same names.
+  Duration RetryDelay(const PoolId& pool, WatchedPool& watched) const;
   // Returns how long this process lets other candidates acquire the lease
   // first.
   Duration AcquireDelay(const PoolId& pool) const;
--- a/radishmoor/jobs/testing/pool_leases_test.cc
+++ b/radishmoor/jobs/testing/pool_leases_test.cc
@@ -43,6 +43,58 @@
   REQUIRE(acquisitions <= 4 * kSeconds);
 }
 
+// Guards against a partition that stays overloaded after the store was slow:
+// the acquisitions of all processes of a large site, each repeated soon, keep
+// the owner's renewals out, so that the others go on.
+TEST_CASE("150 processes leave most of a partition's rate to the owner",
+          "[leases]") {
+  constexpr int kProcesses = 150;
+  constexpr int kMaxPerSecond = 100;  // Half of a partition's rate.
+  std::vector<LeaseCandidate> candidates;
+  for (int i = 0; i < kProcesses; ++i)
+    candidates.push_back({MemberId("n" + std::to_string(i)), 100});
+  Time start = kTimeZero + Seconds(100);
+  PoolId pools[] = {kPool};
+  std::vector<PoolLeases> processes;
+  for (const LeaseCandidate& candidate : candidates) {
+    PoolLeases& leases = processes.emplace_back(candidate.node, "n:1", 100);
+    leases.SetCandidates(candidates);
+    leases.WatchPools(start, pools);
+  }
+  LeaseRow lease;
+  lease.holder = MemberId("owner");
+  lease.token = 3;
+  Outbox outbox;
+  std::map<int64_t, int> per_second;
+  for (Time now = start; now < start + Seconds(12); now += Milliseconds(10)) {
+    for (PoolLeases& leases : processes) {
+      leases.Tick(now, outbox);
+      for (JobAction& action : outbox.TakeAllActions()) {
+        const auto* call = std::get_if<StoreCall>(&action);
+        if (call == nullptr)
+          continue;
+        bool acquires = std::holds_alternative<CommitRows>(call->request);
+        if (acquires)
+          ++per_second[(now - start) / Seconds(1)];
+        RowsReply rows;
+        rows.rows = {{OwnerLeaseKey(kPool), 7, EncodeLease(lease)}};
+        StoreReply reply = rows;
+        // Some attempts are refused, the others get no answer.
+        if (acquires && now.time_since_epoch().count() / 10'000 % 2 == 0)
+          reply = UnavailableReply{"busy"};
+        else if (acquires)
+          reply = UnknownReply{"lost"};
+        leases.OnStoreAnswer(now, {call->tag, reply}, outbox);
+      }
+    }
+  }
+  for (const auto& [second, acquisitions] : per_second) {
+    INFO(acquisitions << " acquisitions in second " << second);
+    REQUIRE(acquisitions <= kMaxPerSecond);
+  }
+  REQUIRE(per_second.size() > 8);
+}
+
 // Guards against a pool with thousands of runs that is passed on again and
 // again: each new owner is too busy with taking it up to renew the lease within
 // the usual length.
