Count tasks on draining servers as missing when others are stopped

When a server drains and another one is to be emptied, the owner stops tasks of one step on both in one review.

Cause: TaskDispatch::MayStopLongRunning() counted tasks on the draining server as available, and the same review stopped them without asking for the budget.

Change: these tasks count as missing.

Measured: task_dispatch_test, "tasks on draining servers count as missing": two stops before, one now.

--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -449,10 +449,18 @@
                                       const Occurrence& occurrence,
                                       const Task& task) const {
   const StepSpec& step = job.StepOf(task);
+  // The runs on draining servers are stopped without asking for the budget.
+  auto will_be_stopped = [this](const Run& run) {
+    const ServerState* server = state_.servers.Find(run.server);
+    return server != nullptr && server->listing.draining;
+  };
   uint32_t missing = 0;
   for (const Task& other : occurrence.tasks) {
-    if (&other != &task && other.step == task.step && !other.is_available())
-      ++missing;
+    if (&other == &task || other.step != task.step)
+      continue;
+    bool missing_soon =
+        std::any_of(other.runs.begin(), other.runs.end(), will_be_stopped);
+    missing += missing_soon || !other.is_available() ? 1 : 0;
   }
   return missing < std::max(1u, step.allowed_missing);
 }
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -190,6 +190,21 @@
   REQUIRE(pool.state_.planned[JobId("j")].size() == 3);
 }
 
+// Guards against more tasks of a step being unavailable at once than it allows,
+// because a server drains while another one is emptied.
+TEST_CASE("tasks on draining servers count as missing", "[dispatch]") {
+  TestPool pool(LongRunning(3, 1));
+  pool.AddServer("s1").vacating = true;
+  pool.AddServer("s2").listing.draining = true;
+  pool.AddServer("s3");
+  pool.AddRun(0, "s1", 100);
+  pool.AddRun(1, "s2", 100);
+  pool.AddRun(2, "s3", 100);
+  // Only the task on the draining server is stopped.
+  REQUIRE(pool.ReviewAndCountStops() == 1);
+  REQUIRE_FALSE(pool.job_->occurrences.at(0).tasks[0].displaced);
+}
+
 // Guards against starts by the capacity and the labels of a server's earlier
 // incarnation: a server may restart under its id as another kind.
 TEST_CASE("no run is planned by the listing of an earlier incarnation",
