--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -4,14 +4,13 @@
 #include <utility>
 
 #include "radishmoor/base/hash.h"
+#include "radishmoor/jobs/pool_state.h"
 
 namespace radishmoor {
 namespace {
 
-// An owner renews its lease at least every 400 ms. If the row has not changed
-// for three times as long, the owner cannot commit anything. The owner of a
-// large pool may ask for more time, up to the maximum.
-constexpr Duration kOwnerLeaseLength = Milliseconds(1200);
+// The owner of a large pool may ask for a longer lease than kOwnerLeaseLength,
+// up to this.
 constexpr Duration kMaxOwnerLeaseLength = Milliseconds(3000);
 // A slow store delays renewals. The lease length is therefore extended by this
 // multiple of the largest latency of a read within kReadLatencyMemory. A
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -558,7 +558,7 @@
   runs_.Tick(now, may_order, outbox);
   PollInbox(now, outbox);
   UpdateScheduled(now, wall);
-  if (may_order && state_.MayStartRuns(now)) {
+  if (may_order && renewed_age(now) < kMaxRenewalAgeForPlanning) {
     if (now - last_reviewed_at_ >= kReviewPeriod) {
       last_reviewed_at_ = now;
       for (auto& [id, server] : state_.servers.all()) {
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -43,10 +43,12 @@
 // these leases to expire.
 inline constexpr Duration kUnrenewedLeaseExtension = Seconds(5);
 
-// Nothing is planned or started when the last lease renewal is older than this.
-// A plan could probably not be stored, and after a pause of the process its
-// tasks may have another owner.
-inline constexpr Duration kMaxRenewalAgeForStarts = Seconds(3);
+// Nothing is planned when the last lease renewal is older than this, since the
+// plan could probably not be stored.
+inline constexpr Duration kMaxRenewalAgeForPlanning = Seconds(3);
+// Other processes leave a lease to its holder for at least this long after its
+// last renewal. An owner renews its lease at least every 400 ms.
+inline constexpr Duration kOwnerLeaseLength = Milliseconds(1200);
 
 struct QueueStats {
   // Moving average of the ratio of observed to estimated run times.
@@ -81,10 +83,10 @@
   bool MayExtendLeases(Time now) const {
     return now - lease_renewed_at < kUnrenewedLeaseExtension;
   }
-  // Returns whether this owner may plan and start runs. The pool may have
-  // another owner if the lease was renewed too long ago.
+  // Returns whether this owner may start runs: no other process can have
+  // acquired the pool's lease yet.
   bool MayStartRuns(Time now) const {
-    return now - lease_renewed_at < kMaxRenewalAgeForStarts;
+    return now - lease_renewed_at < lease_length;
   }
 
   PoolId pool;
@@ -92,6 +94,8 @@
   FencingToken token = 0;
   // When the stored commit that last renewed the pool's lease was sent.
   Time lease_renewed_at;
+  // Time for which that renewal keeps other processes from acquiring the lease.
+  Duration lease_length = kOwnerLeaseLength;
   bool standby = false;
   // All queues that this process has seen; a queue that was removed from the
   // configuration stays.
