--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -18,11 +18,6 @@
 // Polls of a server that runs nothing are this far apart. They keep the bounds
 // on its clock recent.
 constexpr Duration kIdlePollPeriod = Milliseconds(1500);
-// Maximum number of first polls in flight to servers with runs and to others. A
-// new owner of a large pool would otherwise send a thousand at once, and renew
-// its lease only after it has handled all answers.
-constexpr uint32_t kMaxFirstPollsWithRuns = 192;
-constexpr uint32_t kMaxFirstPollsWithoutRuns = 64;
 // Minimum time between two polls of a busy server, so that one poll lists
 // several ends. In large pools the time grows with the number of busy servers,
 // which bounds the number of polls per second in a pool.
@@ -938,9 +933,6 @@
   last_tick_at_ = now;
   next_wake_ = kTimeMax;
   busy_servers_ = 0;
-  first_polls_ = 0;
-  for (const auto& [id, server] : state_.servers.all())
-    first_polls_ += server.poll_tag != 0 && !server.last_answer_at ? 1 : 0;
   for (auto& [id, server] : state_.servers.all()) {
     busy_servers_ += server.runs.empty() ? 0 : 1;
     CheckServer(now, server, renew_leases, outbox);
@@ -967,17 +959,10 @@
       due = std::max(due, server.poll_sent_at + kBusyPollWait);
     if (acknowledge)
       due = std::min(due, server.poll_sent_at + PollInterval(server));
-    bool first = !server.last_answer_at;
-    uint32_t max_first_polls = server.runs.empty() ? kMaxFirstPollsWithoutRuns
-                                                   : kMaxFirstPollsWithRuns;
-    if (now < due) {
-      Wake(due);
-    } else if (first && first_polls_ >= max_first_polls) {
-      Wake(now + kMinTickInterval);
-    } else {
-      first_polls_ += first ? 1 : 0;
+    if (now >= due)
       SendPoll(now, server, false, renew_leases, outbox);
-    }
+    else
+      Wake(due);
   }
   bool silent = server.failed_polls > 0 || !server.last_answer_at;
   if (server.runs.empty() || (!silent && !server.needs_run_check))
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -217,8 +217,6 @@
   std::map<uint64_t, PendingOrder> orders_;  // By tag.
   std::set<JobId> to_close_;                 // Input of CloseResolved().
   size_t busy_servers_ = 0;  // Servers with runs at the last tick.
-  // Polls in flight to servers that have not answered this owner yet.
-  uint32_t first_polls_ = 0;
   Time last_tick_at_;
   Time next_wake_ = kTimeMax;
 };
