--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -74,7 +74,6 @@
   6: string successor
   7: i64 earlier_leases_ms
   8: i64 store_clock_ms
-  9: i64 length_ms
 }
 
 struct Node {
--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -13,10 +13,6 @@
 constexpr Duration kMinCommitInterval = Milliseconds(15);
 // Without changes, a commit is sent this often to renew the lease.
 constexpr Duration kRenewPeriod = Milliseconds(400);
-// The lease of a pool is longer by this for each backend server. A process with
-// a small processor share that takes up a pool of 1,000 servers with thousands
-// of runs is too busy to renew its lease for two seconds and more.
-constexpr Duration kLeaseLengthPerServer = Microseconds(2500);
 // Other processes extend a lease by six times the largest latency of their
 // reads; a commit takes up to three times as long as a read.
 constexpr int64_t kSlowStoreFactor = 2;
@@ -119,10 +115,6 @@
   lease.earlier_leases_remaining =
       std::max(Duration::zero(), options_.earlier_leases_until - now) +
       Milliseconds(1);
-  commit.lease_length =
-      kOwnerLeaseLength +
-      kLeaseLengthPerServer * static_cast<int64_t>(state_.servers.all().size());
-  lease.length = commit.lease_length;
   if (store_clock_)
     lease.store_clock = *store_clock_ + (now - store_clock_at_);
   std::string key = OwnerLeaseKey(state_.pool);
@@ -239,7 +231,7 @@
   // Other processes wait longer while the store is slow. The answer to this
   // commit does not tell whether the store or this process was slow.
   state_.lease_length =
-      std::min(commit_.lease_length + kSlowStoreFactor * latency_,
+      std::min(kOwnerLeaseLength + kSlowStoreFactor * latency_,
                kMaxRenewalAgeForPlanning);
   latency_ += (now - commit_.sent - latency_) / 4;
   options_.lease_version = reply.versions.empty() ? 0 : reply.versions.front();
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -105,7 +105,6 @@
     // Key and change number (PendingRow::change) of each other row.
     std::vector<std::pair<std::string, uint64_t>> rows;
     bool released = false;
-    Duration lease_length{};  // As the commit's lease row states it.
   };
 
   // Minimum time between two commits.
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -1584,10 +1584,6 @@
 void Lease::__set_store_clock_ms(const int64_t val) {
   this->store_clock_ms = val;
 }
-
-void Lease::__set_length_ms(const int64_t val) {
-  this->length_ms = val;
-}
 std::ostream& operator<<(std::ostream& out, const Lease& obj)
 {
   obj.printTo(out);
@@ -1680,14 +1676,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->length_ms);
-          this->__isset.length_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1737,10 +1725,6 @@
   xfer += oprot->writeI64(this->store_clock_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("length_ms", ::apache::thrift::protocol::T_I64, 9);
-  xfer += oprot->writeI64(this->length_ms);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1756,7 +1740,6 @@
   swap(a.successor, b.successor);
   swap(a.earlier_leases_ms, b.earlier_leases_ms);
   swap(a.store_clock_ms, b.store_clock_ms);
-  swap(a.length_ms, b.length_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1769,7 +1752,6 @@
   successor = other58.successor;
   earlier_leases_ms = other58.earlier_leases_ms;
   store_clock_ms = other58.store_clock_ms;
-  length_ms = other58.length_ms;
   __isset = other58.__isset;
 }
 Lease::Lease(Lease&& other59) noexcept {
@@ -1781,7 +1763,6 @@
   successor = std::move(other59.successor);
   earlier_leases_ms = other59.earlier_leases_ms;
   store_clock_ms = other59.store_clock_ms;
-  length_ms = other59.length_ms;
   __isset = other59.__isset;
 }
 Lease& Lease::operator=(const Lease& other60) {
@@ -1793,7 +1774,6 @@
   successor = other60.successor;
   earlier_leases_ms = other60.earlier_leases_ms;
   store_clock_ms = other60.store_clock_ms;
-  length_ms = other60.length_ms;
   __isset = other60.__isset;
   return *this;
 }
@@ -1806,7 +1786,6 @@
   successor = std::move(other61.successor);
   earlier_leases_ms = other61.earlier_leases_ms;
   store_clock_ms = other61.store_clock_ms;
-  length_ms = other61.length_ms;
   __isset = other61.__isset;
   return *this;
 }
@@ -1821,7 +1800,6 @@
   out << ", " << "successor=" << to_string(successor);
   out << ", " << "earlier_leases_ms=" << to_string(earlier_leases_ms);
   out << ", " << "store_clock_ms=" << to_string(store_clock_ms);
-  out << ", " << "length_ms=" << to_string(length_ms);
   out << ")";
 }
 
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -612,7 +612,7 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _Lease__isset {
-  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false), earlier_leases_ms(false), store_clock_ms(false), length_ms(false) {}
+  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false), earlier_leases_ms(false), store_clock_ms(false) {}
   bool holder :1;
   bool address :1;
   bool token :1;
@@ -621,7 +621,6 @@
   bool successor :1;
   bool earlier_leases_ms :1;
   bool store_clock_ms :1;
-  bool length_ms :1;
 } _Lease__isset;
 
 class Lease : public virtual ::apache::thrift::TBase {
@@ -639,8 +638,7 @@
           released(0),
           successor(),
           earlier_leases_ms(0),
-          store_clock_ms(0),
-          length_ms(0) {
+          store_clock_ms(0) {
   }
 
   virtual ~Lease() noexcept;
@@ -652,7 +650,6 @@
   std::string successor;
   int64_t earlier_leases_ms;
   int64_t store_clock_ms;
-  int64_t length_ms;
 
   _Lease__isset __isset;
 
@@ -672,8 +669,6 @@
 
   void __set_store_clock_ms(const int64_t val);
 
-  void __set_length_ms(const int64_t val);
-
   bool operator == (const Lease & rhs) const
   {
     if (!(holder == rhs.holder))
@@ -692,8 +687,6 @@
       return false;
     if (!(store_clock_ms == rhs.store_clock_ms))
       return false;
-    if (!(length_ms == rhs.length_ms))
-      return false;
     return true;
   }
   bool operator != (const Lease &rhs) const {
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -259,7 +259,6 @@
   wire.successor = lease.successor.str();
   wire.earlier_leases_ms = WholeMilliseconds(lease.earlier_leases_remaining);
   wire.store_clock_ms = WholeMilliseconds(lease.store_clock);
-  wire.length_ms = WholeMilliseconds(lease.length);
   return ToBytes(wire);
 }
 
@@ -274,8 +273,7 @@
                   wire.released,
                   MemberId(wire.successor),
                   DecodedMilliseconds(wire.earlier_leases_ms),
-                  DecodedMilliseconds(wire.store_clock_ms),
-                  DecodedMilliseconds(wire.length_ms)};
+                  DecodedMilliseconds(wire.store_clock_ms)};
 }
 
 std::string EncodeNode(const NodeRow& node) {
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -94,9 +94,6 @@
   // The store's clock when the holder sent the row, or somewhat earlier. Zero
   // if the holder did not know it.
   Duration store_clock{};
-  // Other processes leave the lease to the holder for this long after it sent
-  // the row, within limits of their own. Zero in rows of earlier versions.
-  Duration length{};
 };
 
 struct NodeRow {
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -9,9 +9,6 @@
 namespace radishmoor {
 namespace {
 
-// The owner of a large pool may ask for a longer lease than kOwnerLeaseLength,
-// up to this.
-constexpr Duration kMaxOwnerLeaseLength = Milliseconds(3000);
 // A slow store delays renewals. The lease length is therefore extended by this
 // multiple of the largest latency of a read within kReadLatencyMemory. A
 // renewal that was sent while the store was slow may still be under way.
@@ -276,10 +273,8 @@
   if (watched.row_read && watched.read_tag == 0) {
     bool vacant = watched.version == 0;
     bool released = watched.row && watched.row->released;
-    Duration length =
-        std::clamp(watched.row ? watched.row->length : Duration::zero(),
-                   kOwnerLeaseLength, kMaxOwnerLeaseLength);
-    Time due = watched.renewed_at + length + kReadLatencyFactor * read_latency_;
+    Time due = watched.renewed_at + kOwnerLeaseLength +
+               kReadLatencyFactor * read_latency_;
     if (vacant)
       due = watched.watched_since + kNewPoolDelay + AcquireDelay(pool);
     if (released)
