Keep the row of a host's last call for its full time

Cause: the row of a finished call stays for the time that a successor has to wait. If the host was called twice within that time, the row of the second call was removed when that of the first one was due, so that the successor did not know of the second call.

Change: the removal that was planned for an earlier call of the host is dropped.

Measured: fleet_coordinator_test, "a successor waits for a host that was called twice", failed before (3 == 2 calls) and passes.

--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -239,8 +239,12 @@
   }
   // Removes the row of a finished call after some time. While the row exists, a
   // successor makes no call for the host in the first
-  // `PlatformBounds::host_operation_lease` of its lease.
+  // `PlatformBounds::host_operation_lease` of its lease. The time counts from
+  // the last of several calls for a host.
   void RemoveRowLater(Time now, const HostId& host) {
+    std::erase_if(rows_to_remove_, [&host](const auto& entry) {
+      return entry.second == host;
+    });
     rows_to_remove_.emplace_back(now, host);
   }
   void RemoveDueRows(Time now);
--- a/radishmoor/jobs/testing/fleet_coordinator_test.cc
+++ b/radishmoor/jobs/testing/fleet_coordinator_test.cc
@@ -58,6 +58,11 @@
 
   Time now() const { return now_; }
 
+  void ObserveWave(const MaintenanceWave& wave) {
+    ObservedWave observed{wave, now_};
+    coordinator_->OnWaves({&observed, 1}, outbox_);
+  }
+
   // Stores a row as an earlier coordinator would have left it.
   void PutHostOperation(const std::string& key, const HostOperationRow& row) {
     Transaction transaction;
@@ -306,6 +311,27 @@
   REQUIRE(calls_for_h8() == 0);
 }
 
+// Guards against the removal of a recent call's row at the time at which the row
+// of an earlier call for the host was due: a successor called for the host while
+// the recent call could still be executed.
+TEST_CASE("a successor waits for a host that was called twice",
+          "[coordinator]") {
+  FleetCoordinatorHarness site;
+  HostId host("h8");
+  site.TakeOver();
+  site.ObserveWave({1, {host}, Seconds(25), 1});
+  site.Run(Milliseconds(3500));
+  site.ObserveWave({2, {host}, Seconds(25), 1});
+  site.Run(Milliseconds(1800));
+  REQUIRE(site.maintained_hosts_.size() == 2);
+  site.TakeOver();
+  site.ObserveWave({3, {host}, Seconds(25), 1});
+  site.Run(Seconds(1));
+  REQUIRE(site.maintained_hosts_.size() == 2);
+  site.Run(Seconds(4));
+  REQUIRE(site.maintained_hosts_.size() == 3);
+}
+
 // Guards against a call every half second for a host that is down: 50 calls in
 // one incident, each of which costs money.
 TEST_CASE("a host that is listed as down is not called again",
