Count stored calls of an earlier coordinator toward a wave's limit

Cause: CountHostsDown() counted only hosts that the list shows in maintenance. A stored call of an earlier coordinator can still be executed for host_operation_lease; the host was spared itself, but not counted.

Change: such a host counts as down until a list that was requested after that time arrives, unless it is known as maintained.

Measured: fleet_coordinator_test, "a successor counts stored calls toward the limit of a wave", failed before and passes; "a successor does not count answered calls as hosts that are down" passes before and after.

--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -86,15 +86,10 @@
   }
   // The stored operation is not resumed, because its server may be in use
   // again. If its call was carried out, a repeated call has no effect.
-  hosts_called_earlier_.insert(stored->host);
+  earlier_calls_[stored->host] = *stored;
   RemoveRowLater(options_.lease_taken_at, stored->host);
 }
 
-bool FleetCoordinator::NoRecentEarlierCall(Time now, const HostId& host) const {
-  return now - options_.lease_taken_at > options_.bounds.host_operation_lease ||
-         !hosts_called_earlier_.contains(host);
-}
-
 void FleetCoordinator::RemoveDueRows(Time now) {
   Duration kept = options_.bounds.host_operation_lease + kRowRemovalMargin;
   while (!rows_to_remove_.empty() &&
@@ -137,6 +132,18 @@
                      [](const auto& entry) { return !entry.second.completed; });
 }
 
+bool FleetCoordinator::IsKnownAsMaintained(const HostId& host,
+                                           uint64_t wave) const {
+  auto stored = maintained_waves_.find(host);
+  return stored != maintained_waves_.end() && stored->second.contains(wave);
+}
+
+bool FleetCoordinator::IsListedInMaintenance(const HostId& host) const {
+  auto listing = hosts_.find(host);
+  return listing != hosts_.end() &&
+         listing->second.state == ListedHostState::kMaintenance;
+}
+
 uint32_t FleetCoordinator::CountHostsDown(uint64_t wave) const {
   uint32_t down = 0;
   for (const auto& [host, operation] : host_operations_) {
@@ -150,6 +157,11 @@
         !host_operations_.contains(host))
       ++down;
   }
+  for (const auto& [host, call] : earlier_calls_) {
+    if (call.kind == HostOperationKind::kMaintain && call.wave == wave &&
+        !IsKnownAsMaintained(host, wave) && !IsListedInMaintenance(host))
+      ++down;
+  }
   return down;
 }
 
@@ -219,6 +231,8 @@
 void FleetCoordinator::OnHosts(Time sent,
                                std::span<const HostListing> hosts,
                                Outbox& outbox) {
+  if (sent - options_.lease_taken_at > options_.bounds.host_operation_lease)
+    earlier_calls_.clear();
   std::map<HostId, HostListing> before = std::exchange(hosts_, {});
   for (const HostListing& host : hosts) {
     auto old = before.find(host.host);
@@ -431,8 +445,7 @@
     using Candidate = std::tuple<double, HostId>;
     std::vector<Candidate> candidates;
     for (const HostId& host : wave.plan.hosts) {
-      auto stored = maintained_waves_.find(host);
-      if (stored != maintained_waves_.end() && stored->second.contains(number))
+      if (IsKnownAsMaintained(host, number))
         wave.done_hosts.insert(host);
       auto listing = hosts_.find(host);
       if (listing == hosts_.end()) {
@@ -444,7 +457,7 @@
         hosts_due_.insert(host);
       auto postponed = wave.postponed_until.find(host);
       if (wave.done_hosts.contains(host) || host_operations_.contains(host) ||
-          !NoRecentEarlierCall(now, host) ||
+          EarlierCallMayBeExecuted(host) ||
           listing->second.state != ListedHostState::kUp ||
           (postponed != wave.postponed_until.end() && now < postponed->second))
         continue;
@@ -558,7 +571,7 @@
         std::find(avoid.begin(), avoid.end(), host.zone) != avoid.end();
     return host.state == ListedHostState::kUp &&
            !host_operations_.contains(id) && !hosts_due_.contains(id) &&
-           !avoided && NoRecentEarlierCall(now, id);
+           !avoided && !EarlierCallMayBeExecuted(id);
   };
   if (IsStandby(pool)) {
     for (const auto& [id, host] : hosts_) {
--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -248,9 +248,11 @@
     rows_to_remove_.emplace_back(now, host);
   }
   void RemoveDueRows(Time now);
-  // Returns false if an earlier coordinator may have made a call for the host
-  // within the last `PlatformBounds::host_operation_lease`.
-  bool NoRecentEarlierCall(Time now, const HostId& host) const;
+  // Returns whether a call of an earlier coordinator for the host may still be
+  // executed or, if it was, is missing from the list of hosts.
+  bool EarlierCallMayBeExecuted(const HostId& host) const {
+    return earlier_calls_.contains(host);
+  }
   void StoreHostOperation(Time now,
                           const HostId& host,
                           HostOperation& operation);
@@ -261,8 +263,12 @@
   void CheckCompleted(Time now, Wave& wave, Outbox& outbox);
   bool IsStandby(const PoolId& pool) const;
   // Returns the number of hosts that are or may be down for the wave. Hosts in
-  // maintenance that no operation of this process explains are included.
+  // maintenance that no operation of this process explains are included, and so
+  // are hosts for which an earlier coordinator's call may still be executed.
   uint32_t CountHostsDown(uint64_t wave) const;
+  // Returns whether a row tells that the host was maintained in the wave.
+  bool IsKnownAsMaintained(const HostId& host, uint64_t wave) const;
+  bool IsListedInMaintenance(const HostId& host) const;
   bool HasOpenWave() const;
   void Wake(Time at) { next_wake_ = std::min(next_wake_, at); }
 
@@ -288,8 +294,9 @@
   std::map<HostId, std::set<uint64_t>> maintained_waves_;
   // Hosts with a row to remove, by the time at which their call was finished.
   std::deque<std::pair<Time, HostId>> rows_to_remove_;
-  // Hosts for which an earlier coordinator has stored a call.
-  std::set<HostId> hosts_called_earlier_;
+  // Calls that earlier coordinators have stored, without those that no longer
+  // can be executed and that the list of hosts shows if they were.
+  std::map<HostId, HostOperationRow> earlier_calls_;
   // The platform has seen a call with a higher fencing token.
   bool fenced_ = false;
   Time next_wake_ = kTimeMax;
--- a/radishmoor/jobs/testing/fleet_coordinator_test.cc
+++ b/radishmoor/jobs/testing/fleet_coordinator_test.cc
@@ -332,6 +332,43 @@
   REQUIRE(site.maintained_hosts_.size() == 3);
 }
 
+// Guards against more hosts in maintenance than a wave allows: calls of an
+// earlier coordinator that may still be executed were not counted.
+TEST_CASE("a successor counts stored calls toward the limit of a wave",
+          "[coordinator]") {
+  FleetCoordinatorHarness site;
+  PoolId fleet(kFleetPseudoPool);
+  HostId called("h8");
+  site.PutHostOperation(
+      HostOperationKey(fleet, called),
+      {called, HostOperationKind::kMaintain, PoolId("spare"), 1});
+  site.waves_ = {{1, {called, HostId("h9"), HostId("h10")}, Seconds(25), 1}};
+  site.TakeOver();
+  site.Run(Milliseconds(2900));
+  REQUIRE(site.maintained_hosts_.empty());
+  site.Run(Seconds(6));
+  REQUIRE(site.maintained_hosts_.size() == 3);
+  REQUIRE(site.completed_waves_.contains(1));
+}
+
+// Guards against waiting for calls that were answered: lists that are requested
+// later show these hosts in maintenance.
+TEST_CASE("a successor does not count answered calls as hosts that are down",
+          "[coordinator]") {
+  FleetCoordinatorHarness site;
+  PoolId fleet(kFleetPseudoPool);
+  HostId maintained("h8");
+  HostOperationRow row{maintained, HostOperationKind::kMaintain,
+                       PoolId("spare"), 1};
+  site.PutHostOperation(HostOperationKey(fleet, maintained), row);
+  row.kind = HostOperationKind::kMaintained;
+  site.PutHostOperation(MaintainedKey(fleet, maintained, 1), row);
+  site.waves_ = {{1, {maintained, HostId("h9")}, Seconds(25), 1}};
+  site.TakeOver();
+  site.Run(Seconds(1));
+  REQUIRE(site.maintained_hosts_ == std::vector<HostId>{HostId("h9")});
+}
+
 // Guards against a call every half second for a host that is down: 50 calls in
 // one incident, each of which costs money.
 TEST_CASE("a host that is listed as down is not called again",
