--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -242,9 +242,8 @@
   // `PlatformBounds::host_operation_lease` of its lease. The time counts from
   // the last of several calls for a host.
   void RemoveRowLater(Time now, const HostId& host) {
-    std::erase_if(rows_to_remove_, [&host](const auto& entry) {
-      return entry.second == host;
-    });
+    std::erase_if(rows_to_remove_,
+                  [&host](const auto& entry) { return entry.second == host; });
     rows_to_remove_.emplace_back(now, host);
   }
   void RemoveDueRows(Time now);
--- a/radishmoor/jobs/testing/fleet_coordinator_test.cc
+++ b/radishmoor/jobs/testing/fleet_coordinator_test.cc
@@ -311,9 +311,9 @@
   REQUIRE(calls_for_h8() == 0);
 }
 
-// Guards against the removal of a recent call's row at the time at which the row
-// of an earlier call for the host was due: a successor called for the host while
-// the recent call could still be executed.
+// Guards against the removal of a recent call's row at the time at which the
+// row of an earlier call for the host was due: a successor called for the host
+// while the recent call could still be executed.
 TEST_CASE("a successor waits for a host that was called twice",
           "[coordinator]") {
   FleetCoordinatorHarness site;
