Count a job as begun when a server has reported a run

Cause: a job counted as begun, and was shown as in_progress, when its first start was sent, whether or not a server answered.

Change: a job has begun when a server has answered a start or listed a run or its end. The order of starts still prefers jobs of which a start was sent, by a field of its own that is not stored.

--- a/radishmoor/jobs/job_table.cc
+++ b/radishmoor/jobs/job_table.cc
@@ -87,6 +87,7 @@
   job.state = progress.state;
   job.reported_state = progress.state;
   job.begun = progress.begun;
+  job.start_sent = progress.begun;
   job.finished_below = progress.finished_below;
   if (IsFinal(job.state))
     job.ended = now;
--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -105,7 +105,10 @@
   JobState state = JobState::kQueued;
   // State in the last stored commit. Callers are shown this one.
   JobState reported_state = JobState::kQueued;
-  bool begun = false;  // A task has started.
+  bool begun = false;  // A server has reported a run.
+  // A start was sent, at the latest since `begun`. The other tasks of such a
+  // job precede those of jobs of which nothing has started.
+  bool start_sent = false;
   Time arrived;
   // Time by which a job that is not recurring should be completed.
   Time objective;
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -135,11 +135,7 @@
   run->start_sent_at = now;
   run->progress_changed_at = now;
   ++state_.counters.starts;
-  if (!job.begun) {
-    job.begun = true;
-    job.state = JobState::kInProgress;
-    state_.jobs.MarkChanged(job);
-  }
+  job.start_sent = true;
   uint64_t tag = outbox.SendOrder(server->listing.id, server->listing.address,
                                   state_.token, std::move(start));
   orders_[tag] = {
@@ -155,6 +151,14 @@
                       {"free_cpu", server->FreeResources().cpu_millis}});
 }
 
+void RunControl::MarkBegun(Job& job) {
+  if (job.begun || IsFinal(job.state))
+    return;
+  job.begun = job.start_sent = true;
+  job.state = JobState::kInProgress;
+  state_.jobs.MarkChanged(job);
+}
+
 void RunControl::RequestStop(Time now,
                              const TaskId& task_id,
                              RunNumber number,
@@ -440,6 +444,7 @@
       if (run->stop_wanted)
         SendStop(now, order.run, *run, outbox);
       if (Job* job = state_.jobs.Find(order.run.task.job)) {
+        MarkBegun(*job);
         ExpediteLastTasks(now, *job,
                           job->occurrences.at(order.run.task.occurrence),
                           order.run.task.step);
@@ -561,6 +566,7 @@
     task->checkpoint = ended.checkpoint;
   if (ended.end == RunEnd::kDone)
     RecordSuccessfulRun(now, *job, *task, *run, server);
+  MarkBegun(*job);
   state_.jobs.MarkChanged(*job);
   RemoveRun(now, ref, EndName(ended.end), outbox);
   if (IsFinal(job->state))
@@ -598,6 +604,7 @@
   outbox.LogDecision("late-success",
                      {{"task", FormatTask(ended.task)},
                       {"run", static_cast<int64_t>(ended.run)}});
+  MarkBegun(job);
   OnTaskDone(now, job, task, {ended.task, ended.run}, outbox);
 }
 
@@ -720,6 +727,7 @@
       run->phase = RunPhase::kRunning;
       run->phase_since = now;
       run->progress_changed_at = now;
+      MarkBegun(*state_.jobs.Find(seen.task.job));
     }
     if (reply.incarnation_started_at)
       run->incarnation_started_at = reply.incarnation_started_at;
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -203,6 +203,8 @@
   // to be over. Leases that were granted until now may last for their maximum
   // length.
   void ForgetIncarnation(Time now, ServerState& server) const;
+  // Records that a server has reported a run of the job.
+  void MarkBegun(Job& job);
   // Removes the ends that stored commits contain from
   // `ServerState::unstored_ends`. Returns whether none is left.
   bool RemoveStoredEnds(ServerState& server) const;
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -143,7 +143,7 @@
       job->remaining_work = RemainingWork(*job);
     }
     input.remaining_chain = job->remaining_chain;
-    input.begun = job->begun;
+    input.begun = job->start_sent;
     input.remaining_work = job->remaining_work;
     jobs.push_back(job);
     inputs.push_back(input);
--- a/radishmoor/jobs/testing/run_control_test.cc
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -201,6 +201,39 @@
   }
 }
 
+// Guards against a queue whose length is given as 0 while none of its jobs
+// runs: starts that a rack without power did not answer counted as begun jobs.
+TEST_CASE("a job has begun when a server has reported a run", "[run-control]") {
+  TestServer test;
+  uint64_t start = test.SendStart();
+  const Job& job = *test.state_.jobs.Find(test.job_);
+  REQUIRE_FALSE(job.begun);
+  REQUIRE(job.state == JobState::kQueued);
+  SECTION("the server does not answer") {
+    ServerReply reply;
+    reply.tag = start;
+    reply.server = test.id_;
+    test.runs_.OnReply(test.now_, reply, test.outbox_);
+    REQUIRE_FALSE(job.begun);
+    REQUIRE(job.state == JobState::kQueued);
+  }
+  SECTION("the server answers") {
+    test.Answer(start, 50'001);
+    REQUIRE(job.begun);
+    REQUIRE(job.state == JobState::kInProgress);
+  }
+  SECTION("the answer is lost and a poll lists the run") {
+    ServerReply reply;
+    reply.tag = start;
+    reply.server = test.id_;
+    test.runs_.OnReply(test.now_, reply, test.outbox_);
+    std::vector<OrderToServer> orders = test.TakeOrders();
+    REQUIRE(orders.size() == 1);
+    test.AnswerPoll(orders[0].tag, 50'001, true);
+    REQUIRE(job.begun);
+  }
+}
+
 // Guards against an owner that spends its processor time on checks of all
 // servers: each answer asks for one, and with 1,000 servers a check each 5 ms
 // took a sixth of the time of an owner at its peak.
