Limit the jobs that processes insert into a pool's partition

The cut of a zone at 33.5 s takes the owner of its pool away. A process tries to acquire the lease at 35.1 s and has it at 36.15 s; the new owner stores 7 commits in a second, its last renewal is 2.3 s old at 37.4 s, and it starts nothing. It is taken for lost at 38.9 s.

Cause: when an owner does not take jobs in time, each process inserts them itself. At a peak of the large site these are several hundred transactions a second, 481 to 646 calls ended with "uncertain, time-limit" in each of those seconds, while a partition carries 200, so that a successor can neither acquire nor renew the lease.

Change: all processes together insert at most 120 jobs a second into a partition, in equal shares. Beyond that, a job that cannot have been stored is refused at once with Retry-After; one that may have been stored waits for its turn, as only a repeated insert can tell.

--- a/radishmoor/jobs/job_request_handler.cc
+++ b/radishmoor/jobs/job_request_handler.cc
@@ -30,6 +30,9 @@
 constexpr Duration kMaxUnrenewedTimeWithoutStore = Milliseconds(1200);
 constexpr Duration kStoreTimeout = Milliseconds(500);
 constexpr Duration kStoreRetryDelay = Milliseconds(60);
+// Time until the next attempt to insert a job when the limit of inserts is
+// reached.
+constexpr Duration kInsertLimitDelay = Milliseconds(100);
 // An owner with an older heartbeat is not asked about jobs. Queue lengths are
 // answered only if the age of the heartbeat plus its `renewed_age` is less than
 // this.
@@ -262,6 +265,15 @@
                                  Outbox& outbox) {
   call.stage = Stage::kStoringJob;
   call.retry_at = kTimeMax;
+  if (!insert_limiter_.TryInsert(now, call.pool)) {
+    // Only a repeated insert can tell whether an earlier one was performed.
+    if (call.may_be_stored)
+      call.retry_at = now + kInsertLimitDelay;
+    else
+      Refuse(id, CallOutcome::kUnavailable, kUnavailableRetryAfter,
+             "insert-limit", outbox);
+    return;
+  }
   Transaction transaction;
   std::string key = JobKey(call.pool, call.job);
   transaction.expects.push_back({key, 0});
--- a/radishmoor/jobs/job_request_handler.h
+++ b/radishmoor/jobs/job_request_handler.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "radishmoor/jobs/insert_limiter.h"
 #include "radishmoor/jobs/outbox.h"
 #include "radishmoor/jobs/pool_leases.h"
 
@@ -49,6 +50,10 @@
   // Tells whether this process runs its work late. It then refuses all calls
   // while its configuration is not confirmed: other processes have the newest.
   void SetOverloaded(bool overloaded) { overloaded_ = overloaded; }
+  // Sets the number of live scheduler processes, this one included.
+  void SetProcesses(size_t processes) {
+    insert_limiter_.SetProcesses(processes);
+  }
   void OnCall(Time now, WallMillis wall, JobCall call, Outbox& outbox);
   // Drops a call whose caller has disconnected; it gets no answer. The job of a
   // submission may still be stored.
@@ -187,6 +192,7 @@
   std::map<PoolId, std::pair<OwnerHeartbeat, Time>> local_heartbeats_;
   uint64_t next_request_;
   Counters counters_;
+  InsertLimiter insert_limiter_;
   bool store_lost_ = false;
 };
 
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -628,6 +628,7 @@
       live.push_back({node.row.name, node.row.capacity});
   }
   leases_.SetCandidates(live);
+  request_handler_.SetProcesses(live.size());
   UpdateRelays(now);
 }
 
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -209,6 +209,46 @@
   }
 }
 
+// Guards against a pool without an owner at a peak: all processes insert the
+// jobs that the owner does not take, and fill the partition, so that no
+// successor can acquire the lease.
+TEST_CASE("a pool gets a new owner while callers submit more than it can store",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= 4; ++seed) {
+    INFO("seed " << seed);
+    JobSimulation simulation({.seed = seed,
+                              .nodes = 30,
+                              .servers_per_pool = 40,
+                              .jobs_per_second = 700});
+    simulation.Run(Seconds(6));
+    PoolId pool("alpha");
+    int first = simulation.OwnerOf(pool);
+    REQUIRE(first >= 0);
+    simulation.FreezeNode(first, Seconds(6));
+    Time frozen = simulation.now();
+    auto replaced = [&] {
+      for (int node = 0; node < 30; ++node) {
+        if (node != first && simulation.Owns(node, pool))
+          return true;
+      }
+      return false;
+    };
+    while (!replaced() && simulation.now() - frozen < Seconds(6))
+      simulation.Run(Milliseconds(50));
+    INFO(WholeMilliseconds(simulation.now() - frozen) << " ms");
+    REQUIRE(simulation.now() - frozen < Milliseconds(2500));
+    // Callers are served again soon.
+    simulation.Run(Milliseconds(1500));
+    JobSimulationCounts before = simulation.counts();
+    simulation.Run(Seconds(1));
+    uint64_t accepted = simulation.counts().accepted - before.accepted;
+    uint64_t refused = simulation.counts().refused - before.refused;
+    INFO("accepted " << accepted << ", refused " << refused);
+    REQUIRE(refused * 10 < accepted);
+    REQUIRE(simulation.violations().empty());
+  }
+}
+
 // Guards against a successor that waits for the whole lease length after its
 // first read of the lease row, although the owner stopped renewing it earlier.
 TEST_CASE("an owner that is cut off is replaced within 2 s", "[simulation]") {
