--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -508,7 +508,6 @@
 }
 
 std::vector<PoolSizingInput> FleetCoordinator::MakeSizingInputs(
-    Time now,
     const std::map<PoolId, PoolOwnerContact>& contacts) const {
   struct HostCounts {
     uint32_t hosts = 0;
@@ -548,7 +547,7 @@
       size.min_hosts = contact->second.heartbeat.min_servers;
     }
     size.spare_hosts = static_cast<uint32_t>(
-        FindMovableHosts(now, config.id, UINT32_MAX, {}, contacts).size());
+        FindMovableHosts(config.id, UINT32_MAX, {}, contacts).size());
     uint32_t emptying = CountHostsEmptyingFor(config.id);
     if (config.standby)
       size.spare_hosts += emptying;
@@ -560,13 +559,12 @@
 }
 
 std::vector<HostId> FleetCoordinator::FindMovableHosts(
-    Time now,
     const PoolId& pool,
     uint32_t count,
     std::span<const ZoneId> avoid,
     const std::map<PoolId, PoolOwnerContact>& contacts) const {
   std::vector<HostId> movable;
-  auto usable = [this, now, avoid](const HostId& id, const HostListing& host) {
+  auto usable = [this, avoid](const HostId& id, const HostListing& host) {
     bool avoided =
         std::find(avoid.begin(), avoid.end(), host.zone) != avoid.end();
     return host.state == ListedHostState::kUp &&
@@ -604,7 +602,7 @@
     return;
   }
   next_sizing_at_ = now + kSizingPeriod;
-  std::vector<PoolSizingInput> sizes = MakeSizingInputs(now, contacts);
+  std::vector<PoolSizingInput> sizes = MakeSizingInputs(contacts);
   auto limit = static_cast<uint32_t>(
       kMoveRateShare * options_.bounds.max_host_operations_per_second *
       ToSeconds(kSizingPeriod));
@@ -623,7 +621,7 @@
   if (target != contacts.end())
     avoid = target->second.heartbeat.silent_zones;
   std::vector<HostId> movable =
-      FindMovableHosts(now, moves.from, moves.count, avoid, contacts);
+      FindMovableHosts(moves.from, moves.count, avoid, contacts);
   for (const HostId& host : movable) {
     HostOperation& operation = AddHostOperation(now, host);
     operation.kind = HostOperationKind::kMove;
--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -179,12 +179,10 @@
   // maintenance unless the caller changes its kind.
   HostOperation& AddHostOperation(Time now, const HostId& host);
   std::vector<PoolSizingInput> MakeSizingInputs(
-      Time now,
       const std::map<PoolId, PoolOwnerContact>& contacts) const;
   // Returns up to `count` hosts of the pool that can be moved and are not in
   // the zones `avoid`.
   std::vector<HostId> FindMovableHosts(
-      Time now,
       const PoolId& pool,
       uint32_t count,
       std::span<const ZoneId> avoid,
