--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,5 +1,6 @@
-// MIXED: a queue moves to another service. The jobs that wait on the earlier
-// service are no longer counted as pending.
+// LOST: a queue moves to another service. Reading and cancelling a job that was
+// accepted before is then answered with 410, although the job is stored and
+// runs on.
 
 #include <cstdlib>
 #include <iostream>
@@ -14,19 +15,9 @@
 constexpr int kHeld = 0;
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
-constexpr int kJobs = 12;
-// More cores than a worker has, so that no work item can begin.
-constexpr int kTooMuchCpu = 20000;
-constexpr Duration kApply = Milliseconds(2000);           // config_apply_ms
-constexpr Duration kVisible = Milliseconds(3000 + 2000);  // visible_ms + 2 s
-
-// Returns the count in {"pending":N}, or -1.
-int PendingIn(const std::string& body) {
-  size_t colon = body.find(':');
-  return body.starts_with("{\"pending\"") && colon != std::string::npos
-             ? std::atoi(body.c_str() + colon + 1)  // NOLINT(cert-err34-c)
-             : -1;
-}
+constexpr Duration kApply = Milliseconds(2000);   // config_apply_ms
+constexpr Duration kCancel = Milliseconds(3000);  // cancel_ms
+constexpr Duration kStop = Milliseconds(200);     // stop_ms
 
 int Run() {
   bool trouble = TroubleWanted();
@@ -36,37 +27,45 @@
   site.SetRoutes({prices, bulletins});
   if (!site.StartProcesses())
     return kCouldNotRun;
-  for (int i = 0; i < kJobs; ++i) {
-    std::string path = "/prices/" + JobIdText(static_cast<uint64_t>(i) + 1);
-    if (site.SendAndWait(i % 3, "POST", path, JobBody(2, kTooMuchCpu, 100, 500))
-            .first != 200)
-      return kCouldNotRun;
-  }
-  site.RunFor(kVisible);
-  for (int process = 0; process < 3; ++process) {
-    auto [status, body] = site.SendAndWait(process, "GET", "/prices/");
-    if (status != 200 || PendingIn(body) != kJobs)
-      return kCouldNotRun;
-  }
+  std::string ended_job = JobIdText(1);
+  std::string long_job = JobIdText(2);
+  std::string ended_path = "/prices/" + ended_job;
+  std::string long_path = "/prices/" + long_job;
+  if (site.SendAndWait(0, "POST", ended_path, JobBody(4, 500, 100, 400))
+              .first != 200 ||
+      site.SendAndWait(1, "POST", long_path, JobBody(4, 500, 100, 25000))
+              .first != 200)
+    return kCouldNotRun;
+  site.RunFor(Seconds(4));  // visible_ms and more
+  bool shown =
+      StateIn(site.SendAndWait(0, "GET", ended_path).second) == "completed" &&
+      StateIn(site.SendAndWait(1, "GET", long_path).second) == "in_progress";
+  if (!shown)
+    return kCouldNotRun;
   // Without the disruption, the change of the configuration is another one.
   if (trouble)
     prices.service = "beta";
   else
     prices.slo_ms = 900;
   site.SetRoutes({prices, bulletins});
-  site.RunFor(kApply + Seconds(3));
-  int wrong = 0;
+  site.RunFor(kApply + Milliseconds(500));
+  int gone = 0;
   for (int process = 0; process < 3; ++process) {
-    auto [status, body] = site.SendAndWait(process, "GET", "/prices/");
-    wrong += status == 200 && PendingIn(body) * 2 < kJobs ? 1 : 0;
+    gone += site.SendAndWait(process, "GET", ended_path).first == 410 ? 1 : 0;
+    gone += site.SendAndWait(process, "GET", long_path).first == 410 ? 1 : 0;
   }
-  site.Record(std::to_string(wrong) +
-              " of 3 processes give under half of the " +
-              std::to_string(kJobs) + " jobs as pending; " +
-              std::to_string(site.runs().size()) + " work items have begun");
-  if (site.process_ends() > 0 || !site.runs().empty())
+  unsigned cancel = site.SendAndWait(0, "DELETE", long_path).first;
+  site.RunFor(kCancel + kStop);
+  int running = site.RunningItems(long_job);
+  site.Record(std::to_string(gone) +
+              " of 6 reads of accepted jobs, which nobody had cancelled, were "
+              "answered with 410");
+  site.Record("the cancelling was answered with " + std::to_string(cancel) +
+              "; " + std::to_string(running) +
+              " work items of the job run on after cancel_ms + stop_ms");
+  if (site.process_ends() > 0)
     return kCouldNotRun;
-  return wrong > 0 ? kBroken : kHeld;
+  return gone > 0 ? kBroken : kHeld;
 }
 
 }  // namespace
--- a/review/stand-in-2/review_site.cc
+++ b/review/stand-in-2/review_site.cc
@@ -316,7 +316,7 @@
       continue;
     ++process_ends_;
     process.pid = 0;
-    Record("process edge-" + std::to_string(i) + " ended by itself, status " +
+    Record("process edge-" + std::to_string(i) + " ended, status " +
            std::to_string(status));
     loop_.RunAfter(kRestartDelay,
                    [this, i] { StartProcess(static_cast<int>(i)); });
@@ -324,6 +324,12 @@
   loop_.RunAfter(Milliseconds(100), [this] { CheckProcesses(); });
 }
 
+void ReviewSite::KillProcess(int index) {
+  Record("kill process edge-" + std::to_string(index));
+  --process_ends_;
+  ::kill(processes_[static_cast<size_t>(index)].pid, SIGKILL);
+}
+
 bool ReviewSite::StartProcesses() {
   processes_.resize(static_cast<size_t>(options_.processes));
   for (int i = 0; i < options_.processes; ++i) {
--- a/review/stand-in-2/review_site.h
+++ b/review/stand-in-2/review_site.h
@@ -74,6 +74,9 @@
   // Starts the processes and waits until all are ready. Returns false if they
   // are not ready within 15 s.
   bool StartProcesses();
+  // Kills a process (SIGKILL). It starts again after a short delay, and does
+  // not count as one that ended by itself.
+  void KillProcess(int index);
   // Writes a configuration with these routes and the next version.
   void SetRoutes(const std::vector<Route>& routes);
   // Sends a request to a process as a caller would. The callback is called
