Reproduce the stops that a next owner does not know of

The model plays handovers in series beside waves, moves, drains and cuts of servers, with stops that take their full time, and counts at the servers which tasks of a step are missing. Waves of the model begin one after the other, and runs whose lease has expired do not count as ended by a call of the coordinator.

--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -12,7 +12,16 @@
 // refuses more once the waiting ones need longer than kMaxPartitionWait.
 constexpr Duration kTransactionTime = Milliseconds(5);
 constexpr Duration kMaxPartitionWait = Seconds(1);
-constexpr Duration kRunStopTime = Milliseconds(100);
+// A task that has not been at work for this long counts as missing.
+constexpr Duration kMissingNotice = Milliseconds(4500);
+constexpr uint32_t kLastingTasks = 4;
+// Range of the times that a drained server stays, and until it comes back.
+constexpr Duration kMinDrainTime = Seconds(2);
+constexpr Duration kMaxDrainTime = Seconds(6);
+constexpr Duration kAbsenceAfterDrain = Seconds(3);
+// Range of the time for which a handover stops a process.
+constexpr Duration kMinHandoverPause = Milliseconds(300);
+constexpr Duration kMaxHandoverPause = Seconds(3);
 // A gang whose members do not all run after this time ends.
 constexpr Duration kMaxGangWait = Seconds(3);
 constexpr Duration kMaintenanceTime = Seconds(2);
@@ -111,7 +120,8 @@
   Resources capacity{16000, 65536, 0};
   bool up = false;
   bool maintenance = false;
-  bool maintained = false;  // In the only wave.
+  uint64_t maintenance_wave = 0;  // The wave of the last maintenance.
+  bool maintained = false;        // In the last wave.
   bool moving = false;
   // The fleet coordinator's last call for the host that was carried out.
   FencingToken last_call_token = 0;
@@ -121,6 +131,7 @@
   WallMillis incarnation_started_at = 0;
   Time started_at;
   ServerMillis clock_start = 0;
+  bool draining = false;
   Time cut_until;  // No node reaches the server before this time.
   double clock_rate = 1;
   Time ended_at;
@@ -137,6 +148,14 @@
 };
 
 struct JobSimulation::Caller {
+  // A task of a long-running step as its server sees it.
+  struct LongRunningTask {
+    // An order ended the task's last run. The task is missing until a later run
+    // is at work.
+    bool ended_by_order = false;
+    Time last_at_work;
+  };
+
   JobId id;
   QueueId queue;
   PoolId pool;
@@ -170,12 +189,15 @@
   std::map<TaskId, std::set<RunNumber>> acknowledged_failures;
   Time last_call_at;
   Time submitted_at;
+  bool cancel_sent = false;
+  std::map<TaskId, LongRunningTask> long_running_tasks;
 };
 
 JobSimulation::JobSimulation(const JobSimulationOptions& options)
     : options_(options),
       random_(options.seed),
       clock_random_(options.seed),
+      handover_random_(options.seed),
       adviser_(options.adviser) {
   table_.SetRowLimit(kRowLimit);
   config_.version = 1;
@@ -217,12 +239,8 @@
   }
   for (int i = 0; i < options.nodes; ++i)
     ScheduleAfter(Milliseconds(50 * i), [this, i] { StartNode(i); });
-  if (options.wave) {
-    MaintenanceWave wave{1, {}, Seconds(25), 2};
-    for (size_t i = 0; i < servers_.size(); i += 2)
-      wave.hosts.push_back(servers_[i]->host);
-    waves_.push_back(std::move(wave));
-  }
+  if (options.waves > 0)
+    StartWave();
 }
 
 JobSimulation::~JobSimulation() = default;
@@ -345,8 +363,10 @@
   } else if (auto* host_call = std::get_if<HostCall>(&action)) {
     PerformHostCall(index, incarnation_number, *host_call);
   } else if (auto* report = std::get_if<ReportWave>(&action)) {
-    if (report->completed)
-      completed_waves_.insert(report->wave);
+    bool completed =
+        report->completed && completed_waves_.insert(report->wave).second;
+    if (completed && waves_.size() < static_cast<size_t>(options_.waves))
+      StartWave();
     ScheduleAfter(
         RandomLatency(), [this, index, incarnation_number, tag = report->tag] {
           RunOnNode(index, incarnation_number, [this, tag](NodeCore& core) {
@@ -510,7 +530,7 @@
     reply.version = config_.version;
     if (watch.after < config_.version)
       reply.config = config_;
-    if (watch.after == 0)
+    if (watch.after < config_.version)
       reply.waves = waves_;
   }
   ScheduleAfter(delay, [this, index, incarnation_number, reply] {
@@ -593,6 +613,10 @@
   CheckHostCall(server, caller, call.token, sent_at);
   if (move != nullptr && move->pool == server.pool)
     return reply;  // The host has been moved already.
+  if (maintain != nullptr && maintain->wave != waves_.back().number) {
+    reply.outcome = HostOutcome::kWrongWave;
+    return reply;
+  }
   if (maintain != nullptr && server.maintained && !server.maintenance)
     return reply;  // The host has been maintained already.
   bool standby = server.pool == PoolId("spare");
@@ -606,6 +630,7 @@
   bool caller_acts = coordinator >= 0 &&
                      nodes_[static_cast<size_t>(coordinator)]->name == caller;
   bool held_up = sent_at < now_ && !caller_acts;
+  EndRunsIfLeaseExpired(server);
   for (const auto& [task, run] : server.running) {
     auto job = callers_.find(task.job);
     if (!held_up && job != callers_.end() && !job->second->cancelled &&
@@ -645,12 +670,25 @@
   server.last_call_at = std::max(server.last_call_at, sent_at);
 }
 
+void JobSimulation::StartWave() {
+  MaintenanceWave wave{waves_.size() + 1, {}, Seconds(25), 2};
+  for (size_t i = waves_.size() % 2; i < servers_.size(); i += 2) {
+    wave.hosts.push_back(servers_[i]->host);
+    servers_[i]->maintained = false;
+  }
+  waves_.push_back(std::move(wave));
+  ++config_.version;
+}
+
 void JobSimulation::MaintainServer(size_t index) {
   int down = 0;
+  const MaintenanceWave& wave = waves_.back();
   for (const auto& other : servers_)
-    down += other->maintenance ? 1 : 0;
-  if (down >= static_cast<int>(waves_.front().max_at_once))
+    down +=
+        other->maintenance && other->maintenance_wave == wave.number ? 1 : 0;
+  if (down >= static_cast<int>(wave.max_at_once))
     AddViolation("more hosts under maintenance than the wave allows");
+  servers_[index]->maintenance_wave = wave.number;
   ++counts_.maintained_hosts;
   servers_[index]->maintenance = servers_[index]->maintained = true;
   ScheduleAfter(kMaintenanceTime, [this, index] {
@@ -731,6 +769,7 @@
     listing.zone = ZoneId("z");
     listing.capacity = server->capacity;
     listing.incarnation_started_at = server->incarnation_started_at;
+    listing.draining = server->draining;
     listings.push_back(std::move(listing));
   }
   return listings;
@@ -740,6 +779,7 @@
   Server& server = *servers_[index];
   server.id = std::move(id);
   server.up = true;
+  server.draining = false;
   ++server.incarnation_number;
   server.incarnation_started_at =
       wall() + static_cast<WallMillis>(server.incarnation_number);
@@ -757,6 +797,11 @@
 }
 
 void JobSimulation::EndServer(Server& server) {
+  for (const auto& [task, run] : server.running) {
+    auto caller = callers_.find(task.job);
+    if (caller != callers_.end() && IsAtWork(server, task))
+      caller->second->long_running_tasks[task] = {false, now_};
+  }
   server.up = false;
   server.ended_at = now_;
   for (const auto& [task, run] : std::exchange(server.running, {})) {
@@ -896,10 +941,11 @@
     auto it = server.running.find(stop->task);
     if (it != server.running.end() && it->second.run <= stop->run &&
         !it->second.stopping) {
+      OnRunEndedByOrder(server, stop->task, late);
       it->second.stopping = true;
-      ScheduleAfter(kRunStopTime, [this, &server, task = stop->task,
-                                   incarnation_number =
-                                       server.incarnation_number] {
+      ScheduleAfter(options_.run_stop_time, [this, &server, task = stop->task,
+                                             incarnation_number =
+                                                 server.incarnation_number] {
         if (server.up && server.incarnation_number == incarnation_number &&
             server.running.contains(task) && server.running.at(task).stopping)
           EndRun(server, task, RunEnd::kStopped);
@@ -935,8 +981,9 @@
           caller != callers_.end() && caller->second->spec.long_running();
       reply.running.push_back(
           {task, run.run, run.checkpoint,
-           long_running ? 100
-                        : std::min(99u, static_cast<uint32_t>(share * 100)),
+           long_running
+               ? (now_ - run.started_at >= options_.startup_time ? 100u : 0u)
+               : std::min(99u, static_cast<uint32_t>(share * 100)),
            0});
     }
     reply.ended = server.ended;
@@ -1148,9 +1195,67 @@
                  " starts after its last allowed attempt failed");
 }
 
+bool JobSimulation::IsAtWork(const Server& server, const TaskId& task) const {
+  auto caller = callers_.find(task.job);
+  auto run = server.running.find(task);
+  return server.up && caller != callers_.end() && run != server.running.end() &&
+         !run->second.stopping &&
+         caller->second->spec.steps[task.step].long_running &&
+         now_ - run->second.started_at >= options_.startup_time;
+}
+
+bool JobSimulation::IsAtWork(const TaskId& task) const {
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& server) {
+    return IsAtWork(*server, task);
+  });
+}
+
+void JobSimulation::OnRunEndedByOrder(const Server& server,
+                                      const TaskId& task,
+                                      bool late) {
+  auto found = callers_.find(task.job);
+  if (found == callers_.end() ||
+      !found->second->spec.steps[task.step].long_running)
+    return;
+  Caller& caller = *found->second;
+  bool at_work = IsAtWork(server, task);
+  ++(at_work ? counts_.working_runs_stopped : counts_.starting_runs_stopped);
+  // Runs whose lease has expired by their server's clock do not count.
+  for (const auto& other : servers_) {
+    if (other.get() != &server)
+      EndRunsIfLeaseExpired(*other);
+  }
+  uint32_t missing = 0;
+  std::string names;
+  const StepSpec& step = caller.spec.steps[task.step];
+  for (uint32_t i = 0; i < step.count; ++i) {
+    TaskId other{task.job, task.occurrence, task.step, i};
+    if (other == task || IsAtWork(other))
+      continue;
+    auto [state, added] = caller.long_running_tasks.try_emplace(other);
+    if (added)
+      state->second.last_at_work = caller.accepted_at;
+    if (!state->second.ended_by_order &&
+        now_ - state->second.last_at_work < kMissingNotice)
+      continue;
+    ++missing;
+    names += " " + FormatTask(other);
+  }
+  auto& state = caller.long_running_tasks[task];
+  state.ended_by_order = true;
+  if (at_work)
+    state.last_at_work = now_;
+  if (at_work && !late && !server.draining && !caller.cancel_sent &&
+      missing >= step.allowed_missing)
+    AddViolation(FormatTask(task) +
+                 " is stopped while others are missing:" + names);
+}
+
 void JobSimulation::EndRun(Server& server, const TaskId& task, RunEnd end) {
   auto it = server.running.find(task);
   RunNumber run = it->second.run;
+  if (IsAtWork(server, task))
+    callers_.at(task.job)->long_running_tasks[task] = {false, now_};
   server.running.erase(it);
   RunNumber& highest_ended = server.highest_ended_run[task];
   highest_ended = std::max(highest_ended, run);
@@ -1189,6 +1294,8 @@
   if (!server.up || ServerClock(server) <= server.lease_until)
     return;
   server.lease_expired_at = now_;
+  Time expired_at =
+      now_ - Milliseconds(ServerClock(server) - server.lease_until);
   std::vector<TaskId> tasks;
   for (const auto& [task, run] : server.running)
     tasks.push_back(task);
@@ -1198,7 +1305,10 @@
     if (!server.running.contains(task))
       continue;
     ++counts_.runs_lease_expired;
+    bool at_work = IsAtWork(server, task);
     EndRun(server, task, RunEnd::kLeaseExpired);
+    if (at_work)
+      callers_.at(task.job)->long_running_tasks[task].last_at_work = expired_at;
   }
 }
 
@@ -1277,7 +1387,31 @@
            radishmoor::SubmitJob{"jobs.example", added.path, added.spec});
 }
 
+void JobSimulation::SubmitLastingJob() {
+  auto caller = std::make_unique<Caller>();
+  caller->id = JobId(Hex(handover_random_.Next()));
+  const QueueConfig& queue =
+      all_queues_[handover_random_.Below(all_queues_.size())];
+  caller->queue = queue.id;
+  caller->pool = queue.pool;
+  caller->path = queue.path_prefix + caller->id.str();
+  StepSpec step;
+  step.count = kLastingTasks;
+  step.request = {3000, 1000, 0};
+  step.estimate = options_.startup_time;
+  step.long_running = true;
+  step.allowed_missing = 1;
+  caller->spec.steps = {step};
+  caller->submitted_at = now_;
+  Caller& added = *caller;
+  callers_[added.id] = std::move(caller);
+  SendCall(added,
+           radishmoor::SubmitJob{"jobs.example", added.path, added.spec});
+}
+
 void JobSimulation::SendCall(Caller& caller, JobCallRequest request) {
+  caller.cancel_sent =
+      caller.cancel_sent || std::holds_alternative<CancelJob>(request);
   int index = static_cast<int>(random_.Below(nodes_.size()));
   Node& node = *nodes_[static_cast<size_t>(index)];
   JobCall call;
@@ -1583,6 +1717,69 @@
               random_.Between(kMinRestartTime, kMaxRestartTime), true);
 }
 
+void JobSimulation::ScheduleFault(Duration period,
+                                  void (JobSimulation::*fault)()) {
+  if (!handovers_enabled_ || period == Duration::zero())
+    return;
+  ScheduleAfter(handover_random_.Exponential(period), [this, period, fault] {
+    if (!handovers_enabled_)
+      return;
+    ScheduleFault(period, fault);
+    (this->*fault)();
+  });
+}
+
+void JobSimulation::HandOver(int node, HandoverKind kind) {
+  ++counts_.handovers;
+  Duration pause =
+      handover_random_.Between(kMinHandoverPause, kMaxHandoverPause);
+  switch (kind) {
+    case HandoverKind::kShutdown:
+      StopNode(node);
+      break;
+    case HandoverKind::kKill:
+      KillNode(node, pause);
+      break;
+    case HandoverKind::kFreeze:
+      FreezeNode(node, pause);
+      break;
+    case HandoverKind::kCut:
+      CutNodeOff(node, pause);
+      break;
+  }
+}
+
+void JobSimulation::HandOverRandomly() {
+  uint64_t choice = handover_random_.Below(3);
+  int node =
+      choice == 2 ? FleetCoordinatorNode() : OwnerOf(config_.pools[choice].id);
+  HandoverKind kind = options_.handover_kinds[handover_random_.Below(
+      options_.handover_kinds.size())];
+  if (node >= 0)
+    HandOver(node, kind);
+}
+
+void JobSimulation::DrainServer(int index) {
+  Server& server = *servers_[static_cast<size_t>(index)];
+  if (!server.up || server.draining || server.moving || server.maintenance)
+    return;
+  server.draining = true;
+  ScheduleAfter(handover_random_.Between(kMinDrainTime, kMaxDrainTime),
+                [this, index, &server, number = server.incarnation_number] {
+                  if (server.incarnation_number == number)
+                    CrashServer(index, kAbsenceAfterDrain, false);
+                });
+}
+
+void JobSimulation::DrainRandomServer() {
+  DrainServer(static_cast<int>(handover_random_.Below(servers_.size())));
+}
+
+void JobSimulation::CutRandomServer() {
+  CutServer(static_cast<int>(handover_random_.Below(servers_.size())),
+            handover_random_.Between(kMinServerCut, kMaxServerCut));
+}
+
 void JobSimulation::SetQueueConfigured(const PoolId& pool, bool configured) {
   std::erase_if(config_.queues, [&pool](const QueueConfig& queue) {
     return queue.pool == pool;
@@ -1666,6 +1863,15 @@
     ScheduleAfter(Seconds(3), [this] { MoveRandomQueue(); });
     ScheduleAfter(Seconds(3), [this] { QueryPending(); });
   }
+  if (!handovers_enabled_) {
+    handovers_enabled_ = true;
+    for (int i = 0; i < options_.lasting_jobs; ++i)
+      ScheduleAfter(Seconds(2), [this] { SubmitLastingJob(); });
+    ScheduleFault(options_.handover_period, &JobSimulation::HandOverRandomly);
+    ScheduleFault(options_.server_drain_period,
+                  &JobSimulation::DrainRandomServer);
+    ScheduleFault(options_.server_cut_period, &JobSimulation::CutRandomServer);
+  }
   if (options_.queue_removal_period > Duration::zero() &&
       !queue_removals_enabled_) {
     queue_removals_enabled_ = true;
@@ -1677,7 +1883,7 @@
 void JobSimulation::FinishJobs() {
   submissions_enabled_ = false;
   faults_enabled_ = server_restarts_enabled_ = queue_removals_enabled_ = false;
-  queue_moves_enabled_ = false;
+  queue_moves_enabled_ = handovers_enabled_ = false;
   options_.lost_answer_share = 0;
   options_.late_order_share = 0;
   RunUntil(now_ + Seconds(40));
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -27,6 +27,9 @@
 
 namespace radishmoor {
 
+// How a process loses its pools and the coordination of the fleet.
+enum class HandoverKind : uint8_t { kShutdown, kKill, kFreeze, kCut };
+
 struct JobSimulationOptions {
   uint64_t seed = 1;
   int nodes = 4;
@@ -72,8 +75,28 @@
   double gang_share = 0;
   // Without a pool for spare servers, no server leaves the other pools.
   bool spare_pool = true;
-  // Adds a maintenance wave over every second server's host.
-  bool wave = false;
+  // Number of maintenance waves, each of which begins when the one before it is
+  // complete. They take in every second server's host by turns.
+  int waves = 0;
+  // Number of jobs with one long-running step that are submitted at the start
+  // and are not cancelled. Of the step's tasks, one may be missing.
+  int lasting_jobs = 0;
+  // How long a run goes on after the order to stop it has arrived.
+  Duration run_stop_time = Milliseconds(100);
+  // A run of a long-running step is at work this long after its start.
+  Duration startup_time{};
+  // Mean time between handovers: the owner of a random pool, or the fleet
+  // coordinator, is shut down, killed, frozen or cut off, as `handover_kinds`
+  // says. Zero for none.
+  Duration handover_period{};
+  // Kinds that are chosen from at random; see JobSimulation::HandOver().
+  std::vector<HandoverKind> handover_kinds = {HandoverKind::kShutdown};
+  // Mean time between announcements of servers that they drain, after which
+  // they leave; zero for none. Each comes back under another id.
+  Duration server_drain_period{};
+  // Mean time between cuts of servers from all nodes, each for some seconds;
+  // zero for none.
+  Duration server_cut_period{};
   // Rate of orders from which on an owner has other nodes send them.
   double relay_orders_per_second = NodeOptions{}.relay_orders_per_second;
   // If set, gets each line that a node logs.
@@ -97,6 +120,11 @@
   uint64_t bad_tickets = 0;  // Starts that were refused for want of a ticket.
   uint64_t maintained_hosts = 0;  // Maintenance calls that were performed.
   uint64_t moved_hosts = 0;       // Moves that were performed.
+  uint64_t handovers = 0;         // Of JobSimulationOptions::handover_period.
+  // Orders that stopped a run of a long-running step that was at work.
+  uint64_t working_runs_stopped = 0;
+  // Runs of long-running steps that were stopped before they were at work.
+  uint64_t starting_runs_stopped = 0;
   // Calls to the host API that were delivered when a cut healed.
   uint64_t delayed_host_calls = 0;
   // Steps that started after another one, and the sum of the times from the end
@@ -135,6 +163,10 @@
   void CutNodeFromServers(int node, Duration length);
   // Cuts the node off from the store, the servers and the other nodes.
   void CutNodeOff(int node, Duration length);
+  // Takes the node's pools from it in one of the ways above.
+  void HandOver(int node, HandoverKind kind);
+  // Announces that the server drains; it leaves some seconds later.
+  void DrainServer(int server);
   // Starts the server again after `down`, with the same id or a new one.
   void CrashServer(int server, Duration down, bool same_id);
   void StoreOutage(Duration length);
@@ -224,6 +256,7 @@
                      const MemberId& caller,
                      FencingToken token,
                      Time sent_at);
+  void StartWave();
   void MaintainServer(size_t index);
   void MoveServer(size_t index, const PoolId& pool);
   void StartServerUnlessStandby(size_t index);
@@ -246,6 +279,12 @@
   // far as the owner has acknowledged the failures.
   void CheckAttempts(const Caller& caller, const TaskId& task);
   void EndRun(Server& server, const TaskId& task, RunEnd end);
+  // Returns whether a run of the long-running task is at work.
+  bool IsAtWork(const TaskId& task) const;
+  bool IsAtWork(const Server& server, const TaskId& task) const;
+  // Records that an order ends the run of a long-running task on the server,
+  // and checks that its step keeps its allowance of missing tasks.
+  void OnRunEndedByOrder(const Server& server, const TaskId& task, bool late);
   // Returns how many members of the gang run under this number.
   uint32_t GangMembers(const TaskId& task, RunNumber run) const;
   // Lets the gang work from now on if all of its members run, or ends the run
@@ -258,11 +297,18 @@
   ServerMillis ServerClock(const Server& server) const;
 
   void SubmitJob();
+  void SubmitLastingJob();
   void SendCall(Caller& caller, JobCallRequest request);
   void OnCallAnswer(const JobCallAnswer& answer);
   void PollJob(const JobId& id);
   void RandomFault();
   void RestartRandomServer();
+  void HandOverRandomly();
+  void DrainRandomServer();
+  void CutRandomServer();
+  // Schedules `fault` after a random time of mean `period`, if the period is
+  // not zero and faults of these kinds are enabled.
+  void ScheduleFault(Duration period, void (JobSimulation::*fault)());
   void RemoveRandomQueue();
   void MoveRandomQueue();
   // Asks a node for the length of each queue, now and periodically.
@@ -272,7 +318,8 @@
 
   JobSimulationOptions options_;
   Random random_;
-  Random clock_random_;  // For the clocks of backend servers.
+  Random clock_random_;     // For the clocks of backend servers.
+  Random handover_random_;  // For handovers, drains and cuts of servers.
   SimulatedAdviser adviser_;
   Duration longest_wait_{};
   Time now_ = kTimeZero + Seconds(1000);
@@ -303,6 +350,7 @@
   bool server_restarts_enabled_ = false;
   bool queue_removals_enabled_ = false;
   bool queue_moves_enabled_ = false;
+  bool handovers_enabled_ = false;
   bool submissions_enabled_ = false;
   bool submission_scheduled_ = false;
   std::vector<std::string> violations_;
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -303,8 +303,7 @@
 TEST_CASE("a wave empties each host before its maintenance", "[simulation]") {
   for (uint64_t seed = 1; seed <= 3; ++seed) {
     INFO("seed " << seed);
-    JobSimulation simulation(
-        {.seed = seed, .jobs_per_second = 3, .wave = true});
+    JobSimulation simulation({.seed = seed, .jobs_per_second = 3, .waves = 1});
     simulation.Run(Seconds(40));
     simulation.FinishJobs();
     RequireNoViolations(simulation);
@@ -312,6 +311,82 @@
   }
 }
 
+// A site whose servers are emptied one after the other by waves and moves while
+// pools and the coordination of the fleet change hands.
+JobSimulationOptions SiteWithHandovers(uint64_t seed) {
+  JobSimulationOptions options{.seed = seed};
+  options.nodes = 5;
+  options.servers_per_pool = 8;
+  options.jobs_per_second = 4;
+  options.waves = 6;
+  options.lasting_jobs = 8;
+  options.run_stop_time = Milliseconds(900);
+  options.startup_time = Milliseconds(500);
+  options.handover_period = Milliseconds(800);
+  return options;
+}
+
+constexpr uint64_t kHandoverSeeds = 40;
+
+// Requires that no step has more tasks missing than it allows.
+void RequireAllowanceIsKept(const JobSimulationOptions& options) {
+  INFO("seed " << options.seed);
+  JobSimulation simulation(options);
+  simulation.Run(Seconds(40));
+  simulation.FinishJobs();
+  RequireNoViolations(simulation);
+  REQUIRE(simulation.counts().handovers > 10);
+  REQUIRE(simulation.counts().working_runs_stopped > 10);
+}
+
+// Guards against a stop that the next owner does not know of: it counts the
+// task as available and stops another one of its step.
+TEST_CASE("a step keeps its allowance of missing tasks over planned handovers",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= kHandoverSeeds; ++seed)
+    RequireAllowanceIsKept(SiteWithHandovers(seed));
+}
+
+// Guards against the same while servers drain and leave, or are cut off.
+TEST_CASE("a step keeps its allowance of missing tasks while servers leave",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= kHandoverSeeds; ++seed) {
+    JobSimulationOptions options = SiteWithHandovers(seed);
+    if (seed % 2 == 0)
+      options.server_drain_period = Seconds(3);
+    else
+      options.server_cut_period = Seconds(2);
+    RequireAllowanceIsKept(options);
+  }
+}
+
+// Guards against the same when an owner is lost between its decision, the
+// commit that stores it, and its order, or orders are late.
+TEST_CASE("a step keeps its allowance of missing tasks when owners are lost",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= kHandoverSeeds; ++seed) {
+    JobSimulationOptions options = SiteWithHandovers(seed);
+    options.handover_kinds = {HandoverKind::kShutdown, HandoverKind::kKill,
+                              HandoverKind::kFreeze, HandoverKind::kCut};
+    options.lost_answer_share = 0.05;
+    options.late_order_share = 0.03;
+    options.server_drain_period = Seconds(3);
+    RequireAllowanceIsKept(options);
+  }
+}
+
+// Guards against the same when other processes send the owner's stops.
+TEST_CASE("a step keeps its allowance of missing tasks when orders are relayed",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= kHandoverSeeds; ++seed) {
+    JobSimulationOptions options = SiteWithHandovers(seed);
+    options.handover_kinds = {HandoverKind::kShutdown, HandoverKind::kKill,
+                              HandoverKind::kFreeze, HandoverKind::kCut};
+    options.relay_orders_per_second = 0;
+    RequireAllowanceIsKept(options);
+  }
+}
+
 // Guards against tasks that run twice after two quick changes of a pool's
 // owner. The first owner is cut off from the store, but still extends the
 // leases of its runs. Its successor stops and releases the pool's lease. The
@@ -484,7 +559,7 @@
                               .nodes = 5,
                               .servers_per_pool = 12,
                               .jobs_per_second = 30,
-                              .wave = true});
+                              .waves = 1});
     simulation.Run(Seconds(4));
     for (int round = 0; round < 5; ++round) {
       int coordinator = simulation.FleetCoordinatorNode();
@@ -512,7 +587,7 @@
                               .servers_per_pool = 12,
                               .jobs_per_second = 3,
                               .late_maintenance_share = 0.5,
-                              .wave = true});
+                              .waves = 1});
     simulation.Run(Seconds(4));
     for (int round = 0; round < 5; ++round) {
       int coordinator = simulation.FleetCoordinatorNode();
--- a/radishmoor/jobs/testing/job_soak_bench.cc
+++ b/radishmoor/jobs/testing/job_soak_bench.cc
@@ -32,7 +32,7 @@
   options.failing_run_share = seed % 3 == 2 ? 0.1 : 0.02;
   options.lost_answer_share = seed % 3 == 0 ? 0.15 : 0.02;
   options.late_order_share = seed % 2 == 0 ? 0.05 : 0.0;
-  options.wave = seed % 4 == 0;
+  options.waves = seed % 4 == 0 ? 1 : 0;
   options.late_maintenance_share = seed % 3 == 1 ? 0.3 : 0.0;
   // Hosts move between pools only if these have more than the minimum.
   options.servers_per_pool = seed % 5 == 0 ? 8 : 4;
