Store the stop of a long-running task before it is sent

A stop was known to the memory of the owner that sent it. Until the run's end was listed, up to the stop time of 0.9 s later, the next owner took the run for available and stopped another task of the step.

The decision is now part of the job's stored progress, and the stop is sent after that commit. The commit chain makes decisions of successive owners follow each other, so that a release, a kill between decision and order, a freeze and a cut all leave the next owner with the same count. The budget is asked again when the stop is sent, since time may have passed: the stop had to be stored, it is repeated, or an earlier owner decided it, and a draining server may have taken another task meanwhile. A run counts as available only if its server has listed it in the last 2.5 s. Task::displaced and unavailable_since, which nothing read, are gone.

--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -44,6 +44,7 @@
 struct Run {
   1: i32 number
   2: string server
+  3: bool stop_wanted
 }
 
 struct Task {
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -920,6 +920,10 @@
 void Run::__set_server(const std::string& val) {
   this->server = val;
 }
+
+void Run::__set_stop_wanted(const bool val) {
+  this->stop_wanted = val;
+}
 std::ostream& operator<<(std::ostream& out, const Run& obj)
 {
   obj.printTo(out);
@@ -964,6 +968,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stop_wanted);
+          this->__isset.stop_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -989,6 +1001,10 @@
   xfer += oprot->writeString(this->server);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("stop_wanted", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->stop_wanted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -998,28 +1014,33 @@
   using ::std::swap;
   swap(a.number, b.number);
   swap(a.server, b.server);
+  swap(a.stop_wanted, b.stop_wanted);
   swap(a.__isset, b.__isset);
 }
 
 Run::Run(const Run& other24) {
   number = other24.number;
   server = other24.server;
+  stop_wanted = other24.stop_wanted;
   __isset = other24.__isset;
 }
 Run::Run(Run&& other25) noexcept {
   number = other25.number;
   server = std::move(other25.server);
+  stop_wanted = other25.stop_wanted;
   __isset = other25.__isset;
 }
 Run& Run::operator=(const Run& other26) {
   number = other26.number;
   server = other26.server;
+  stop_wanted = other26.stop_wanted;
   __isset = other26.__isset;
   return *this;
 }
 Run& Run::operator=(Run&& other27) noexcept {
   number = other27.number;
   server = std::move(other27.server);
+  stop_wanted = other27.stop_wanted;
   __isset = other27.__isset;
   return *this;
 }
@@ -1028,6 +1049,7 @@
   out << "Run(";
   out << "number=" << to_string(number);
   out << ", " << "server=" << to_string(server);
+  out << ", " << "stop_wanted=" << to_string(stop_wanted);
   out << ")";
 }
 
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -383,9 +383,10 @@
 std::ostream& operator<<(std::ostream& out, const Job& obj);
 
 typedef struct _Run__isset {
-  _Run__isset() : number(false), server(false) {}
+  _Run__isset() : number(false), server(false), stop_wanted(false) {}
   bool number :1;
   bool server :1;
+  bool stop_wanted :1;
 } _Run__isset;
 
 class Run : public virtual ::apache::thrift::TBase {
@@ -397,12 +398,14 @@
   Run& operator=(Run&&) noexcept;
   Run() noexcept
       : number(0),
-        server() {
+        server(),
+        stop_wanted(0) {
   }
 
   virtual ~Run() noexcept;
   int32_t number;
   std::string server;
+  bool stop_wanted;
 
   _Run__isset __isset;
 
@@ -410,12 +413,16 @@
 
   void __set_server(const std::string& val);
 
+  void __set_stop_wanted(const bool val);
+
   bool operator == (const Run & rhs) const
   {
     if (!(number == rhs.number))
       return false;
     if (!(server == rhs.server))
       return false;
+    if (!(stop_wanted == rhs.stop_wanted))
+      return false;
     return true;
   }
   bool operator != (const Run &rhs) const {
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -139,6 +139,7 @@
     jobs_wire::Run r;
     r.number = static_cast<int32_t>(run.number);
     r.server = run.server.str();
+    r.stop_wanted = run.stop_wanted;
     wire.runs.push_back(std::move(r));
   }
   return wire;
@@ -152,8 +153,8 @@
   task.last_run = static_cast<RunNumber>(wire.last_run);
   task.checkpoint = wire.checkpoint;
   for (const jobs_wire::Run& run : wire.runs)
-    task.runs.push_back(
-        {static_cast<RunNumber>(run.number), ServerId(run.server)});
+    task.runs.push_back({static_cast<RunNumber>(run.number),
+                         ServerId(run.server), run.stop_wanted});
   return task;
 }
 
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -76,6 +76,8 @@
 struct StoredRun {
   RunNumber number = 0;
   ServerId server;
+  // The owner has decided to stop the run.
+  bool stop_wanted = false;
 };
 
 struct StoredTask {
--- a/radishmoor/jobs/job_table.cc
+++ b/radishmoor/jobs/job_table.cc
@@ -39,12 +39,8 @@
 }
 
 bool Task::is_available() const {
-  for (const Run& run : runs) {
-    if (run.phase == RunPhase::kRunning && run.progress_percent >= 100 &&
-        !run.stop_wanted)
-      return true;
-  }
-  return false;
+  return std::any_of(runs.begin(), runs.end(),
+                     [](const Run& run) { return run.is_at_work(); });
 }
 
 uint32_t Job::StepOffset(uint32_t step) const {
@@ -124,7 +120,7 @@
         run.phase_since = now;
         run.start_sent_at = now;
         run.progress_changed_at = now;
-        run.stop_wanted = IsFinal(job.state) || task.done;
+        run.stop_wanted = r.stop_wanted || IsFinal(job.state) || task.done;
         task.runs.push_back(std::move(run));
       }
     }
@@ -176,8 +172,6 @@
       task.step = step;
       task.index = index;
       task.ready_since = now;
-      if (job.spec.steps[step].long_running)
-        task.unavailable_since = now;
       occurrence.tasks.push_back(std::move(task));
     }
   }
@@ -290,7 +284,7 @@
       StoredTask s{i, task.done, task.failures, task.last_run, task.checkpoint,
                    {}};
       for (const Run& run : task.runs)
-        s.runs.push_back({run.number, run.server});
+        s.runs.push_back({run.number, run.server, run.stop_wanted});
       stored.tasks.push_back(std::move(s));
     }
     if (!past || !stored.tasks.empty())
--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -55,11 +55,21 @@
   bool counted_slow = false;
 
   bool stop_wanted = false;
+  // The stop is sent once Job::stored_changes has reached this count, so that
+  // the next owner knows of it.
+  uint64_t stop_change = 0;
   uint64_t stop_tag = 0;           // Tag of the stop in flight; 0: none.
   std::optional<Time> stopped_at;  // When the server answered the stop.
   // Sequence number of the commit that stores the plan of this run; 0: no
   // commit has been sent with it. The start is sent when that commit is stored.
   uint64_t commit = 0;
+
+  // Returns true if this run of a long-running task has finished its start-up
+  // and is not being stopped.
+  bool is_at_work() const {
+    return phase == RunPhase::kRunning && progress_percent >= 100 &&
+           !stop_wanted;
+  }
 };
 
 struct Task {
@@ -73,20 +83,13 @@
   // When the task was created or lost its last run.
   Time ready_since;
   std::vector<ServerId> failed_on;
-  // Since when this task of a long-running step has not been available; absent
-  // while the task is available, and for other steps.
-  std::optional<Time> unavailable_since;
-  // The scheduler stopped the last run of this long-running task, and the task
-  // is not available again yet.
-  bool displaced = false;
   // Number of runs that were stopped because their server was slow or was being
   // emptied.
   uint32_t relocations = 0;
 
   Run* FindRun(RunNumber number);
   bool idle() const { return !done && runs.empty(); }
-  // Returns true if a run of this long-running task has finished its start-up
-  // and is not being stopped.
+  // Returns true if a run of this long-running task is at work.
   bool is_available() const;
 };
 
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "radishmoor/base/invariant.h"
+#include "radishmoor/jobs/availability_budget.h"
 
 namespace radishmoor {
 namespace {
@@ -176,6 +177,11 @@
   if (run == nullptr || run->stop_wanted)
     return;
   run->stop_wanted = true;
+  Job& job = *state_.jobs.Find(task_id.job);
+  if (IsLongRunning(ref) && !IsFinal(job.state)) {
+    state_.jobs.MarkChanged(job);
+    run->stop_change = job.changes;
+  }
   RequestRunCheck(now, run->server);
   outbox.LogDecision("run-stop", {{"task", FormatTask(task_id)},
                                   {"run", static_cast<int64_t>(number)},
@@ -229,12 +235,32 @@
                           Run& run,
                           Outbox& outbox) {
   ServerState* server = state_.servers.Find(run.server);
-  if (server == nullptr || server->listing.address.empty() || run.stop_tag != 0)
+  if (server == nullptr || server->listing.address.empty() ||
+      run.stop_tag != 0 || !MaySendStop(now, ref, run, *server))
     return;
   run.stop_tag = SendOrder(now, *server, OrderKind::kStop, ref, 0,
                            StopRun{ref.task, ref.run}, outbox);
 }
 
+bool RunControl::IsLongRunning(const RunRef& ref) const {
+  return state_.jobs.Find(ref.task.job)->spec.steps[ref.task.step].long_running;
+}
+
+bool RunControl::MaySendStop(Time now,
+                             const RunRef& ref,
+                             const Run& run,
+                             const ServerState& server) {
+  const Job& job = *state_.jobs.Find(ref.task.job);
+  if (IsFinal(job.state) || !IsLongRunning(ref) || !run.stop_wanted)
+    return true;
+  bool starting = run.phase == RunPhase::kRunning && run.progress_percent < 100;
+  return job.stored_changes >= run.stop_change &&
+         (starting || server.listing.draining ||
+          MayBecomeMissing(state_, now, job,
+                           job.occurrences.at(ref.task.occurrence),
+                           *state_.jobs.FindTask(ref.task)));
+}
+
 uint64_t RunControl::SendOrder(Time now,
                                ServerState& server,
                                OrderKind kind,
@@ -814,10 +840,6 @@
       run->checkpoint = seen.checkpoint;
       task->checkpoint = seen.checkpoint;
     }
-    if (task->unavailable_since && task->is_available()) {
-      task->unavailable_since.reset();
-      task->displaced = false;
-    }
   }
 }
 
@@ -889,8 +911,6 @@
                      {"ran_ms", WholeMilliseconds(now - run->start_sent_at)}});
   }
   state_.servers.RemoveRun(run->server, ref, job->StepOf(*task));
-  if (job->StepOf(*task).long_running && !task->unavailable_since)
-    task->unavailable_since = now;
   std::erase_if(task->runs,
                 [&ref](const Run& r) { return r.number == ref.run; });
   task->ready_since = now;
@@ -1080,8 +1100,9 @@
     bool stop = NeedsResolution(*run);
     if (!stop || run->stop_tag != 0 || run->stopped_at)
       continue;
-    if (run->phase == RunPhase::kUncertain && !run->stop_wanted &&
-        server.quick_poll_tag == 0 && now - run->phase_since < kStopRepeat) {
+    bool uncertain = run->phase == RunPhase::kUncertain && !run->stop_wanted;
+    if (uncertain && server.quick_poll_tag == 0 &&
+        now - run->phase_since < kStopRepeat) {
       SendPoll(now, server, true, true, outbox);
       Wake(run->phase_since + kStopRepeat);
       continue;
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -37,7 +37,9 @@
   void SendStart(Time now, const RunRef& ref, Outbox& outbox);
 
   // Stops a run of the task. The stop is repeated until the server has carried
-  // it out. `reason` is written to the log.
+  // it out. The stop of a long-running task is sent once it is stored and while
+  // its step can spare the task, unless its job has ended. `reason` is written
+  // to the log.
   void RequestStop(Time now,
                    const TaskId& task,
                    RunNumber run,
@@ -179,6 +181,16 @@
   // Handles the first answer to an order since the last restart of the server.
   void OnFirstAnswer(Time now, ServerState& server) const;
   void SendStop(Time now, const RunRef& ref, Run& run, Outbox& outbox);
+  // Returns whether the run is one of a long-running step. Its job must be in
+  // the table.
+  bool IsLongRunning(const RunRef& ref) const;
+  // Returns whether the stop of the run may be sent now. Time may have passed
+  // since it was decided: the stop had to be stored, an earlier one was not
+  // answered, or an earlier owner has decided.
+  bool MaySendStop(Time now,
+                   const RunRef& ref,
+                   const Run& run,
+                   const ServerState& server);
   void SendPoll(Time now,
                 ServerState& server,
                 bool quick,
--- a/radishmoor/jobs/server_table.cc
+++ b/radishmoor/jobs/server_table.cc
@@ -73,6 +73,11 @@
   return it == servers_.end() ? nullptr : &it->second;
 }
 
+const ServerState* ServerTable::Find(const ServerId& id) const {
+  auto it = servers_.find(id);
+  return it == servers_.end() ? nullptr : &it->second;
+}
+
 ServerState& ServerTable::FindOrAdd(const ServerId& id) {
   ServerState& server = servers_[id];
   server.listing.id = id;
--- a/radishmoor/jobs/server_table.h
+++ b/radishmoor/jobs/server_table.h
@@ -173,6 +173,7 @@
 class ServerTable {
  public:
   ServerState* Find(const ServerId& id);
+  const ServerState* Find(const ServerId& id) const;
   // Returns the state of the server, after adding it if it is not in the table.
   ServerState& FindOrAdd(const ServerId& id);
   void Erase(const ServerId& id) { servers_.erase(id); }
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <utility>
 
+#include "radishmoor/jobs/availability_budget.h"
 #include "radishmoor/jobs/pacing.h"
 
 namespace radishmoor {
@@ -575,26 +576,6 @@
   UpdateLargestFreeCpu(servers);
 }
 
-bool TaskDispatch::MayStopLongRunning(const Job& job,
-                                      const Occurrence& occurrence,
-                                      const Task& task) const {
-  const StepSpec& step = job.StepOf(task);
-  // The runs on draining servers are stopped without asking for the budget.
-  auto will_be_stopped = [this](const Run& run) {
-    const ServerState* server = state_.servers.Find(run.server);
-    return server != nullptr && server->listing.draining;
-  };
-  uint32_t missing = 0;
-  for (const Task& other : occurrence.tasks) {
-    if (&other == &task || other.step != task.step)
-      continue;
-    bool missing_soon =
-        std::any_of(other.runs.begin(), other.runs.end(), will_be_stopped);
-    missing += missing_soon || !other.is_available() ? 1 : 0;
-  }
-  return missing < std::max(1u, step.allowed_missing);
-}
-
 void TaskDispatch::ReviewRunningTasks(Time now, Outbox& outbox) {
   copy_servers_.reset();
   std::vector<RunRef> refs;
@@ -702,13 +683,13 @@
   if (step.long_running) {
     // The budget also applies to a task that was still starting up at the last
     // poll, since it may be available by now.
-    bool must_leave =
-        server->listing.draining ||
-        (server->vacating && MayStopLongRunning(job, occurrence, task));
+    bool must_leave = server->listing.draining ||
+                      (server->vacating &&
+                       MayBecomeMissing(state_, now, job, occurrence, task));
     if (must_leave) {
-      task.displaced = true;
       runs_.RequestStop(now, id, run.number, "server-leaves", outbox);
     } else if (!task.is_available() && without_progress > 2 * kStallTimeout) {
+      // The task is not at work, so that its stop needs no budget.
       server->quarantined_until = now + kStallQuarantine;
       runs_.RequestStop(now, id, run.number, "no-progress", outbox);
     }
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -156,11 +156,6 @@
   // Adjusts the pace of the server's best-effort tasks to the tail latency of
   // its latency-sensitive tasks.
   void PaceServer(Time now, ServerState& server, Outbox& outbox);
-  // True if the step of the long-running task stays within its budget of
-  // unavailable tasks when this one is stopped.
-  bool MayStopLongRunning(const Job& job,
-                          const Occurrence& occurrence,
-                          const Task& task) const;
 
   JobPoolState& state_;
   RunControl& runs_;
--- a/radishmoor/jobs/testing/job_codec_test.cc
+++ b/radishmoor/jobs/testing/job_codec_test.cc
@@ -70,7 +70,8 @@
   progress.finished_below = 2;
   progress.occurrences.push_back(
       {2,
-       {{1, true, 1, 3, "", {}}, {4, false, 0, 1, "c", {{1, ServerId("s")}}}}});
+       {{1, true, 1, 3, "", {}},
+        {4, false, 0, 1, "c", {{1, ServerId("s"), true}}}}});
   std::optional<StoredProgress> decoded =
       DecodeProgress(EncodeProgress(progress));
   REQUIRE(decoded);
@@ -78,6 +79,7 @@
   REQUIRE(decoded->occurrences.size() == 1);
   REQUIRE(decoded->occurrences[0].tasks[0].done);
   REQUIRE(decoded->occurrences[0].tasks[1].runs[0].server == ServerId("s"));
+  REQUIRE(decoded->occurrences[0].tasks[1].runs[0].stop_wanted);
 
   LeaseRow lease{MemberId("n"), "10.0.0.1:1",      7, 9, true,
                  MemberId("m"), Milliseconds(1234)};
--- a/radishmoor/jobs/testing/run_control_test.cc
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -1,5 +1,6 @@
 #include "radishmoor/jobs/run_control.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <utility>
 #include <vector>
@@ -13,11 +14,11 @@
 // The runs of one task on one server, which the test answers for.
 class TestServer {
  public:
-  TestServer() {
+  explicit TestServer(const StepSpec& step = {}) {
     state_.lease_renewed_at = now_;
     JobSpec spec;
     spec.queue = QueueId("q");
-    spec.steps = {StepSpec()};
+    spec.steps = {step};
     state_.jobs.Add(job_, spec, now_, now_ + Seconds(2));
     ServerState& server = state_.servers.FindOrAdd(id_);
     server.listing.pool = state_.pool;
@@ -57,6 +58,15 @@
     return orders;
   }
 
+  // Returns how many stops were ordered since the orders were last taken.
+  int64_t CountStops() {
+    std::vector<OrderToServer> orders = TakeOrders();
+    return std::count_if(orders.begin(), orders.end(),
+                         [](const OrderToServer& order) {
+                           return std::holds_alternative<StopRun>(order.order);
+                         });
+  }
+
   // Answers the order with status 200 and the server's clock.
   void Answer(uint64_t tag, ServerMillis clock) {
     ServerReply reply;
@@ -89,6 +99,38 @@
   Outbox outbox_;
 };
 
+// Guards against a stop that the next owner does not know of: it would count
+// the task as available until the end of the run is listed.
+TEST_CASE("a long-running task is stopped only after that is stored",
+          "[run-control]") {
+  for (bool long_running : {true, false}) {
+    StepSpec step;
+    step.long_running = long_running;
+    TestServer test(step);
+    test.Answer(test.SendStart(), 50'001);
+    Job& job = *test.state_.jobs.Find(test.job_);
+    job.stored_changes = job.changes;
+    test.runs_.RequestStop(test.now_, test.ref_.task, test.ref_.run,
+                           "server-leaves", test.outbox_);
+    REQUIRE(test.CountStops() == (long_running ? 0 : 1));
+    // The next owner finds the decision in the stored progress.
+    JobTable next_jobs;
+    Job& restored = next_jobs.Add(test.job_, job.spec, test.now_, test.now_);
+    next_jobs.Restore(restored, test.state_.jobs.ProgressOf(job), test.now_);
+    REQUIRE(next_jobs.FindRun(test.ref_)->stop_wanted);
+    if (!long_running)
+      continue;
+    test.now_ += Milliseconds(10);
+    test.runs_.Tick(test.now_, false, test.outbox_);
+    REQUIRE(test.CountStops() == 0);
+    job.stored_changes = job.changes;
+    test.runs_.OnStored(test.now_);
+    test.now_ += Milliseconds(10);
+    test.runs_.Tick(test.now_, false, test.outbox_);
+    REQUIRE(test.CountStops() == 1);
+  }
+}
+
 // Guards against a second run of a task that a restarted server has just
 // started: the list shows the restart after the start was answered.
 TEST_CASE("a restart ends only runs that were listed before", "[run-control]") {
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -29,6 +29,7 @@
     server.listed = true;
     server.last_answer_at = server.last_listed_at = kNow;
     server.clock.Observe(kNow, kNow, 1000);
+    server.lease_until = 4000;
     return server;
   }
 
@@ -49,10 +50,13 @@
     return task.runs.back();
   }
 
-  // Returns how many runs a review stops.
+  // Returns how many runs a review stops once its decisions are stored.
   size_t ReviewAndCountStops() {
     Outbox outbox;
-    dispatch_.ReviewRunningTasks(kNow, outbox);
+    now_ += Milliseconds(10);
+    dispatch_.ReviewRunningTasks(now_, outbox);
+    job_->stored_changes = job_->changes;
+    runs_.Tick(now_, false, outbox);
     size_t stops = 0;
     for (const JobAction& action : outbox.TakeAllActions()) {
       const auto* order = std::get_if<OrderToServer>(&action);
@@ -62,6 +66,7 @@
     return stops;
   }
 
+  Time now_ = kNow;
   JobPoolState state_;
   RunControl runs_{state_};
   TaskDispatch dispatch_{state_, runs_};
@@ -222,7 +227,60 @@
   pool.AddRun(2, "s3", 100);
   // Only the task on the draining server is stopped.
   REQUIRE(pool.ReviewAndCountStops() == 1);
-  REQUIRE_FALSE(pool.job_->occurrences.at(0).tasks[0].displaced);
+  REQUIRE_FALSE(pool.job_->occurrences.at(0).tasks[0].runs[0].stop_wanted);
+}
+
+// Guards against a second stop of a step by the next owner: until the end of
+// the first run is listed, its server lists it as running.
+TEST_CASE("a stop that an earlier owner decided counts as missing",
+          "[dispatch]") {
+  TestPool pool(LongRunning(2, 1));
+  pool.AddServer("s1");
+  pool.AddServer("s2").vacating = true;
+  pool.AddRun(0, "s1", 100).stop_wanted = true;
+  pool.AddRun(1, "s2", 100);
+  // Only the stop of the first task is repeated.
+  pool.state_.servers.Find(ServerId("s1"))->needs_run_check = true;
+  pool.runs_.Wake(pool.now_);
+  REQUIRE(pool.ReviewAndCountStops() == 1);
+  REQUIRE_FALSE(pool.job_->occurrences.at(0).tasks[1].runs[0].stop_wanted);
+}
+
+// Guards against counting a task as available whose server may have been lost
+// since it listed the task.
+TEST_CASE("a task counts as missing if its server has not listed it lately",
+          "[dispatch]") {
+  TestPool pool(LongRunning(2, 1));
+  pool.AddServer("s1").vacating = true;
+  ServerState& silent = pool.AddServer("s2");
+  pool.AddRun(0, "s1", 100);
+  pool.AddRun(1, "s2", 100);
+  silent.last_listed_at = kNow - Seconds(4);
+  REQUIRE(pool.ReviewAndCountStops() == 0);
+  silent.last_listed_at = kNow;
+  REQUIRE(pool.ReviewAndCountStops() == 1);
+}
+
+// Guards against a stop that is repeated, since it was not answered, after
+// another task of the step has become missing.
+TEST_CASE("a stop is not repeated while another task is missing",
+          "[dispatch]") {
+  TestPool pool(LongRunning(2, 1));
+  pool.AddServer("s1").vacating = true;
+  ServerState& other = pool.AddServer("s2");
+  Run& run = pool.AddRun(0, "s1", 100);
+  pool.AddRun(1, "s2", 100);
+  REQUIRE(pool.ReviewAndCountStops() == 1);
+  // The stop is lost, and the server of the other task drains.
+  run.stop_tag = 0;
+  other.listing.draining = true;
+  Outbox outbox;
+  pool.runs_.Tick(pool.now_ + Seconds(1), false, outbox);
+  for (const JobAction& action : outbox.TakeAllActions()) {
+    const auto* order = std::get_if<OrderToServer>(&action);
+    REQUIRE((order == nullptr || order->server != ServerId("s1") ||
+             !std::holds_alternative<StopRun>(order->order)));
+  }
 }
 
 // Returns the processor time of a review of `count` tasks that run on as many
