Do not stop a long-running task because its start was not answered

A start without an answer was followed by a stop, although the task may be at work by then.

Such a run is now polled for until a list tells. It is stopped only if a list does not have it. A run to which a stop was sent is not available.

The case of run_control_test fails on the code before.

--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -68,7 +68,7 @@
   // and is not being stopped.
   bool is_at_work() const {
     return phase == RunPhase::kRunning && progress_percent >= 100 &&
-           !stop_wanted;
+           !stop_wanted && stop_tag == 0 && !stopped_at;
   }
 };
 
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -1107,6 +1107,12 @@
       Wake(run->phase_since + kStopRepeat);
       continue;
     }
+    // A long-running task may be at work by now. A poll tells, and the run is
+    // stopped only if it is not listed.
+    if (uncertain && IsLongRunning(ref)) {
+      SendPoll(now, server, true, true, outbox);
+      continue;
+    }
     if (run->phase == RunPhase::kOrdered)
       continue;  // The answer to the start, or its timeout, decides.
     SendStop(now, ref, *run, outbox);
--- a/radishmoor/jobs/testing/run_control_test.cc
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -131,6 +131,36 @@
   }
 }
 
+// Guards against a stop of a task that may be at work: its start was not
+// answered, and neither was a poll yet.
+TEST_CASE("a long-running task is not stopped for want of an answer",
+          "[run-control]") {
+  StepSpec step;
+  step.long_running = true;
+  TestServer test(step);
+  uint64_t start = test.SendStart();
+  ServerReply unanswered;
+  unanswered.tag = start;
+  unanswered.server = test.id_;
+  unanswered.outcome = OrderOutcome::kUnanswered;
+  test.runs_.OnReply(test.now_, unanswered, test.outbox_);
+  uint64_t poll_tag = test.TakeOrders().at(0).tag;
+  for (int i = 0; i < 10; ++i) {
+    test.now_ += Milliseconds(100);
+    test.runs_.Tick(test.now_, false, test.outbox_);
+    REQUIRE(test.CountStops() == 0);
+  }
+  // A list without the run settles it: the start may only come late.
+  ServerReply listed;
+  listed.tag = poll_tag;
+  listed.server = test.id_;
+  listed.outcome = OrderOutcome::kDone;
+  listed.clock = 51'000;
+  listed.incarnation_started_at = kFirstIncarnation;
+  test.runs_.OnReply(test.now_, listed, test.outbox_);
+  REQUIRE(test.CountStops() == 1);
+}
+
 // Guards against a second run of a task that a restarted server has just
 // started: the list shows the restart after the start was answered.
 TEST_CASE("a restart ends only runs that were listed before", "[run-control]") {
