Call a server empty only while the pool's lease holds

A coordinator that had just taken over heard of a pool first from an owner that was cut off: it had lost the lease 1.4 s before, and answered that a server was empty, with its own token.

An owner whose last renewal is so old that another process may have acquired the lease answers that the server is being emptied, as it already starts nothing then.

--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -605,8 +605,9 @@
                           {"runs", static_cast<int64_t>(server->runs.size())}});
     }
     server->vacate_requested_at = now;
-    answer.state =
-        server->runs.empty() ? VacateState::kEmpty : VacateState::kEmptying;
+    // Without a recent renewal, another process may have started runs there.
+    bool empty = server->runs.empty() && state_.MayStartRuns(now);
+    answer.state = empty ? VacateState::kEmpty : VacateState::kEmptying;
   }
   outbox.SendToPeer(from, address, answer);
 }
--- a/radishmoor/jobs/testing/pool_scheduler_test.cc
+++ b/radishmoor/jobs/testing/pool_scheduler_test.cc
@@ -93,6 +93,35 @@
   std::function<void()> before_inbox_scan_;
 };
 
+VacateState AnswerVacateRequest(OwnerHarness& harness, const ServerId& id) {
+  harness.outbox_.TakeAllActions();
+  harness.owner_->OnVacateRequest(harness.now_, MemberId("c"), "10.0.0.2:1",
+                                  {harness.pool_, id}, harness.outbox_);
+  for (const JobAction& action : harness.outbox_.TakeAllActions()) {
+    if (const auto* peer = std::get_if<SendJobPeer>(&action))
+      return std::get<VacateAnswer>(peer->message).state;
+  }
+  return VacateState::kUnknownServer;
+}
+
+// Guards against a maintenance call for a server on which another owner has
+// started tasks: the earlier owner, which was cut off, still answered that the
+// server is empty.
+TEST_CASE("an owner whose lease may be over does not call a server empty",
+          "[scheduler]") {
+  OwnerHarness harness;
+  harness.TakeOver();
+  harness.Run(Milliseconds(500));
+  ServerListing listing;
+  listing.id = ServerId("s");
+  listing.pool = harness.pool_;
+  listing.address = "10.0.0.1:1";
+  harness.owner_->OnServerList(harness.now_, {&listing, 1}, harness.outbox_);
+  REQUIRE(AnswerVacateRequest(harness, listing.id) == VacateState::kEmpty);
+  harness.now_ += kOwnerLeaseLength + Seconds(1);
+  REQUIRE(AnswerVacateRequest(harness, listing.id) == VacateState::kEmptying);
+}
+
 // Guards against a lost cancellation: the owner must not remove its inbox row
 // before the cancelled state is stored, which other changes may delay by
 // several commits.
