Empty the present server of a host before its call is repeated

A call for a host that went down and came back with another server was repeated without asking whether that server is empty: the answer was about the earlier one, or a refusal ("busy") counted as a call that may have been executed.

A refusal means that nothing was done. A host that is listed with another server than the one that was emptied has that server emptied first; a call that was executed after all is not executed again by its repetition.

The case of fleet_coordinator_test fails on the code before.

--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -294,6 +294,8 @@
       fenced_ = true;
       return;
     case HostOutcome::kBusy:
+      // The platform did nothing. The host may come back with another server.
+      operation.call_may_be_executed = false;
       operation.next_try_at = now + kBusyHostRetry;
       if (operation.kind == HostOperationKind::kMaintain)
         return;
@@ -692,6 +694,8 @@
       operation.next_try_at = now + kBusyHostRetry;
       return;
     }
+    if (listing != hosts_.end())
+      FollowServer(host, listing->second, operation, outbox);
     if (!operation.call_may_be_executed &&
         !IsServerEmpty(now, operation, contacts)) {
       operation.next_try_at = now + kTickPeriod;
@@ -718,6 +722,22 @@
   RequestVacate(operation, false, contacts, outbox);
 }
 
+void FleetCoordinator::FollowServer(const HostId& host,
+                                    const HostListing& listing,
+                                    HostOperation& operation,
+                                    Outbox& outbox) {
+  if (listing.state != ListedHostState::kUp ||
+      listing.server == operation.server)
+    return;
+  outbox.LogDecision("host-server-changed",
+                     {{"host", host.str()},
+                      {"server", listing.server.str()},
+                      {"emptied_server", operation.server.str()}});
+  operation.server = listing.server;
+  operation.reported_empty_by = 0;
+  operation.call_may_be_executed = false;
+}
+
 bool FleetCoordinator::RequestVacate(
     const HostOperation& operation,
     bool withdraw,
--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -196,6 +196,13 @@
   bool IsServerEmpty(Time now,
                      const HostOperation& operation,
                      const std::map<PoolId, PoolOwnerContact>& contacts) const;
+  // Makes an operation whose call was not answered, or is not sent yet, empty
+  // the host's present server first if it is not the one that was emptied. A
+  // call that was executed is not executed again when it is repeated.
+  static void FollowServer(const HostId& host,
+                           const HostListing& listing,
+                           HostOperation& operation,
+                           Outbox& outbox);
   // Asks the pool's owner to empty the server or, with `withdraw`, to use it
   // again. Returns false if no owner of the pool is known.
   bool RequestVacate(const HostOperation& operation,
--- a/radishmoor/jobs/testing/fleet_coordinator_test.cc
+++ b/radishmoor/jobs/testing/fleet_coordinator_test.cc
@@ -82,6 +82,19 @@
     }
   }
 
+  // Lets a host that is down come back with a new server, which it returns.
+  ServerId ReturnHost(const HostId& id) {
+    down_hosts_.erase(id);
+    ServerId server("s" + std::to_string(next_server_++));
+    for (HostListing& host : hosts_) {
+      if (host.host != id)
+        continue;
+      host.state = ListedHostState::kUp;
+      host.server = server;
+    }
+    return server;
+  }
+
   std::vector<MaintenanceWave> waves_;
   // If unset, a coordinator sees the waves first when it takes over.
   std::optional<Time> wave_first_seen_at_;
@@ -382,6 +395,25 @@
   REQUIRE(site.refused_calls_ == 1);
 }
 
+// Guards against a call that ends the tasks of a server that was never emptied:
+// its host went down before the call and came back.
+TEST_CASE("a host that comes back is emptied again before its call",
+          "[coordinator]") {
+  FleetCoordinatorHarness site;
+  site.waves_ = {WaveOver({HostId("h0")})};
+  site.down_hosts_ = {HostId("h0")};
+  site.TakeOver();
+  site.Run(Seconds(2));
+  REQUIRE(site.refused_calls_ == 1);
+  site.busy_servers_ = {site.ReturnHost(HostId("h0"))};
+  site.Run(Seconds(2));
+  REQUIRE(site.violations_.empty());
+  REQUIRE(site.maintained_hosts_.empty());
+  site.busy_servers_.clear();
+  site.Run(Seconds(2));
+  REQUIRE(site.maintained_hosts_.size() == 1);
+}
+
 // Guards against a successor that reacts late to a regular peak because it
 // knows nothing of the peaks before its takeover.
 TEST_CASE("a successor moves hosts ahead of a predicted peak",
