--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -78,6 +78,7 @@
   6: string successor
   7: i64 earlier_leases_ms
   8: i64 store_clock_ms
+  9: list<string> vacating_servers
 }
 
 // Whether a pool stores new jobs of a queue.
--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -118,6 +118,10 @@
       Milliseconds(1);
   if (store_clock_)
     lease.store_clock = *store_clock_ + (now - store_clock_at_);
+  for (const auto& [id, server] : state_.servers.all()) {
+    if (server.vacating)
+      lease.vacating_servers.push_back(id);
+  }
   std::string key = OwnerLeaseKey(state_.pool);
   transaction.expects.push_back({key, options_.lease_version});
   transaction.writes.push_back({std::move(key), EncodeLease(lease)});
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -1672,6 +1672,10 @@
 void Lease::__set_store_clock_ms(const int64_t val) {
   this->store_clock_ms = val;
 }
+
+void Lease::__set_vacating_servers(const std::vector<std::string> & val) {
+  this->vacating_servers = val;
+}
 std::ostream& operator<<(std::ostream& out, const Lease& obj)
 {
   obj.printTo(out);
@@ -1764,6 +1768,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->vacating_servers.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->vacating_servers.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += iprot->readString(this->vacating_servers[_i62]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.vacating_servers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1813,6 +1837,18 @@
   xfer += oprot->writeI64(this->store_clock_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("vacating_servers", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->vacating_servers.size()));
+    std::vector<std::string> ::const_iterator _iter63;
+    for (_iter63 = this->vacating_servers.begin(); _iter63 != this->vacating_servers.end(); ++_iter63)
+    {
+      xfer += oprot->writeString((*_iter63));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1828,53 +1864,58 @@
   swap(a.successor, b.successor);
   swap(a.earlier_leases_ms, b.earlier_leases_ms);
   swap(a.store_clock_ms, b.store_clock_ms);
+  swap(a.vacating_servers, b.vacating_servers);
   swap(a.__isset, b.__isset);
 }
 
-Lease::Lease(const Lease& other58) {
-  holder = other58.holder;
-  address = other58.address;
-  token = other58.token;
-  sequence = other58.sequence;
-  released = other58.released;
-  successor = other58.successor;
-  earlier_leases_ms = other58.earlier_leases_ms;
-  store_clock_ms = other58.store_clock_ms;
-  __isset = other58.__isset;
-}
-Lease::Lease(Lease&& other59) noexcept {
-  holder = std::move(other59.holder);
-  address = std::move(other59.address);
-  token = other59.token;
-  sequence = other59.sequence;
-  released = other59.released;
-  successor = std::move(other59.successor);
-  earlier_leases_ms = other59.earlier_leases_ms;
-  store_clock_ms = other59.store_clock_ms;
-  __isset = other59.__isset;
-}
-Lease& Lease::operator=(const Lease& other60) {
-  holder = other60.holder;
-  address = other60.address;
-  token = other60.token;
-  sequence = other60.sequence;
-  released = other60.released;
-  successor = other60.successor;
-  earlier_leases_ms = other60.earlier_leases_ms;
-  store_clock_ms = other60.store_clock_ms;
-  __isset = other60.__isset;
+Lease::Lease(const Lease& other64) {
+  holder = other64.holder;
+  address = other64.address;
+  token = other64.token;
+  sequence = other64.sequence;
+  released = other64.released;
+  successor = other64.successor;
+  earlier_leases_ms = other64.earlier_leases_ms;
+  store_clock_ms = other64.store_clock_ms;
+  vacating_servers = other64.vacating_servers;
+  __isset = other64.__isset;
+}
+Lease::Lease(Lease&& other65) noexcept {
+  holder = std::move(other65.holder);
+  address = std::move(other65.address);
+  token = other65.token;
+  sequence = other65.sequence;
+  released = other65.released;
+  successor = std::move(other65.successor);
+  earlier_leases_ms = other65.earlier_leases_ms;
+  store_clock_ms = other65.store_clock_ms;
+  vacating_servers = std::move(other65.vacating_servers);
+  __isset = other65.__isset;
+}
+Lease& Lease::operator=(const Lease& other66) {
+  holder = other66.holder;
+  address = other66.address;
+  token = other66.token;
+  sequence = other66.sequence;
+  released = other66.released;
+  successor = other66.successor;
+  earlier_leases_ms = other66.earlier_leases_ms;
+  store_clock_ms = other66.store_clock_ms;
+  vacating_servers = other66.vacating_servers;
+  __isset = other66.__isset;
   return *this;
 }
-Lease& Lease::operator=(Lease&& other61) noexcept {
-  holder = std::move(other61.holder);
-  address = std::move(other61.address);
-  token = other61.token;
-  sequence = other61.sequence;
-  released = other61.released;
-  successor = std::move(other61.successor);
-  earlier_leases_ms = other61.earlier_leases_ms;
-  store_clock_ms = other61.store_clock_ms;
-  __isset = other61.__isset;
+Lease& Lease::operator=(Lease&& other67) noexcept {
+  holder = std::move(other67.holder);
+  address = std::move(other67.address);
+  token = other67.token;
+  sequence = other67.sequence;
+  released = other67.released;
+  successor = std::move(other67.successor);
+  earlier_leases_ms = other67.earlier_leases_ms;
+  store_clock_ms = other67.store_clock_ms;
+  vacating_servers = std::move(other67.vacating_servers);
+  __isset = other67.__isset;
   return *this;
 }
 void Lease::printTo(std::ostream& out) const {
@@ -1888,6 +1929,7 @@
   out << ", " << "successor=" << to_string(successor);
   out << ", " << "earlier_leases_ms=" << to_string(earlier_leases_ms);
   out << ", " << "store_clock_ms=" << to_string(store_clock_ms);
+  out << ", " << "vacating_servers=" << to_string(vacating_servers);
   out << ")";
 }
 
@@ -1967,14 +2009,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->earlier_pools.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->earlier_pools.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->earlier_pools.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += iprot->readString(this->earlier_pools[_i66]);
+              xfer += iprot->readString(this->earlier_pools[_i72]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2015,10 +2057,10 @@
   xfer += oprot->writeFieldBegin("earlier_pools", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->earlier_pools.size()));
-    std::vector<std::string> ::const_iterator _iter67;
-    for (_iter67 = this->earlier_pools.begin(); _iter67 != this->earlier_pools.end(); ++_iter67)
+    std::vector<std::string> ::const_iterator _iter73;
+    for (_iter73 = this->earlier_pools.begin(); _iter73 != this->earlier_pools.end(); ++_iter73)
     {
-      xfer += oprot->writeString((*_iter67));
+      xfer += oprot->writeString((*_iter73));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2038,34 +2080,34 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueAdmission::QueueAdmission(const QueueAdmission& other68) {
-  queue = other68.queue;
-  open = other68.open;
-  config_version = other68.config_version;
-  earlier_pools = other68.earlier_pools;
-  __isset = other68.__isset;
-}
-QueueAdmission::QueueAdmission(QueueAdmission&& other69) noexcept {
-  queue = std::move(other69.queue);
-  open = other69.open;
-  config_version = other69.config_version;
-  earlier_pools = std::move(other69.earlier_pools);
-  __isset = other69.__isset;
-}
-QueueAdmission& QueueAdmission::operator=(const QueueAdmission& other70) {
-  queue = other70.queue;
-  open = other70.open;
-  config_version = other70.config_version;
-  earlier_pools = other70.earlier_pools;
-  __isset = other70.__isset;
+QueueAdmission::QueueAdmission(const QueueAdmission& other74) {
+  queue = other74.queue;
+  open = other74.open;
+  config_version = other74.config_version;
+  earlier_pools = other74.earlier_pools;
+  __isset = other74.__isset;
+}
+QueueAdmission::QueueAdmission(QueueAdmission&& other75) noexcept {
+  queue = std::move(other75.queue);
+  open = other75.open;
+  config_version = other75.config_version;
+  earlier_pools = std::move(other75.earlier_pools);
+  __isset = other75.__isset;
+}
+QueueAdmission& QueueAdmission::operator=(const QueueAdmission& other76) {
+  queue = other76.queue;
+  open = other76.open;
+  config_version = other76.config_version;
+  earlier_pools = other76.earlier_pools;
+  __isset = other76.__isset;
   return *this;
 }
-QueueAdmission& QueueAdmission::operator=(QueueAdmission&& other71) noexcept {
-  queue = std::move(other71.queue);
-  open = other71.open;
-  config_version = other71.config_version;
-  earlier_pools = std::move(other71.earlier_pools);
-  __isset = other71.__isset;
+QueueAdmission& QueueAdmission::operator=(QueueAdmission&& other77) noexcept {
+  queue = std::move(other77.queue);
+  open = other77.open;
+  config_version = other77.config_version;
+  earlier_pools = std::move(other77.earlier_pools);
+  __isset = other77.__isset;
   return *this;
 }
 void QueueAdmission::printTo(std::ostream& out) const {
@@ -2118,14 +2160,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->pools.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->pools.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->pools.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += iprot->readString(this->pools[_i76]);
+              xfer += iprot->readString(this->pools[_i82]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2154,10 +2196,10 @@
   xfer += oprot->writeFieldBegin("pools", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->pools.size()));
-    std::vector<std::string> ::const_iterator _iter77;
-    for (_iter77 = this->pools.begin(); _iter77 != this->pools.end(); ++_iter77)
+    std::vector<std::string> ::const_iterator _iter83;
+    for (_iter83 = this->pools.begin(); _iter83 != this->pools.end(); ++_iter83)
     {
-      xfer += oprot->writeString((*_iter77));
+      xfer += oprot->writeString((*_iter83));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2174,22 +2216,22 @@
   swap(a.__isset, b.__isset);
 }
 
-QueuePools::QueuePools(const QueuePools& other78) {
-  pools = other78.pools;
-  __isset = other78.__isset;
+QueuePools::QueuePools(const QueuePools& other84) {
+  pools = other84.pools;
+  __isset = other84.__isset;
 }
-QueuePools::QueuePools(QueuePools&& other79) noexcept {
-  pools = std::move(other79.pools);
-  __isset = other79.__isset;
+QueuePools::QueuePools(QueuePools&& other85) noexcept {
+  pools = std::move(other85.pools);
+  __isset = other85.__isset;
 }
-QueuePools& QueuePools::operator=(const QueuePools& other80) {
-  pools = other80.pools;
-  __isset = other80.__isset;
+QueuePools& QueuePools::operator=(const QueuePools& other86) {
+  pools = other86.pools;
+  __isset = other86.__isset;
   return *this;
 }
-QueuePools& QueuePools::operator=(QueuePools&& other81) noexcept {
-  pools = std::move(other81.pools);
-  __isset = other81.__isset;
+QueuePools& QueuePools::operator=(QueuePools&& other87) noexcept {
+  pools = std::move(other87.pools);
+  __isset = other87.__isset;
   return *this;
 }
 void QueuePools::printTo(std::ostream& out) const {
@@ -2360,42 +2402,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Node::Node(const Node& other82) {
-  name = other82.name;
-  address = other82.address;
-  zone = other82.zone;
-  incarnation = other82.incarnation;
-  leaving = other82.leaving;
-  capacity = other82.capacity;
-  __isset = other82.__isset;
-}
-Node::Node(Node&& other83) noexcept {
-  name = std::move(other83.name);
-  address = std::move(other83.address);
-  zone = std::move(other83.zone);
-  incarnation = other83.incarnation;
-  leaving = other83.leaving;
-  capacity = other83.capacity;
-  __isset = other83.__isset;
-}
-Node& Node::operator=(const Node& other84) {
-  name = other84.name;
-  address = other84.address;
-  zone = other84.zone;
-  incarnation = other84.incarnation;
-  leaving = other84.leaving;
-  capacity = other84.capacity;
-  __isset = other84.__isset;
+Node::Node(const Node& other88) {
+  name = other88.name;
+  address = other88.address;
+  zone = other88.zone;
+  incarnation = other88.incarnation;
+  leaving = other88.leaving;
+  capacity = other88.capacity;
+  __isset = other88.__isset;
+}
+Node::Node(Node&& other89) noexcept {
+  name = std::move(other89.name);
+  address = std::move(other89.address);
+  zone = std::move(other89.zone);
+  incarnation = other89.incarnation;
+  leaving = other89.leaving;
+  capacity = other89.capacity;
+  __isset = other89.__isset;
+}
+Node& Node::operator=(const Node& other90) {
+  name = other90.name;
+  address = other90.address;
+  zone = other90.zone;
+  incarnation = other90.incarnation;
+  leaving = other90.leaving;
+  capacity = other90.capacity;
+  __isset = other90.__isset;
   return *this;
 }
-Node& Node::operator=(Node&& other85) noexcept {
-  name = std::move(other85.name);
-  address = std::move(other85.address);
-  zone = std::move(other85.zone);
-  incarnation = other85.incarnation;
-  leaving = other85.leaving;
-  capacity = other85.capacity;
-  __isset = other85.__isset;
+Node& Node::operator=(Node&& other91) noexcept {
+  name = std::move(other91.name);
+  address = std::move(other91.address);
+  zone = std::move(other91.zone);
+  incarnation = other91.incarnation;
+  leaving = other91.leaving;
+  capacity = other91.capacity;
+  __isset = other91.__isset;
   return *this;
 }
 void Node::printTo(std::ostream& out) const {
@@ -2554,38 +2596,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Duty::Duty(const Duty& other86) {
-  host = other86.host;
-  kind = other86.kind;
-  pool = other86.pool;
-  wave = other86.wave;
-  server = other86.server;
-  __isset = other86.__isset;
-}
-Duty::Duty(Duty&& other87) noexcept {
-  host = std::move(other87.host);
-  kind = other87.kind;
-  pool = std::move(other87.pool);
-  wave = other87.wave;
-  server = std::move(other87.server);
-  __isset = other87.__isset;
-}
-Duty& Duty::operator=(const Duty& other88) {
-  host = other88.host;
-  kind = other88.kind;
-  pool = other88.pool;
-  wave = other88.wave;
-  server = other88.server;
-  __isset = other88.__isset;
+Duty::Duty(const Duty& other92) {
+  host = other92.host;
+  kind = other92.kind;
+  pool = other92.pool;
+  wave = other92.wave;
+  server = other92.server;
+  __isset = other92.__isset;
+}
+Duty::Duty(Duty&& other93) noexcept {
+  host = std::move(other93.host);
+  kind = other93.kind;
+  pool = std::move(other93.pool);
+  wave = other93.wave;
+  server = std::move(other93.server);
+  __isset = other93.__isset;
+}
+Duty& Duty::operator=(const Duty& other94) {
+  host = other94.host;
+  kind = other94.kind;
+  pool = other94.pool;
+  wave = other94.wave;
+  server = other94.server;
+  __isset = other94.__isset;
   return *this;
 }
-Duty& Duty::operator=(Duty&& other89) noexcept {
-  host = std::move(other89.host);
-  kind = other89.kind;
-  pool = std::move(other89.pool);
-  wave = other89.wave;
-  server = std::move(other89.server);
-  __isset = other89.__isset;
+Duty& Duty::operator=(Duty&& other95) noexcept {
+  host = std::move(other95.host);
+  kind = other95.kind;
+  pool = std::move(other95.pool);
+  wave = other95.wave;
+  server = std::move(other95.server);
+  __isset = other95.__isset;
   return *this;
 }
 void Duty::printTo(std::ostream& out) const {
@@ -2687,14 +2729,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->earlier_pools.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->earlier_pools.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->earlier_pools.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += iprot->readString(this->earlier_pools[_i94]);
+              xfer += iprot->readString(this->earlier_pools[_i100]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2739,10 +2781,10 @@
   xfer += oprot->writeFieldBegin("earlier_pools", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->earlier_pools.size()));
-    std::vector<std::string> ::const_iterator _iter95;
-    for (_iter95 = this->earlier_pools.begin(); _iter95 != this->earlier_pools.end(); ++_iter95)
+    std::vector<std::string> ::const_iterator _iter101;
+    for (_iter101 = this->earlier_pools.begin(); _iter101 != this->earlier_pools.end(); ++_iter101)
     {
-      xfer += oprot->writeString((*_iter95));
+      xfer += oprot->writeString((*_iter101));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2763,38 +2805,38 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueLoad::QueueLoad(const QueueLoad& other96) {
-  queue = other96.queue;
-  pending = other96.pending;
-  wait_ms = other96.wait_ms;
-  open_since = other96.open_since;
-  earlier_pools = other96.earlier_pools;
-  __isset = other96.__isset;
-}
-QueueLoad::QueueLoad(QueueLoad&& other97) noexcept {
-  queue = std::move(other97.queue);
-  pending = other97.pending;
-  wait_ms = other97.wait_ms;
-  open_since = other97.open_since;
-  earlier_pools = std::move(other97.earlier_pools);
-  __isset = other97.__isset;
-}
-QueueLoad& QueueLoad::operator=(const QueueLoad& other98) {
-  queue = other98.queue;
-  pending = other98.pending;
-  wait_ms = other98.wait_ms;
-  open_since = other98.open_since;
-  earlier_pools = other98.earlier_pools;
-  __isset = other98.__isset;
+QueueLoad::QueueLoad(const QueueLoad& other102) {
+  queue = other102.queue;
+  pending = other102.pending;
+  wait_ms = other102.wait_ms;
+  open_since = other102.open_since;
+  earlier_pools = other102.earlier_pools;
+  __isset = other102.__isset;
+}
+QueueLoad::QueueLoad(QueueLoad&& other103) noexcept {
+  queue = std::move(other103.queue);
+  pending = other103.pending;
+  wait_ms = other103.wait_ms;
+  open_since = other103.open_since;
+  earlier_pools = std::move(other103.earlier_pools);
+  __isset = other103.__isset;
+}
+QueueLoad& QueueLoad::operator=(const QueueLoad& other104) {
+  queue = other104.queue;
+  pending = other104.pending;
+  wait_ms = other104.wait_ms;
+  open_since = other104.open_since;
+  earlier_pools = other104.earlier_pools;
+  __isset = other104.__isset;
   return *this;
 }
-QueueLoad& QueueLoad::operator=(QueueLoad&& other99) noexcept {
-  queue = std::move(other99.queue);
-  pending = other99.pending;
-  wait_ms = other99.wait_ms;
-  open_since = other99.open_since;
-  earlier_pools = std::move(other99.earlier_pools);
-  __isset = other99.__isset;
+QueueLoad& QueueLoad::operator=(QueueLoad&& other105) noexcept {
+  queue = std::move(other105.queue);
+  pending = other105.pending;
+  wait_ms = other105.wait_ms;
+  open_since = other105.open_since;
+  earlier_pools = std::move(other105.earlier_pools);
+  __isset = other105.__isset;
   return *this;
 }
 void QueueLoad::printTo(std::ostream& out) const {
@@ -2936,14 +2978,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->queues.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->queues.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->queues.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->queues[_i104].read(iprot);
+              xfer += this->queues[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3004,14 +3046,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->spare_servers.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->spare_servers.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->spare_servers.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += iprot->readString(this->spare_servers[_i109]);
+              xfer += iprot->readString(this->spare_servers[_i115]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3040,14 +3082,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->silent_zones.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->silent_zones.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->silent_zones.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += iprot->readString(this->silent_zones[_i114]);
+              xfer += iprot->readString(this->silent_zones[_i120]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3092,10 +3134,10 @@
   xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
-    std::vector<QueueLoad> ::const_iterator _iter115;
-    for (_iter115 = this->queues.begin(); _iter115 != this->queues.end(); ++_iter115)
+    std::vector<QueueLoad> ::const_iterator _iter121;
+    for (_iter121 = this->queues.begin(); _iter121 != this->queues.end(); ++_iter121)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3128,10 +3170,10 @@
   xfer += oprot->writeFieldBegin("spare_servers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->spare_servers.size()));
-    std::vector<std::string> ::const_iterator _iter116;
-    for (_iter116 = this->spare_servers.begin(); _iter116 != this->spare_servers.end(); ++_iter116)
+    std::vector<std::string> ::const_iterator _iter122;
+    for (_iter122 = this->spare_servers.begin(); _iter122 != this->spare_servers.end(); ++_iter122)
     {
-      xfer += oprot->writeString((*_iter116));
+      xfer += oprot->writeString((*_iter122));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3148,10 +3190,10 @@
   xfer += oprot->writeFieldBegin("silent_zones", ::apache::thrift::protocol::T_LIST, 15);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->silent_zones.size()));
-    std::vector<std::string> ::const_iterator _iter117;
-    for (_iter117 = this->silent_zones.begin(); _iter117 != this->silent_zones.end(); ++_iter117)
+    std::vector<std::string> ::const_iterator _iter123;
+    for (_iter123 = this->silent_zones.begin(); _iter123 != this->silent_zones.end(); ++_iter123)
     {
-      xfer += oprot->writeString((*_iter117));
+      xfer += oprot->writeString((*_iter123));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3182,78 +3224,78 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnerBeat::OwnerBeat(const OwnerBeat& other118) {
-  pool = other118.pool;
-  token = other118.token;
-  lease_version = other118.lease_version;
-  renewed_age_ms = other118.renewed_age_ms;
-  queues = other118.queues;
-  released = other118.released;
-  successor = other118.successor;
-  demand_cores = other118.demand_cores;
-  capacity_cores = other118.capacity_cores;
-  servers = other118.servers;
-  min_servers = other118.min_servers;
-  spare_servers = other118.spare_servers;
-  offered_cores = other118.offered_cores;
-  silent_servers = other118.silent_servers;
-  silent_zones = other118.silent_zones;
-  __isset = other118.__isset;
-}
-OwnerBeat::OwnerBeat(OwnerBeat&& other119) noexcept {
-  pool = std::move(other119.pool);
-  token = other119.token;
-  lease_version = other119.lease_version;
-  renewed_age_ms = other119.renewed_age_ms;
-  queues = std::move(other119.queues);
-  released = other119.released;
-  successor = std::move(other119.successor);
-  demand_cores = other119.demand_cores;
-  capacity_cores = other119.capacity_cores;
-  servers = other119.servers;
-  min_servers = other119.min_servers;
-  spare_servers = std::move(other119.spare_servers);
-  offered_cores = other119.offered_cores;
-  silent_servers = other119.silent_servers;
-  silent_zones = std::move(other119.silent_zones);
-  __isset = other119.__isset;
-}
-OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other120) {
-  pool = other120.pool;
-  token = other120.token;
-  lease_version = other120.lease_version;
-  renewed_age_ms = other120.renewed_age_ms;
-  queues = other120.queues;
-  released = other120.released;
-  successor = other120.successor;
-  demand_cores = other120.demand_cores;
-  capacity_cores = other120.capacity_cores;
-  servers = other120.servers;
-  min_servers = other120.min_servers;
-  spare_servers = other120.spare_servers;
-  offered_cores = other120.offered_cores;
-  silent_servers = other120.silent_servers;
-  silent_zones = other120.silent_zones;
-  __isset = other120.__isset;
+OwnerBeat::OwnerBeat(const OwnerBeat& other124) {
+  pool = other124.pool;
+  token = other124.token;
+  lease_version = other124.lease_version;
+  renewed_age_ms = other124.renewed_age_ms;
+  queues = other124.queues;
+  released = other124.released;
+  successor = other124.successor;
+  demand_cores = other124.demand_cores;
+  capacity_cores = other124.capacity_cores;
+  servers = other124.servers;
+  min_servers = other124.min_servers;
+  spare_servers = other124.spare_servers;
+  offered_cores = other124.offered_cores;
+  silent_servers = other124.silent_servers;
+  silent_zones = other124.silent_zones;
+  __isset = other124.__isset;
+}
+OwnerBeat::OwnerBeat(OwnerBeat&& other125) noexcept {
+  pool = std::move(other125.pool);
+  token = other125.token;
+  lease_version = other125.lease_version;
+  renewed_age_ms = other125.renewed_age_ms;
+  queues = std::move(other125.queues);
+  released = other125.released;
+  successor = std::move(other125.successor);
+  demand_cores = other125.demand_cores;
+  capacity_cores = other125.capacity_cores;
+  servers = other125.servers;
+  min_servers = other125.min_servers;
+  spare_servers = std::move(other125.spare_servers);
+  offered_cores = other125.offered_cores;
+  silent_servers = other125.silent_servers;
+  silent_zones = std::move(other125.silent_zones);
+  __isset = other125.__isset;
+}
+OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other126) {
+  pool = other126.pool;
+  token = other126.token;
+  lease_version = other126.lease_version;
+  renewed_age_ms = other126.renewed_age_ms;
+  queues = other126.queues;
+  released = other126.released;
+  successor = other126.successor;
+  demand_cores = other126.demand_cores;
+  capacity_cores = other126.capacity_cores;
+  servers = other126.servers;
+  min_servers = other126.min_servers;
+  spare_servers = other126.spare_servers;
+  offered_cores = other126.offered_cores;
+  silent_servers = other126.silent_servers;
+  silent_zones = other126.silent_zones;
+  __isset = other126.__isset;
   return *this;
 }
-OwnerBeat& OwnerBeat::operator=(OwnerBeat&& other121) noexcept {
-  pool = std::move(other121.pool);
-  token = other121.token;
-  lease_version = other121.lease_version;
-  renewed_age_ms = other121.renewed_age_ms;
-  queues = std::move(other121.queues);
-  released = other121.released;
-  successor = std::move(other121.successor);
-  demand_cores = other121.demand_cores;
-  capacity_cores = other121.capacity_cores;
-  servers = other121.servers;
-  min_servers = other121.min_servers;
-  spare_servers = std::move(other121.spare_servers);
-  offered_cores = other121.offered_cores;
-  silent_servers = other121.silent_servers;
-  silent_zones = std::move(other121.silent_zones);
-  __isset = other121.__isset;
+OwnerBeat& OwnerBeat::operator=(OwnerBeat&& other127) noexcept {
+  pool = std::move(other127.pool);
+  token = other127.token;
+  lease_version = other127.lease_version;
+  renewed_age_ms = other127.renewed_age_ms;
+  queues = std::move(other127.queues);
+  released = other127.released;
+  successor = std::move(other127.successor);
+  demand_cores = other127.demand_cores;
+  capacity_cores = other127.capacity_cores;
+  servers = other127.servers;
+  min_servers = other127.min_servers;
+  spare_servers = std::move(other127.spare_servers);
+  offered_cores = other127.offered_cores;
+  silent_servers = other127.silent_servers;
+  silent_zones = std::move(other127.silent_zones);
+  __isset = other127.__isset;
   return *this;
 }
 void OwnerBeat::printTo(std::ostream& out) const {
@@ -3438,42 +3480,42 @@
   swap(a.__isset, b.__isset);
 }
 
-JobNotice::JobNotice(const JobNotice& other122) {
-  pool = other122.pool;
-  job = other122.job;
-  definition = other122.definition;
-  age_ms = other122.age_ms;
-  request = other122.request;
-  admitted_since = other122.admitted_since;
-  __isset = other122.__isset;
-}
-JobNotice::JobNotice(JobNotice&& other123) noexcept {
-  pool = std::move(other123.pool);
-  job = std::move(other123.job);
-  definition = std::move(other123.definition);
-  age_ms = other123.age_ms;
-  request = other123.request;
-  admitted_since = other123.admitted_since;
-  __isset = other123.__isset;
-}
-JobNotice& JobNotice::operator=(const JobNotice& other124) {
-  pool = other124.pool;
-  job = other124.job;
-  definition = other124.definition;
-  age_ms = other124.age_ms;
-  request = other124.request;
-  admitted_since = other124.admitted_since;
-  __isset = other124.__isset;
+JobNotice::JobNotice(const JobNotice& other128) {
+  pool = other128.pool;
+  job = other128.job;
+  definition = other128.definition;
+  age_ms = other128.age_ms;
+  request = other128.request;
+  admitted_since = other128.admitted_since;
+  __isset = other128.__isset;
+}
+JobNotice::JobNotice(JobNotice&& other129) noexcept {
+  pool = std::move(other129.pool);
+  job = std::move(other129.job);
+  definition = std::move(other129.definition);
+  age_ms = other129.age_ms;
+  request = other129.request;
+  admitted_since = other129.admitted_since;
+  __isset = other129.__isset;
+}
+JobNotice& JobNotice::operator=(const JobNotice& other130) {
+  pool = other130.pool;
+  job = other130.job;
+  definition = other130.definition;
+  age_ms = other130.age_ms;
+  request = other130.request;
+  admitted_since = other130.admitted_since;
+  __isset = other130.__isset;
   return *this;
 }
-JobNotice& JobNotice::operator=(JobNotice&& other125) noexcept {
-  pool = std::move(other125.pool);
-  job = std::move(other125.job);
-  definition = std::move(other125.definition);
-  age_ms = other125.age_ms;
-  request = other125.request;
-  admitted_since = other125.admitted_since;
-  __isset = other125.__isset;
+JobNotice& JobNotice::operator=(JobNotice&& other131) noexcept {
+  pool = std::move(other131.pool);
+  job = std::move(other131.job);
+  definition = std::move(other131.definition);
+  age_ms = other131.age_ms;
+  request = other131.request;
+  admitted_since = other131.admitted_since;
+  __isset = other131.__isset;
   return *this;
 }
 void JobNotice::printTo(std::ostream& out) const {
@@ -3615,34 +3657,34 @@
   swap(a.__isset, b.__isset);
 }
 
-JobQuery::JobQuery(const JobQuery& other126) {
-  request = other126.request;
-  pool = other126.pool;
-  job = other126.job;
-  cancel = other126.cancel;
-  __isset = other126.__isset;
+JobQuery::JobQuery(const JobQuery& other132) {
+  request = other132.request;
+  pool = other132.pool;
+  job = other132.job;
+  cancel = other132.cancel;
+  __isset = other132.__isset;
 }
-JobQuery::JobQuery(JobQuery&& other127) noexcept {
-  request = other127.request;
-  pool = std::move(other127.pool);
-  job = std::move(other127.job);
-  cancel = other127.cancel;
-  __isset = other127.__isset;
+JobQuery::JobQuery(JobQuery&& other133) noexcept {
+  request = other133.request;
+  pool = std::move(other133.pool);
+  job = std::move(other133.job);
+  cancel = other133.cancel;
+  __isset = other133.__isset;
 }
-JobQuery& JobQuery::operator=(const JobQuery& other128) {
-  request = other128.request;
-  pool = other128.pool;
-  job = other128.job;
-  cancel = other128.cancel;
-  __isset = other128.__isset;
+JobQuery& JobQuery::operator=(const JobQuery& other134) {
+  request = other134.request;
+  pool = other134.pool;
+  job = other134.job;
+  cancel = other134.cancel;
+  __isset = other134.__isset;
   return *this;
 }
-JobQuery& JobQuery::operator=(JobQuery&& other129) noexcept {
-  request = other129.request;
-  pool = std::move(other129.pool);
-  job = std::move(other129.job);
-  cancel = other129.cancel;
-  __isset = other129.__isset;
+JobQuery& JobQuery::operator=(JobQuery&& other135) noexcept {
+  request = other135.request;
+  pool = std::move(other135.pool);
+  job = std::move(other135.job);
+  cancel = other135.cancel;
+  __isset = other135.__isset;
   return *this;
 }
 void JobQuery::printTo(std::ostream& out) const {
@@ -3765,30 +3807,30 @@
   swap(a.__isset, b.__isset);
 }
 
-JobAnswer::JobAnswer(const JobAnswer& other130) noexcept {
-  request = other130.request;
-  state = other130.state;
-  retry_after_ms = other130.retry_after_ms;
-  __isset = other130.__isset;
+JobAnswer::JobAnswer(const JobAnswer& other136) noexcept {
+  request = other136.request;
+  state = other136.state;
+  retry_after_ms = other136.retry_after_ms;
+  __isset = other136.__isset;
 }
-JobAnswer::JobAnswer(JobAnswer&& other131) noexcept {
-  request = other131.request;
-  state = other131.state;
-  retry_after_ms = other131.retry_after_ms;
-  __isset = other131.__isset;
+JobAnswer::JobAnswer(JobAnswer&& other137) noexcept {
+  request = other137.request;
+  state = other137.state;
+  retry_after_ms = other137.retry_after_ms;
+  __isset = other137.__isset;
 }
-JobAnswer& JobAnswer::operator=(const JobAnswer& other132) noexcept {
-  request = other132.request;
-  state = other132.state;
-  retry_after_ms = other132.retry_after_ms;
-  __isset = other132.__isset;
+JobAnswer& JobAnswer::operator=(const JobAnswer& other138) noexcept {
+  request = other138.request;
+  state = other138.state;
+  retry_after_ms = other138.retry_after_ms;
+  __isset = other138.__isset;
   return *this;
 }
-JobAnswer& JobAnswer::operator=(JobAnswer&& other133) noexcept {
-  request = other133.request;
-  state = other133.state;
-  retry_after_ms = other133.retry_after_ms;
-  __isset = other133.__isset;
+JobAnswer& JobAnswer::operator=(JobAnswer&& other139) noexcept {
+  request = other139.request;
+  state = other139.state;
+  retry_after_ms = other139.retry_after_ms;
+  __isset = other139.__isset;
   return *this;
 }
 void JobAnswer::printTo(std::ostream& out) const {
@@ -3910,30 +3952,30 @@
   swap(a.__isset, b.__isset);
 }
 
-VacateRequest::VacateRequest(const VacateRequest& other134) {
-  pool = other134.pool;
-  server = other134.server;
-  withdraw = other134.withdraw;
-  __isset = other134.__isset;
+VacateRequest::VacateRequest(const VacateRequest& other140) {
+  pool = other140.pool;
+  server = other140.server;
+  withdraw = other140.withdraw;
+  __isset = other140.__isset;
 }
-VacateRequest::VacateRequest(VacateRequest&& other135) noexcept {
-  pool = std::move(other135.pool);
-  server = std::move(other135.server);
-  withdraw = other135.withdraw;
-  __isset = other135.__isset;
+VacateRequest::VacateRequest(VacateRequest&& other141) noexcept {
+  pool = std::move(other141.pool);
+  server = std::move(other141.server);
+  withdraw = other141.withdraw;
+  __isset = other141.__isset;
 }
-VacateRequest& VacateRequest::operator=(const VacateRequest& other136) {
-  pool = other136.pool;
-  server = other136.server;
-  withdraw = other136.withdraw;
-  __isset = other136.__isset;
+VacateRequest& VacateRequest::operator=(const VacateRequest& other142) {
+  pool = other142.pool;
+  server = other142.server;
+  withdraw = other142.withdraw;
+  __isset = other142.__isset;
   return *this;
 }
-VacateRequest& VacateRequest::operator=(VacateRequest&& other137) noexcept {
-  pool = std::move(other137.pool);
-  server = std::move(other137.server);
-  withdraw = other137.withdraw;
-  __isset = other137.__isset;
+VacateRequest& VacateRequest::operator=(VacateRequest&& other143) noexcept {
+  pool = std::move(other143.pool);
+  server = std::move(other143.server);
+  withdraw = other143.withdraw;
+  __isset = other143.__isset;
   return *this;
 }
 void VacateRequest::printTo(std::ostream& out) const {
@@ -4072,34 +4114,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VacateAnswer::VacateAnswer(const VacateAnswer& other138) {
-  pool = other138.pool;
-  server = other138.server;
-  state = other138.state;
-  token = other138.token;
-  __isset = other138.__isset;
+VacateAnswer::VacateAnswer(const VacateAnswer& other144) {
+  pool = other144.pool;
+  server = other144.server;
+  state = other144.state;
+  token = other144.token;
+  __isset = other144.__isset;
 }
-VacateAnswer::VacateAnswer(VacateAnswer&& other139) noexcept {
-  pool = std::move(other139.pool);
-  server = std::move(other139.server);
-  state = other139.state;
-  token = other139.token;
-  __isset = other139.__isset;
+VacateAnswer::VacateAnswer(VacateAnswer&& other145) noexcept {
+  pool = std::move(other145.pool);
+  server = std::move(other145.server);
+  state = other145.state;
+  token = other145.token;
+  __isset = other145.__isset;
 }
-VacateAnswer& VacateAnswer::operator=(const VacateAnswer& other140) {
-  pool = other140.pool;
-  server = other140.server;
-  state = other140.state;
-  token = other140.token;
-  __isset = other140.__isset;
+VacateAnswer& VacateAnswer::operator=(const VacateAnswer& other146) {
+  pool = other146.pool;
+  server = other146.server;
+  state = other146.state;
+  token = other146.token;
+  __isset = other146.__isset;
   return *this;
 }
-VacateAnswer& VacateAnswer::operator=(VacateAnswer&& other141) noexcept {
-  pool = std::move(other141.pool);
-  server = std::move(other141.server);
-  state = other141.state;
-  token = other141.token;
-  __isset = other141.__isset;
+VacateAnswer& VacateAnswer::operator=(VacateAnswer&& other147) noexcept {
+  pool = std::move(other147.pool);
+  server = std::move(other147.server);
+  state = other147.state;
+  token = other147.token;
+  __isset = other147.__isset;
   return *this;
 }
 void VacateAnswer::printTo(std::ostream& out) const {
@@ -4409,74 +4451,74 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedOrder::RelayedOrder(const RelayedOrder& other142) {
-  tag = other142.tag;
-  server = other142.server;
-  address = other142.address;
-  token = other142.token;
-  kind = other142.kind;
-  task = other142.task;
-  run = other142.run;
-  payload = other142.payload;
-  lease_until = other142.lease_until;
-  checkpoint = other142.checkpoint;
-  ticket = other142.ticket;
-  acknowledged = other142.acknowledged;
-  wait_ms = other142.wait_ms;
-  pace_percent = other142.pace_percent;
-  __isset = other142.__isset;
+RelayedOrder::RelayedOrder(const RelayedOrder& other148) {
+  tag = other148.tag;
+  server = other148.server;
+  address = other148.address;
+  token = other148.token;
+  kind = other148.kind;
+  task = other148.task;
+  run = other148.run;
+  payload = other148.payload;
+  lease_until = other148.lease_until;
+  checkpoint = other148.checkpoint;
+  ticket = other148.ticket;
+  acknowledged = other148.acknowledged;
+  wait_ms = other148.wait_ms;
+  pace_percent = other148.pace_percent;
+  __isset = other148.__isset;
 }
-RelayedOrder::RelayedOrder(RelayedOrder&& other143) noexcept {
-  tag = other143.tag;
-  server = std::move(other143.server);
-  address = std::move(other143.address);
-  token = other143.token;
-  kind = other143.kind;
-  task = std::move(other143.task);
-  run = other143.run;
-  payload = std::move(other143.payload);
-  lease_until = other143.lease_until;
-  checkpoint = std::move(other143.checkpoint);
-  ticket = std::move(other143.ticket);
-  acknowledged = other143.acknowledged;
-  wait_ms = other143.wait_ms;
-  pace_percent = other143.pace_percent;
-  __isset = other143.__isset;
+RelayedOrder::RelayedOrder(RelayedOrder&& other149) noexcept {
+  tag = other149.tag;
+  server = std::move(other149.server);
+  address = std::move(other149.address);
+  token = other149.token;
+  kind = other149.kind;
+  task = std::move(other149.task);
+  run = other149.run;
+  payload = std::move(other149.payload);
+  lease_until = other149.lease_until;
+  checkpoint = std::move(other149.checkpoint);
+  ticket = std::move(other149.ticket);
+  acknowledged = other149.acknowledged;
+  wait_ms = other149.wait_ms;
+  pace_percent = other149.pace_percent;
+  __isset = other149.__isset;
 }
-RelayedOrder& RelayedOrder::operator=(const RelayedOrder& other144) {
-  tag = other144.tag;
-  server = other144.server;
-  address = other144.address;
-  token = other144.token;
-  kind = other144.kind;
-  task = other144.task;
-  run = other144.run;
-  payload = other144.payload;
-  lease_until = other144.lease_until;
-  checkpoint = other144.checkpoint;
-  ticket = other144.ticket;
-  acknowledged = other144.acknowledged;
-  wait_ms = other144.wait_ms;
-  pace_percent = other144.pace_percent;
-  __isset = other144.__isset;
+RelayedOrder& RelayedOrder::operator=(const RelayedOrder& other150) {
+  tag = other150.tag;
+  server = other150.server;
+  address = other150.address;
+  token = other150.token;
+  kind = other150.kind;
+  task = other150.task;
+  run = other150.run;
+  payload = other150.payload;
+  lease_until = other150.lease_until;
+  checkpoint = other150.checkpoint;
+  ticket = other150.ticket;
+  acknowledged = other150.acknowledged;
+  wait_ms = other150.wait_ms;
+  pace_percent = other150.pace_percent;
+  __isset = other150.__isset;
   return *this;
 }
-RelayedOrder& RelayedOrder::operator=(RelayedOrder&& other145) noexcept {
-  tag = other145.tag;
-  server = std::move(other145.server);
-  address = std::move(other145.address);
-  token = other145.token;
-  kind = other145.kind;
-  task = std::move(other145.task);
-  run = other145.run;
-  payload = std::move(other145.payload);
-  lease_until = other145.lease_until;
-  checkpoint = std::move(other145.checkpoint);
-  ticket = std::move(other145.ticket);
-  acknowledged = other145.acknowledged;
-  wait_ms = other145.wait_ms;
-  pace_percent = other145.pace_percent;
-  __isset = other145.__isset;
+RelayedOrder& RelayedOrder::operator=(RelayedOrder&& other151) noexcept {
+  tag = other151.tag;
+  server = std::move(other151.server);
+  address = std::move(other151.address);
+  token = other151.token;
+  kind = other151.kind;
+  task = std::move(other151.task);
+  run = other151.run;
+  payload = std::move(other151.payload);
+  lease_until = other151.lease_until;
+  checkpoint = std::move(other151.checkpoint);
+  ticket = std::move(other151.ticket);
+  acknowledged = other151.acknowledged;
+  wait_ms = other151.wait_ms;
+  pace_percent = other151.pace_percent;
+  __isset = other151.__isset;
   return *this;
 }
 void RelayedOrder::printTo(std::ostream& out) const {
@@ -4643,38 +4685,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningRun::RunningRun(const RunningRun& other146) {
-  task = other146.task;
-  run = other146.run;
-  checkpoint = other146.checkpoint;
-  progress_percent = other146.progress_percent;
-  load = other146.load;
-  __isset = other146.__isset;
+RunningRun::RunningRun(const RunningRun& other152) {
+  task = other152.task;
+  run = other152.run;
+  checkpoint = other152.checkpoint;
+  progress_percent = other152.progress_percent;
+  load = other152.load;
+  __isset = other152.__isset;
 }
-RunningRun::RunningRun(RunningRun&& other147) noexcept {
-  task = std::move(other147.task);
-  run = other147.run;
-  checkpoint = std::move(other147.checkpoint);
-  progress_percent = other147.progress_percent;
-  load = other147.load;
-  __isset = other147.__isset;
+RunningRun::RunningRun(RunningRun&& other153) noexcept {
+  task = std::move(other153.task);
+  run = other153.run;
+  checkpoint = std::move(other153.checkpoint);
+  progress_percent = other153.progress_percent;
+  load = other153.load;
+  __isset = other153.__isset;
 }
-RunningRun& RunningRun::operator=(const RunningRun& other148) {
-  task = other148.task;
-  run = other148.run;
-  checkpoint = other148.checkpoint;
-  progress_percent = other148.progress_percent;
-  load = other148.load;
-  __isset = other148.__isset;
+RunningRun& RunningRun::operator=(const RunningRun& other154) {
+  task = other154.task;
+  run = other154.run;
+  checkpoint = other154.checkpoint;
+  progress_percent = other154.progress_percent;
+  load = other154.load;
+  __isset = other154.__isset;
   return *this;
 }
-RunningRun& RunningRun::operator=(RunningRun&& other149) noexcept {
-  task = std::move(other149.task);
-  run = other149.run;
-  checkpoint = std::move(other149.checkpoint);
-  progress_percent = other149.progress_percent;
-  load = other149.load;
-  __isset = other149.__isset;
+RunningRun& RunningRun::operator=(RunningRun&& other155) noexcept {
+  task = std::move(other155.task);
+  run = other155.run;
+  checkpoint = std::move(other155.checkpoint);
+  progress_percent = other155.progress_percent;
+  load = other155.load;
+  __isset = other155.__isset;
   return *this;
 }
 void RunningRun::printTo(std::ostream& out) const {
@@ -4832,38 +4874,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedRun::EndedRun(const EndedRun& other150) {
-  sequence = other150.sequence;
-  task = other150.task;
-  run = other150.run;
-  run_end = other150.run_end;
-  checkpoint = other150.checkpoint;
-  __isset = other150.__isset;
-}
-EndedRun::EndedRun(EndedRun&& other151) noexcept {
-  sequence = other151.sequence;
-  task = std::move(other151.task);
-  run = other151.run;
-  run_end = other151.run_end;
-  checkpoint = std::move(other151.checkpoint);
-  __isset = other151.__isset;
-}
-EndedRun& EndedRun::operator=(const EndedRun& other152) {
-  sequence = other152.sequence;
-  task = other152.task;
-  run = other152.run;
-  run_end = other152.run_end;
-  checkpoint = other152.checkpoint;
-  __isset = other152.__isset;
+EndedRun::EndedRun(const EndedRun& other156) {
+  sequence = other156.sequence;
+  task = other156.task;
+  run = other156.run;
+  run_end = other156.run_end;
+  checkpoint = other156.checkpoint;
+  __isset = other156.__isset;
+}
+EndedRun::EndedRun(EndedRun&& other157) noexcept {
+  sequence = other157.sequence;
+  task = std::move(other157.task);
+  run = other157.run;
+  run_end = other157.run_end;
+  checkpoint = std::move(other157.checkpoint);
+  __isset = other157.__isset;
+}
+EndedRun& EndedRun::operator=(const EndedRun& other158) {
+  sequence = other158.sequence;
+  task = other158.task;
+  run = other158.run;
+  run_end = other158.run_end;
+  checkpoint = other158.checkpoint;
+  __isset = other158.__isset;
   return *this;
 }
-EndedRun& EndedRun::operator=(EndedRun&& other153) noexcept {
-  sequence = other153.sequence;
-  task = std::move(other153.task);
-  run = other153.run;
-  run_end = other153.run_end;
-  checkpoint = std::move(other153.checkpoint);
-  __isset = other153.__isset;
+EndedRun& EndedRun::operator=(EndedRun&& other159) noexcept {
+  sequence = other159.sequence;
+  task = std::move(other159.task);
+  run = other159.run;
+  run_end = other159.run_end;
+  checkpoint = std::move(other159.checkpoint);
+  __isset = other159.__isset;
   return *this;
 }
 void EndedRun::printTo(std::ostream& out) const {
@@ -4983,14 +5025,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->running.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->running.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += this->running[_i158].read(iprot);
+              xfer += this->running[_i164].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5003,14 +5045,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size159;
-            ::apache::thrift::protocol::TType _etype162;
-            xfer += iprot->readListBegin(_etype162, _size159);
-            this->ended.resize(_size159);
-            uint32_t _i163;
-            for (_i163 = 0; _i163 < _size159; ++_i163)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->ended.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += this->ended[_i163].read(iprot);
+              xfer += this->ended[_i169].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5061,10 +5103,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningRun> ::const_iterator _iter164;
-    for (_iter164 = this->running.begin(); _iter164 != this->running.end(); ++_iter164)
+    std::vector<RunningRun> ::const_iterator _iter170;
+    for (_iter170 = this->running.begin(); _iter170 != this->running.end(); ++_iter170)
     {
-      xfer += (*_iter164).write(oprot);
+      xfer += (*_iter170).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5073,10 +5115,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedRun> ::const_iterator _iter165;
-    for (_iter165 = this->ended.begin(); _iter165 != this->ended.end(); ++_iter165)
+    std::vector<EndedRun> ::const_iterator _iter171;
+    for (_iter171 = this->ended.begin(); _iter171 != this->ended.end(); ++_iter171)
     {
-      xfer += (*_iter165).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5099,46 +5141,46 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayedReply::RelayedReply(const RelayedReply& other166) {
-  tag = other166.tag;
-  server = other166.server;
-  outcome = other166.outcome;
-  clock_ms = other166.clock_ms;
-  born_ms = other166.born_ms;
-  running = other166.running;
-  ended = other166.ended;
-  __isset = other166.__isset;
-}
-RelayedReply::RelayedReply(RelayedReply&& other167) noexcept {
-  tag = other167.tag;
-  server = std::move(other167.server);
-  outcome = other167.outcome;
-  clock_ms = other167.clock_ms;
-  born_ms = other167.born_ms;
-  running = std::move(other167.running);
-  ended = std::move(other167.ended);
-  __isset = other167.__isset;
-}
-RelayedReply& RelayedReply::operator=(const RelayedReply& other168) {
-  tag = other168.tag;
-  server = other168.server;
-  outcome = other168.outcome;
-  clock_ms = other168.clock_ms;
-  born_ms = other168.born_ms;
-  running = other168.running;
-  ended = other168.ended;
-  __isset = other168.__isset;
+RelayedReply::RelayedReply(const RelayedReply& other172) {
+  tag = other172.tag;
+  server = other172.server;
+  outcome = other172.outcome;
+  clock_ms = other172.clock_ms;
+  born_ms = other172.born_ms;
+  running = other172.running;
+  ended = other172.ended;
+  __isset = other172.__isset;
+}
+RelayedReply::RelayedReply(RelayedReply&& other173) noexcept {
+  tag = other173.tag;
+  server = std::move(other173.server);
+  outcome = other173.outcome;
+  clock_ms = other173.clock_ms;
+  born_ms = other173.born_ms;
+  running = std::move(other173.running);
+  ended = std::move(other173.ended);
+  __isset = other173.__isset;
+}
+RelayedReply& RelayedReply::operator=(const RelayedReply& other174) {
+  tag = other174.tag;
+  server = other174.server;
+  outcome = other174.outcome;
+  clock_ms = other174.clock_ms;
+  born_ms = other174.born_ms;
+  running = other174.running;
+  ended = other174.ended;
+  __isset = other174.__isset;
   return *this;
 }
-RelayedReply& RelayedReply::operator=(RelayedReply&& other169) noexcept {
-  tag = other169.tag;
-  server = std::move(other169.server);
-  outcome = other169.outcome;
-  clock_ms = other169.clock_ms;
-  born_ms = other169.born_ms;
-  running = std::move(other169.running);
-  ended = std::move(other169.ended);
-  __isset = other169.__isset;
+RelayedReply& RelayedReply::operator=(RelayedReply&& other175) noexcept {
+  tag = other175.tag;
+  server = std::move(other175.server);
+  outcome = other175.outcome;
+  clock_ms = other175.clock_ms;
+  born_ms = other175.born_ms;
+  running = std::move(other175.running);
+  ended = std::move(other175.ended);
+  __isset = other175.__isset;
   return *this;
 }
 void RelayedReply::printTo(std::ostream& out) const {
@@ -5210,14 +5252,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->orders.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->orders.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->orders[_i174].read(iprot);
+              xfer += this->orders[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5258,10 +5300,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<RelayedOrder> ::const_iterator _iter175;
-    for (_iter175 = this->orders.begin(); _iter175 != this->orders.end(); ++_iter175)
+    std::vector<RelayedOrder> ::const_iterator _iter181;
+    for (_iter181 = this->orders.begin(); _iter181 != this->orders.end(); ++_iter181)
     {
-      xfer += (*_iter175).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5284,30 +5326,30 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderBatch::OrderBatch(const OrderBatch& other176) {
-  session = other176.session;
-  orders = other176.orders;
-  valid_until_ms = other176.valid_until_ms;
-  __isset = other176.__isset;
+OrderBatch::OrderBatch(const OrderBatch& other182) {
+  session = other182.session;
+  orders = other182.orders;
+  valid_until_ms = other182.valid_until_ms;
+  __isset = other182.__isset;
 }
-OrderBatch::OrderBatch(OrderBatch&& other177) noexcept {
-  session = other177.session;
-  orders = std::move(other177.orders);
-  valid_until_ms = other177.valid_until_ms;
-  __isset = other177.__isset;
+OrderBatch::OrderBatch(OrderBatch&& other183) noexcept {
+  session = other183.session;
+  orders = std::move(other183.orders);
+  valid_until_ms = other183.valid_until_ms;
+  __isset = other183.__isset;
 }
-OrderBatch& OrderBatch::operator=(const OrderBatch& other178) {
-  session = other178.session;
-  orders = other178.orders;
-  valid_until_ms = other178.valid_until_ms;
-  __isset = other178.__isset;
+OrderBatch& OrderBatch::operator=(const OrderBatch& other184) {
+  session = other184.session;
+  orders = other184.orders;
+  valid_until_ms = other184.valid_until_ms;
+  __isset = other184.__isset;
   return *this;
 }
-OrderBatch& OrderBatch::operator=(OrderBatch&& other179) noexcept {
-  session = other179.session;
-  orders = std::move(other179.orders);
-  valid_until_ms = other179.valid_until_ms;
-  __isset = other179.__isset;
+OrderBatch& OrderBatch::operator=(OrderBatch&& other185) noexcept {
+  session = other185.session;
+  orders = std::move(other185.orders);
+  valid_until_ms = other185.valid_until_ms;
+  __isset = other185.__isset;
   return *this;
 }
 void OrderBatch::printTo(std::ostream& out) const {
@@ -5375,14 +5417,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->replies.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->replies.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->replies[_i184].read(iprot);
+              xfer += this->replies[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5423,10 +5465,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<RelayedReply> ::const_iterator _iter185;
-    for (_iter185 = this->replies.begin(); _iter185 != this->replies.end(); ++_iter185)
+    std::vector<RelayedReply> ::const_iterator _iter191;
+    for (_iter191 = this->replies.begin(); _iter191 != this->replies.end(); ++_iter191)
     {
-      xfer += (*_iter185).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5449,30 +5491,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplyBatch::ReplyBatch(const ReplyBatch& other186) {
-  session = other186.session;
-  replies = other186.replies;
-  clock_ms = other186.clock_ms;
-  __isset = other186.__isset;
+ReplyBatch::ReplyBatch(const ReplyBatch& other192) {
+  session = other192.session;
+  replies = other192.replies;
+  clock_ms = other192.clock_ms;
+  __isset = other192.__isset;
 }
-ReplyBatch::ReplyBatch(ReplyBatch&& other187) noexcept {
-  session = other187.session;
-  replies = std::move(other187.replies);
-  clock_ms = other187.clock_ms;
-  __isset = other187.__isset;
+ReplyBatch::ReplyBatch(ReplyBatch&& other193) noexcept {
+  session = other193.session;
+  replies = std::move(other193.replies);
+  clock_ms = other193.clock_ms;
+  __isset = other193.__isset;
 }
-ReplyBatch& ReplyBatch::operator=(const ReplyBatch& other188) {
-  session = other188.session;
-  replies = other188.replies;
-  clock_ms = other188.clock_ms;
-  __isset = other188.__isset;
+ReplyBatch& ReplyBatch::operator=(const ReplyBatch& other194) {
+  session = other194.session;
+  replies = other194.replies;
+  clock_ms = other194.clock_ms;
+  __isset = other194.__isset;
   return *this;
 }
-ReplyBatch& ReplyBatch::operator=(ReplyBatch&& other189) noexcept {
-  session = other189.session;
-  replies = std::move(other189.replies);
-  clock_ms = other189.clock_ms;
-  __isset = other189.__isset;
+ReplyBatch& ReplyBatch::operator=(ReplyBatch&& other195) noexcept {
+  session = other195.session;
+  replies = std::move(other195.replies);
+  clock_ms = other195.clock_ms;
+  __isset = other195.__isset;
   return *this;
 }
 void ReplyBatch::printTo(std::ostream& out) const {
@@ -5729,58 +5771,58 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other190) {
-  sender = other190.sender;
-  address = other190.address;
-  owner_beat = other190.owner_beat;
-  job_notice = other190.job_notice;
-  job_query = other190.job_query;
-  job_answer = other190.job_answer;
-  vacate_request = other190.vacate_request;
-  vacate_answer = other190.vacate_answer;
-  order_batch = other190.order_batch;
-  reply_batch = other190.reply_batch;
-  __isset = other190.__isset;
-}
-Envelope::Envelope(Envelope&& other191) noexcept {
-  sender = std::move(other191.sender);
-  address = std::move(other191.address);
-  owner_beat = std::move(other191.owner_beat);
-  job_notice = std::move(other191.job_notice);
-  job_query = std::move(other191.job_query);
-  job_answer = std::move(other191.job_answer);
-  vacate_request = std::move(other191.vacate_request);
-  vacate_answer = std::move(other191.vacate_answer);
-  order_batch = std::move(other191.order_batch);
-  reply_batch = std::move(other191.reply_batch);
-  __isset = other191.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other192) {
-  sender = other192.sender;
-  address = other192.address;
-  owner_beat = other192.owner_beat;
-  job_notice = other192.job_notice;
-  job_query = other192.job_query;
-  job_answer = other192.job_answer;
-  vacate_request = other192.vacate_request;
-  vacate_answer = other192.vacate_answer;
-  order_batch = other192.order_batch;
-  reply_batch = other192.reply_batch;
-  __isset = other192.__isset;
+Envelope::Envelope(const Envelope& other196) {
+  sender = other196.sender;
+  address = other196.address;
+  owner_beat = other196.owner_beat;
+  job_notice = other196.job_notice;
+  job_query = other196.job_query;
+  job_answer = other196.job_answer;
+  vacate_request = other196.vacate_request;
+  vacate_answer = other196.vacate_answer;
+  order_batch = other196.order_batch;
+  reply_batch = other196.reply_batch;
+  __isset = other196.__isset;
+}
+Envelope::Envelope(Envelope&& other197) noexcept {
+  sender = std::move(other197.sender);
+  address = std::move(other197.address);
+  owner_beat = std::move(other197.owner_beat);
+  job_notice = std::move(other197.job_notice);
+  job_query = std::move(other197.job_query);
+  job_answer = std::move(other197.job_answer);
+  vacate_request = std::move(other197.vacate_request);
+  vacate_answer = std::move(other197.vacate_answer);
+  order_batch = std::move(other197.order_batch);
+  reply_batch = std::move(other197.reply_batch);
+  __isset = other197.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other198) {
+  sender = other198.sender;
+  address = other198.address;
+  owner_beat = other198.owner_beat;
+  job_notice = other198.job_notice;
+  job_query = other198.job_query;
+  job_answer = other198.job_answer;
+  vacate_request = other198.vacate_request;
+  vacate_answer = other198.vacate_answer;
+  order_batch = other198.order_batch;
+  reply_batch = other198.reply_batch;
+  __isset = other198.__isset;
   return *this;
 }
-Envelope& Envelope::operator=(Envelope&& other193) noexcept {
-  sender = std::move(other193.sender);
-  address = std::move(other193.address);
-  owner_beat = std::move(other193.owner_beat);
-  job_notice = std::move(other193.job_notice);
-  job_query = std::move(other193.job_query);
-  job_answer = std::move(other193.job_answer);
-  vacate_request = std::move(other193.vacate_request);
-  vacate_answer = std::move(other193.vacate_answer);
-  order_batch = std::move(other193.order_batch);
-  reply_batch = std::move(other193.reply_batch);
-  __isset = other193.__isset;
+Envelope& Envelope::operator=(Envelope&& other199) noexcept {
+  sender = std::move(other199.sender);
+  address = std::move(other199.address);
+  owner_beat = std::move(other199.owner_beat);
+  job_notice = std::move(other199.job_notice);
+  job_query = std::move(other199.job_query);
+  job_answer = std::move(other199.job_answer);
+  vacate_request = std::move(other199.vacate_request);
+  vacate_answer = std::move(other199.vacate_answer);
+  order_batch = std::move(other199.order_batch);
+  reply_batch = std::move(other199.reply_batch);
+  __isset = other199.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -644,7 +644,7 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _Lease__isset {
-  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false), earlier_leases_ms(false), store_clock_ms(false) {}
+  _Lease__isset() : holder(false), address(false), token(false), sequence(false), released(false), successor(false), earlier_leases_ms(false), store_clock_ms(false), vacating_servers(false) {}
   bool holder :1;
   bool address :1;
   bool token :1;
@@ -653,6 +653,7 @@
   bool successor :1;
   bool earlier_leases_ms :1;
   bool store_clock_ms :1;
+  bool vacating_servers :1;
 } _Lease__isset;
 
 class Lease : public virtual ::apache::thrift::TBase {
@@ -682,6 +683,7 @@
   std::string successor;
   int64_t earlier_leases_ms;
   int64_t store_clock_ms;
+  std::vector<std::string>  vacating_servers;
 
   _Lease__isset __isset;
 
@@ -701,6 +703,8 @@
 
   void __set_store_clock_ms(const int64_t val);
 
+  void __set_vacating_servers(const std::vector<std::string> & val);
+
   bool operator == (const Lease & rhs) const
   {
     if (!(holder == rhs.holder))
@@ -719,6 +723,8 @@
       return false;
     if (!(store_clock_ms == rhs.store_clock_ms))
       return false;
+    if (!(vacating_servers == rhs.vacating_servers))
+      return false;
     return true;
   }
   bool operator != (const Lease &rhs) const {
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -407,6 +407,8 @@
   wire.successor = lease.successor.str();
   wire.earlier_leases_ms = WholeMilliseconds(lease.earlier_leases_remaining);
   wire.store_clock_ms = WholeMilliseconds(lease.store_clock);
+  for (const ServerId& server : lease.vacating_servers)
+    wire.vacating_servers.push_back(server.str());
   return ToBytes(wire);
 }
 
@@ -421,7 +423,8 @@
                   wire.released,
                   MemberId(wire.successor),
                   DecodedMilliseconds(wire.earlier_leases_ms),
-                  DecodedMilliseconds(wire.store_clock_ms)};
+                  DecodedMilliseconds(wire.store_clock_ms),
+                  {wire.vacating_servers.begin(), wire.vacating_servers.end()}};
 }
 
 std::string EncodeQueueAdmission(const QueueAdmissionRow& admission) {
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -122,6 +122,9 @@
   // The store's clock when the holder sent the row, or somewhat earlier. Zero
   // if the holder did not know it.
   Duration store_clock{};
+  // Servers that the holder empties for maintenance or moves. Its successor
+  // starts nothing there before it hears from the fleet coordinator.
+  std::vector<ServerId> vacating_servers;
 };
 
 struct QueueAdmissionRow {
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -416,6 +416,7 @@
       options.lease_version = lease.version;
       options.lease_taken_at = lease.sent_at;
       options.earlier_leases_until = EarlierLeasesUntil(lease);
+      options.vacating_servers = lease.vacating_servers;
       schedulers_[lease.pool] =
           std::make_unique<PoolScheduler>(options, config_, outbox_);
       next_server_list_ = now;
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -166,11 +166,11 @@
                                  RowVersion version) {
   watched.version = version;
   watched.unchanged_since = now;
-  acquired_.push_back({pool, watched.acquire_token, version,
-                       watched.acquire_sent_at, watched.acquire_as_first_owner,
-                       watched.acquire_was_released,
-                       watched.acquire_renewed_before,
-                       watched.acquire_earlier_leases_remaining});
+  acquired_.push_back(
+      {pool, watched.acquire_token, version, watched.acquire_sent_at,
+       watched.acquire_as_first_owner, watched.acquire_was_released,
+       watched.acquire_renewed_before, watched.acquire_earlier_leases_remaining,
+       watched.acquire_vacating_servers});
   SetOwned(now, pool, true);
 }
 
@@ -316,6 +316,11 @@
   watched.acquire_renewed_before = watched.unchanged_since;
   watched.acquire_earlier_leases_remaining =
       watched.row ? watched.row->earlier_leases_remaining : Duration::zero();
+  // A process that takes the lease from this one before its first commit needs
+  // them too.
+  if (watched.row)
+    lease.vacating_servers = watched.row->vacating_servers;
+  watched.acquire_vacating_servers = lease.vacating_servers;
   watched.acquire_sent_at = now;
   Transaction transaction;
   transaction.expects.push_back({OwnerLeaseKey(pool), watched.version});
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -44,6 +44,8 @@
   // Leases that owners before the previous one granted to backend servers may
   // last this long after `last_renewed_before`.
   Duration earlier_leases_remaining{};
+  // Servers that the previous owner was emptying.
+  std::vector<ServerId> vacating_servers;
 };
 
 // A scheduler process that may own pools.
@@ -130,6 +132,7 @@
     bool acquire_was_released = false;
     Time acquire_renewed_before;
     Duration acquire_earlier_leases_remaining{};
+    std::vector<ServerId> acquire_vacating_servers;
     // A lease that was released or has no row yet is not acquired before this
     // time.
     Time acquire_not_before;
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -231,9 +231,14 @@
 }
 
 void PoolScheduler::FinishLoading(Time now, Outbox& outbox) {
+  ContinueVacating(now);
   size_t inherited = 0;
-  for (const auto& [id, server] : state_.servers.all())
+  size_t inherited_stops = 0;
+  for (const auto& [id, server] : state_.servers.all()) {
     inherited += server.runs.size();
+    for (const RunRef& run : server.runs)
+      inherited_stops += state_.jobs.FindRun(run)->stop_wanted ? 1 : 0;
+  }
   outbox.LogDecision(
       "pool-loaded",
       {{"pool", state_.pool.str()},
@@ -241,6 +246,8 @@
        {"jobs", static_cast<int64_t>(state_.jobs.size())},
        {"open", static_cast<int64_t>(state_.jobs.open().size())},
        {"inherited_runs", static_cast<int64_t>(inherited)},
+       {"inherited_stops", static_cast<int64_t>(inherited_stops)},
+       {"emptying", static_cast<int64_t>(options_.vacating_servers.size())},
        {"took_ms", WholeMilliseconds(now - options_.lease_taken_at)}});
   loading_.progress.clear();
   runs_.Wake(now);
@@ -248,6 +255,14 @@
   plan_needed_ = true;
 }
 
+void PoolScheduler::ContinueVacating(Time now) {
+  for (const ServerId& id : options_.vacating_servers) {
+    ServerState& server = state_.servers.FindOrAdd(id);
+    server.vacating = true;
+    server.vacate_started_at = server.vacate_requested_at = now;
+  }
+}
+
 Time PoolScheduler::ObjectiveOf(const JobSpec& spec, Time arrived) const {
   const QueueSettings& settings = state_.SettingsOf(spec);
   Duration chain = LongestChain(
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -52,6 +52,8 @@
   // All leases that earlier owners of the pool granted to backend servers have
   // expired by this time.
   Time earlier_leases_until;
+  // Servers that the previous owner was emptying.
+  std::vector<ServerId> vacating_servers;
 };
 
 class PoolScheduler {
@@ -172,6 +174,9 @@
   static StoredProgress TakeProgress(LoadedProgress& loaded);
   void LoadJob(Time now, WallMillis wall, const Row& row, Outbox& outbox);
   void FinishLoading(Time now, Outbox& outbox);
+  // Continues to empty the servers that the previous owner was emptying, until
+  // the requests of the fleet coordinator arrive here or fail to.
+  void ContinueVacating(Time now);
 
   void PollInbox(Time now, Outbox& outbox);
   void OnInboxRow(Time now, const Row& row, Outbox& outbox);
--- a/radishmoor/jobs/testing/job_codec_test.cc
+++ b/radishmoor/jobs/testing/job_codec_test.cc
@@ -83,10 +83,12 @@
 
   LeaseRow lease{MemberId("n"), "10.0.0.1:1",      7, 9, true,
                  MemberId("m"), Milliseconds(1234)};
+  lease.vacating_servers = {ServerId("s1"), ServerId("s2")};
   std::optional<LeaseRow> row = DecodeLease(EncodeLease(lease));
   REQUIRE(row);
   REQUIRE(row->token == 7);
   REQUIRE(row->earlier_leases_remaining == Milliseconds(1234));
+  REQUIRE(row->vacating_servers == lease.vacating_servers);
   REQUIRE(row->released);
 }
 
--- a/radishmoor/jobs/testing/pool_leases_test.cc
+++ b/radishmoor/jobs/testing/pool_leases_test.cc
@@ -43,6 +43,44 @@
   REQUIRE(acquisitions <= 4 * kSeconds);
 }
 
+// Guards against a second owner that does not know which servers are being
+// emptied because the first one ended before its first commit.
+TEST_CASE("an acquired lease names the servers that are being emptied",
+          "[leases]") {
+  PoolLeases leases(MemberId("n"), "n:1", 100);
+  Time now = kTimeZero + Seconds(100);
+  PoolId pools[] = {kPool};
+  leases.WatchPools(now, pools);
+  LeaseRow lease;
+  lease.holder = MemberId("lost");
+  lease.token = 3;
+  lease.vacating_servers = {ServerId("s1"), ServerId("s2")};
+  Outbox outbox;
+  std::vector<AcquiredLease> acquired;
+  for (Time end = now + Seconds(5); now < end && acquired.empty();
+       now += Milliseconds(5)) {
+    leases.Tick(now, outbox);
+    for (JobAction& action : outbox.TakeAllActions()) {
+      const auto* call = std::get_if<StoreCall>(&action);
+      if (call == nullptr)
+        continue;
+      if (const auto* commit = std::get_if<CommitRows>(&call->request)) {
+        std::optional<LeaseRow> written =
+            DecodeLease(commit->transaction.writes.at(0).value);
+        REQUIRE(written->vacating_servers == lease.vacating_servers);
+        leases.OnStoreAnswer(now, {call->tag, CommittedReply{}}, outbox);
+      } else {
+        RowsReply rows;
+        rows.rows = {{OwnerLeaseKey(kPool), 7, EncodeLease(lease)}};
+        leases.OnStoreAnswer(now, {call->tag, rows}, outbox);
+      }
+    }
+    acquired = leases.TakeAcquiredLeases();
+  }
+  REQUIRE(acquired.size() == 1);
+  REQUIRE(acquired[0].vacating_servers == lease.vacating_servers);
+}
+
 // Guards against a partition that stays overloaded after the store was slow:
 // the acquisitions of all processes of a large site, each repeated soon, keep
 // the owner's renewals out, so that the others go on.
--- a/radishmoor/jobs/testing/pool_scheduler_test.cc
+++ b/radishmoor/jobs/testing/pool_scheduler_test.cc
@@ -40,13 +40,17 @@
     table_.Handle(CommitRows{transaction});
   }
 
-  // Starts a new owner, which takes the lease from the one before, if any.
+  // Starts a new owner, which takes the lease from the one before, if any. It
+  // finds the servers in the row that the one before was emptying.
   void TakeOver() {
     PoolSchedulerOptions options;
     options.pool = pool_;
     options.node = MemberId("n");
     options.token = ++token_;
     options.lease_taken_at = now_;
+    if (std::optional<LeaseRow> before =
+            DecodeLease(Read(OwnerLeaseKey(pool_)).value))
+      options.vacating_servers = before->vacating_servers;
     LeaseRow lease;
     lease.holder = options.node;
     lease.token = token_;
@@ -104,6 +108,40 @@
   return VacateState::kUnknownServer;
 }
 
+// Guards against tasks that are started on a server that is being emptied and
+// stopped there soon after, by owner after owner.
+TEST_CASE("a new owner starts nothing on a server that is being emptied",
+          "[scheduler]") {
+  for (bool withdrawn : {false, true}) {
+    OwnerHarness harness;
+    harness.TakeOver();
+    harness.Run(Milliseconds(500));
+    ServerListing listing;
+    listing.id = ServerId("s");
+    listing.pool = harness.pool_;
+    listing.address = "10.0.0.1:1";
+    harness.owner_->OnServerList(harness.now_, {&listing, 1}, harness.outbox_);
+    REQUIRE(AnswerVacateRequest(harness, listing.id) == VacateState::kEmpty);
+    if (withdrawn)
+      harness.owner_->OnVacateRequest(harness.now_, MemberId("c"), "10.0.0.2:1",
+                                      {harness.pool_, listing.id, true},
+                                      harness.outbox_);
+    harness.Run(Milliseconds(600));
+    harness.TakeOver();
+    harness.Run(Milliseconds(500));
+    ServerState state;
+    auto found = harness.owner_->state().servers.all().find(listing.id);
+    if (found != harness.owner_->state().servers.all().end())
+      state = found->second;
+    REQUIRE(state.vacating == !withdrawn);
+    // Without a request from the coordinator, the server is used again.
+    harness.Run(Seconds(4));
+    found = harness.owner_->state().servers.all().find(listing.id);
+    REQUIRE((found == harness.owner_->state().servers.all().end() ||
+             !found->second.vacating));
+  }
+}
+
 // Guards against a maintenance call for a server on which another owner has
 // started tasks: the earlier owner, which was cut off, still answered that the
 // server is empty.
