Set the pace of inherited best-effort tasks anew

A new owner took every inherited task to run at full speed. A best-effort task that the earlier owner had throttled stayed throttled, possibly until its end: where the tail latency is low, the pace that the owner assumed was right already, and no order was sent. Found while looking for other state that only an owner's memory holds; seen in the unit test only (no order sent before).

The pace of an inherited run is unknown until an order sets it. It is set at the first review: to full speed on a server without latency-sensitive tasks, else from half of it on.

--- a/radishmoor/jobs/job_table.cc
+++ b/radishmoor/jobs/job_table.cc
@@ -120,6 +120,7 @@
         run.phase_since = now;
         run.start_sent_at = now;
         run.progress_changed_at = now;
+        run.ordered_pace_percent.reset();
         run.stop_wanted = r.stop_wanted || IsFinal(job.state) || task.done;
         task.runs.push_back(std::move(run));
       }
--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -50,7 +50,8 @@
   std::optional<WallMillis> incarnation_started_at;
   std::string checkpoint;  // Latest one that a poll listed.
   int64_t load = 0;        // See RunningTask::load.
-  uint32_t ordered_pace_percent = 100;
+  // Absent for an inherited run: the earlier owner may have throttled it.
+  std::optional<uint32_t> ordered_pace_percent = 100;
   // The server's slowness was already raised because this run takes long.
   bool counted_slow = false;
 
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -68,6 +68,9 @@
 // Minimum time between changes of pace on a server. A change and its effect on
 // the tail latency take about this long to show.
 constexpr Duration kMinPaceChangeInterval = Milliseconds(350);
+// Pace that is assumed of an inherited best-effort run next to
+// latency-sensitive ones, in percent.
+constexpr uint32_t kInheritedPacePercent = 50;
 
 // Returns the rack with the highest count; empty if there is none.
 RackId RackWithMost(const std::map<RackId, uint32_t>& counts) {
@@ -597,7 +600,7 @@
 
 void TaskDispatch::PaceServer(Time now, ServerState& server, Outbox& outbox) {
   double worst = 0;
-  std::vector<std::pair<RunRef, uint32_t>> paced;
+  std::vector<std::pair<RunRef, std::optional<uint32_t>>> paced;
   for (const RunRef& ref : server.runs) {
     Job* job = state_.jobs.Find(ref.task.job);
     Task* task = state_.jobs.FindTask(ref.task);
@@ -614,8 +617,10 @@
   }
   if (paced.empty() || now - server.pace_changed_at < kMinPaceChangeInterval)
     return;
+  uint32_t inherited_pace =
+      server.latency_sensitive_runs > 0 ? kInheritedPacePercent : 100;
   for (const auto& [ref, pace] : paced) {
-    uint32_t next = NextPace(pace, worst);
+    uint32_t next = NextPace(pace.value_or(inherited_pace), worst);
     if (next == pace)
       continue;
     server.pace_changed_at = now;
--- a/radishmoor/jobs/testing/task_dispatch_test.cc
+++ b/radishmoor/jobs/testing/task_dispatch_test.cc
@@ -261,6 +261,30 @@
   REQUIRE(pool.ReviewAndCountStops() == 1);
 }
 
+// Guards against a best-effort task that stays throttled after a change of the
+// owner, which took it to run at full speed.
+TEST_CASE("the pace of an inherited run is set anew", "[dispatch]") {
+  StepSpec step = LongRunning(1, 0);
+  step.best_effort = true;
+  TestPool pool(step);
+  pool.AddServer("s1");
+  pool.AddRun(0, "s1", 100);
+  StoredProgress stored = pool.state_.jobs.ProgressOf(*pool.job_);
+  pool.job_->occurrences.clear();
+  pool.state_.jobs.Restore(*pool.job_, stored, kNow);
+  Run& run = pool.job_->occurrences.at(0).tasks[0].runs[0];
+  run.phase = RunPhase::kRunning;
+  Outbox outbox;
+  pool.dispatch_.ReviewRunningTasks(kNow, outbox);
+  std::vector<uint32_t> paces;
+  for (const JobAction& action : outbox.TakeAllActions()) {
+    const auto* order = std::get_if<OrderToServer>(&action);
+    if (order != nullptr && std::holds_alternative<PaceRun>(order->order))
+      paces.push_back(std::get<PaceRun>(order->order).pace_percent);
+  }
+  REQUIRE(paces == std::vector<uint32_t>{100});
+}
+
 // Guards against a stop that is repeated, since it was not answered, after
 // another task of the step has become missing.
 TEST_CASE("a stop is not repeated while another task is missing",
