Sleep until the release of a pool is stored

A change of the configuration while an owner released a pool made it wake without pause: the admissions of queues asked for a tick that they did not get. They are asked for their next wake-up only while they get one. Was known from reading; the case of pool_scheduler_test fails on the code before.

--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -697,9 +697,10 @@
   }
   bool may_order = !chain_.release_sent() && !chain_.released();
   runs_.Tick(now, may_order, outbox);
-  if (!chain_.releasing())
+  if (!chain_.releasing()) {
     admission_.Tick(now, outbox);
-  Wake(admission_.next_wake());
+    Wake(admission_.next_wake());
+  }
   PollInbox(now, outbox);
   UpdateScheduled(now, wall);
   if (may_order && renewed_age(now) < kMaxRenewalAgeForPlanning) {
--- a/radishmoor/jobs/testing/pool_scheduler_test.cc
+++ b/radishmoor/jobs/testing/pool_scheduler_test.cc
@@ -163,6 +163,22 @@
   REQUIRE(AnswerVacateRequest(harness, listing.id) == VacateState::kEmptying);
 }
 
+// Guards against a process that wakes without pause while it releases a pool
+// and the configuration changes.
+TEST_CASE("an owner that releases its pool sleeps until that is stored",
+          "[scheduler]") {
+  OwnerHarness harness;
+  harness.TakeOver();
+  harness.Run(Milliseconds(500));
+  harness.owner_->Release(MemberId("m"));
+  harness.owner_->Tick(harness.now_, 0, harness.outbox_);
+  ++harness.config_.version;
+  harness.owner_->OnConfig(harness.config_);
+  harness.now_ += Milliseconds(1);
+  harness.owner_->Tick(harness.now_, 0, harness.outbox_);
+  REQUIRE(harness.owner_->next_wake() > harness.now_);
+}
+
 // Guards against a lost cancellation: the owner must not remove its inbox row
 // before the cancelled state is stored, which other changes may delay by
 // several commits.
