--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -183,10 +183,20 @@
     run->stop_change = job.changes;
   }
   RequestRunCheck(now, run->server);
-  outbox.LogDecision("run-stop", {{"task", FormatTask(task_id)},
-                                  {"run", static_cast<int64_t>(number)},
-                                  {"server", run->server.str()},
-                                  {"reason", std::string(reason)}});
+  std::vector<DecisionField> fields = {{"task", FormatTask(task_id)},
+                                       {"run", static_cast<int64_t>(number)},
+                                       {"server", run->server.str()},
+                                       {"reason", std::string(reason)}};
+  if (IsLongRunning(ref) && !IsFinal(job.state)) {
+    uint32_t missing =
+        CountMissingTasks(state_, now, job.occurrences.at(task_id.occurrence),
+                          *state_.jobs.FindTask(task_id));
+    fields.push_back({"missing", static_cast<int64_t>(missing)});
+    fields.push_back(
+        {"allowed",
+         static_cast<int64_t>(job.spec.steps[task_id.step].allowed_missing)});
+  }
+  outbox.LogDecision("run-stop", std::move(fields));
   if (run->phase == RunPhase::kPlanned && run->commit == 0) {
     RemoveRun(now, ref, "not-wanted", outbox);
     return;
