Let go of a host whose move was executed without an answer

After a move whose answer was lost, the host is in another pool, whose owner was not asked, so that the operation never ended and the host was neither moved nor maintained any more. Found by reading the change; the case of fleet_coordinator_test fails on the code before.

A move ends when the host is listed with another server than the one that was emptied: it was executed, or the host is in use again. Maintenance follows the host to its present pool.

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -37,9 +37,9 @@
 // not about the lease row.
 constexpr Duration kUnavailableDelay = Milliseconds(100);
 // The lease row names the servers that this owner was asked to empty within
-// this time. Requests are repeated each 250 ms. A successor's row does not name
-// them again on its own account, so that they are not kept empty for good by
-// owners that follow each other quickly.
+// this time. Requests are repeated each 250 ms. The servers that it empties for
+// its predecessor are not named again: owners that follow each other quickly
+// would keep them empty for good.
 constexpr Duration kRecentVacateRequest = Milliseconds(600);
 
 bool HasNoProgress(const StoredProgress& progress) {
--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -721,7 +721,16 @@
       operation.next_try_at = now + kBusyHostRetry;
       return;
     }
-    if (listing != hosts_.end())
+    bool server_changed = listing != hosts_.end() &&
+                          listing->second.state == ListedHostState::kUp &&
+                          listing->second.server != operation.server;
+    if (server_changed && operation.kind == HostOperationKind::kMove) {
+      // The move was executed, or the host is in use again.
+      RemoveRowLater(now, host);
+      host_operations_.erase(host);
+      return;
+    }
+    if (server_changed)
       FollowServer(host, listing->second, operation, outbox);
     if (!operation.call_may_be_executed &&
         !IsServerEmpty(now, operation, contacts)) {
@@ -753,14 +762,12 @@
                                     const HostListing& listing,
                                     HostOperation& operation,
                                     Outbox& outbox) {
-  if (listing.state != ListedHostState::kUp ||
-      listing.server == operation.server)
-    return;
   outbox.LogDecision("host-server-changed",
                      {{"host", host.str()},
                       {"server", listing.server.str()},
                       {"emptied_server", operation.server.str()}});
   operation.server = listing.server;
+  operation.pool = listing.pool;
   operation.reported_empty_by = 0;
   operation.call_may_be_executed = false;
 }
--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -202,9 +202,9 @@
   bool IsServerEmpty(Time now,
                      const HostOperation& operation,
                      const std::map<PoolId, PoolOwnerContact>& contacts) const;
-  // Makes an operation whose call was not answered, or is not sent yet, empty
-  // the host's present server first if it is not the one that was emptied. A
-  // call that was executed is not executed again when it is repeated.
+  // Makes maintenance whose call was not answered, or is not sent yet, empty
+  // the host's present server first, which is not the one that was emptied. If
+  // the call was executed, its repetition is not executed again.
   static void FollowServer(const HostId& host,
                            const HostListing& listing,
                            HostOperation& operation,
--- a/radishmoor/jobs/testing/fleet_coordinator_test.cc
+++ b/radishmoor/jobs/testing/fleet_coordinator_test.cc
@@ -103,6 +103,7 @@
   std::vector<HostId> moved_hosts_;
   std::set<uint64_t> completed_waves_;
   bool throttle_calls_ = false;
+  bool lose_answers_ = false;  // Calls are executed and not answered.
   // Servers that the pools' owners report as not empty yet.
   std::set<ServerId> busy_servers_;
   std::set<ServerId> requested_servers_;  // Servers to be emptied so far.
@@ -147,13 +148,24 @@
       if (request.withdraw)
         return;
       requested_servers_.insert(request.server);
+      bool known = std::any_of(
+          hosts_.begin(), hosts_.end(), [&request](const HostListing& host) {
+            return host.pool == request.pool && host.server == request.server;
+          });
+      if (!known) {
+        coordinator_->OnVacateAnswer(now_, {request.pool, request.server,
+                                            VacateState::kUnknownServer, 1});
+        return;
+      }
       bool busy = busy_servers_.contains(request.server);
       coordinator_->OnVacateAnswer(
           now_, {request.pool, request.server,
                  busy ? VacateState::kEmptying : VacateState::kEmpty, 1});
     } else if (const auto* call = std::get_if<HostCall>(&action)) {
-      coordinator_->OnHostReply(now_, {call->tag, CallHost(call->request), {}},
-                                outbox_);
+      HostOutcome outcome = CallHost(call->request);
+      if (lose_answers_)
+        outcome = HostOutcome::kUnanswered;
+      coordinator_->OnHostReply(now_, {call->tag, outcome, {}}, outbox_);
     }
   }
 
@@ -430,6 +442,28 @@
   REQUIRE(site.maintained_hosts_.size() == 1);
 }
 
+// Guards against a host that is kept from all operations because the answer to
+// its move was lost.
+TEST_CASE("a host whose move was not answered can be maintained",
+          "[coordinator]") {
+  FleetCoordinatorHarness site;
+  site.TakeOver();
+  site.demand_cores_[PoolId("a")] = 150;
+  site.Run(Seconds(3));
+  site.moved_hosts_.clear();
+  site.lose_answers_ = true;
+  site.demand_cores_[PoolId("a")] = 1;
+  for (int i = 0; i < 60 && site.moved_hosts_.empty(); ++i)
+    site.Run(Seconds(1));
+  REQUIRE_FALSE(site.moved_hosts_.empty());
+  site.lose_answers_ = false;
+  site.Run(Seconds(2));
+  HostId moved = site.moved_hosts_.front();
+  site.ObserveWave(WaveOver({moved}));
+  site.Run(Seconds(10));
+  REQUIRE(site.maintained_hosts_ == std::vector<HostId>{moved});
+}
+
 // Guards against a call that ends the tasks of a server that was never emptied:
 // its host went down before the call and came back.
 TEST_CASE("a host that comes back is emptied again before its call",
