--- a/radishmoor/jobs/availability_budget.cc
+++ b/radishmoor/jobs/availability_budget.cc
@@ -39,7 +39,7 @@
                       const Job& job,
                       const Occurrence& occurrence,
                       const Task& task) {
-  // The tasks of a step without an allowance have no budget to keep. They are
+  // A step that allows no missing tasks has no budget to keep. Its tasks are
   // moved one at a time.
   uint32_t allowed = std::max(1u, job.StepOf(task).allowed_missing);
   return CountMissingTasks(state, now, occurrence, task) < allowed;
--- a/radishmoor/jobs/availability_budget.h
+++ b/radishmoor/jobs/availability_budget.h
@@ -22,7 +22,7 @@
                            const Occurrence& occurrence,
                            const Task& task);
 
-// Returns true if the step keeps its allowance when this task is stopped.
+// Returns true if the step stays within its budget when this task is stopped.
 bool MayBecomeMissing(const JobPoolState& state,
                       Time now,
                       const Job& job,
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -287,7 +287,7 @@
   bool IsAtWork(const TaskId& task) const;
   bool IsAtWork(const Server& server, const TaskId& task) const;
   // Records that an order ends the run of a long-running task on the server,
-  // and checks that its step keeps its allowance of missing tasks.
+  // and checks that its step keeps its budget of missing tasks.
   void OnRunEndedByOrder(const Server& server, const TaskId& task, bool late);
   // Returns how many members of the gang run under this number.
   uint32_t GangMembers(const TaskId& task, RunNumber run) const;
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -329,7 +329,7 @@
 constexpr uint64_t kHandoverSeeds = 40;
 
 // Requires that no step has more tasks missing than it allows.
-void RequireAllowanceIsKept(const JobSimulationOptions& options) {
+void RequireBudgetIsKept(const JobSimulationOptions& options) {
   INFO("seed " << options.seed);
   JobSimulation simulation(options);
   simulation.Run(Seconds(40));
@@ -341,10 +341,10 @@
 
 // Guards against a stop that the next owner does not know of: it counts the
 // task as available and stops another one of its step.
-TEST_CASE("a step keeps its allowance of missing tasks over planned handovers",
+TEST_CASE("a step keeps its budget of missing tasks over planned handovers",
           "[simulation]") {
   for (uint64_t seed = 1; seed <= kHandoverSeeds; ++seed)
-    RequireAllowanceIsKept(SiteWithHandovers(seed));
+    RequireBudgetIsKept(SiteWithHandovers(seed));
 }
 
 // Guards against long-running tasks that do not return for seconds because
@@ -356,13 +356,13 @@
     options.handover_period = Milliseconds(500);
     // The users' limit: 3 s, from 6 s after the end of the run before.
     options.max_lasting_wait = Seconds(9);
-    RequireAllowanceIsKept(options);
+    RequireBudgetIsKept(options);
   }
 }
 
 // Guards against more missing tasks while servers drain and leave, or are cut
 // off.
-TEST_CASE("a step keeps its allowance of missing tasks while servers leave",
+TEST_CASE("a step keeps its budget of missing tasks while servers leave",
           "[simulation]") {
   for (uint64_t seed = 1; seed <= kHandoverSeeds; ++seed) {
     JobSimulationOptions options = SiteWithHandovers(seed);
@@ -370,13 +370,13 @@
       options.server_drain_period = Seconds(3);
     else
       options.server_cut_period = Seconds(2);
-    RequireAllowanceIsKept(options);
+    RequireBudgetIsKept(options);
   }
 }
 
 // Guards against the same when an owner is lost between its decision, the
 // commit that stores it, and its order, or orders are late.
-TEST_CASE("a step keeps its allowance of missing tasks when owners are lost",
+TEST_CASE("a step keeps its budget of missing tasks when owners are lost",
           "[simulation]") {
   for (uint64_t seed = 1; seed <= kHandoverSeeds; ++seed) {
     JobSimulationOptions options = SiteWithHandovers(seed);
@@ -385,19 +385,19 @@
     options.lost_answer_share = 0.05;
     options.late_order_share = 0.03;
     options.server_drain_period = Seconds(3);
-    RequireAllowanceIsKept(options);
+    RequireBudgetIsKept(options);
   }
 }
 
 // Guards against the same when other processes send the owner's stops.
-TEST_CASE("a step keeps its allowance of missing tasks when orders are relayed",
+TEST_CASE("a step keeps its budget of missing tasks when orders are relayed",
           "[simulation]") {
   for (uint64_t seed = 1; seed <= kHandoverSeeds; ++seed) {
     JobSimulationOptions options = SiteWithHandovers(seed);
     options.handover_kinds = {HandoverKind::kShutdown, HandoverKind::kKill,
                               HandoverKind::kFreeze, HandoverKind::kCut};
     options.relay_orders_per_second = 0;
-    RequireAllowanceIsKept(options);
+    RequireBudgetIsKept(options);
   }
 }
 
--- a/radishmoor/jobs/testing/pool_scheduler_test.cc
+++ b/radishmoor/jobs/testing/pool_scheduler_test.cc
@@ -97,6 +97,16 @@
   std::function<void()> before_inbox_scan_;
 };
 
+// Lists a server of the pool to the owner.
+ServerId AddServer(OwnerHarness& harness) {
+  ServerListing listing;
+  listing.id = ServerId("s");
+  listing.pool = harness.pool_;
+  listing.address = "10.0.0.1:1";
+  harness.owner_->OnServerList(harness.now_, {&listing, 1}, harness.outbox_);
+  return listing.id;
+}
+
 VacateState AnswerVacateRequest(OwnerHarness& harness, const ServerId& id) {
   harness.outbox_.TakeAllActions();
   harness.owner_->OnVacateRequest(harness.now_, MemberId("c"), "10.0.0.2:1",
@@ -117,20 +127,16 @@
     OwnerHarness harness;
     harness.TakeOver();
     harness.Run(Milliseconds(500));
-    ServerListing listing;
-    listing.id = ServerId("s");
-    listing.pool = harness.pool_;
-    listing.address = "10.0.0.1:1";
-    harness.owner_->OnServerList(harness.now_, {&listing, 1}, harness.outbox_);
-    REQUIRE(AnswerVacateRequest(harness, listing.id) == VacateState::kEmpty);
+    ServerId server = AddServer(harness);
+    REQUIRE(AnswerVacateRequest(harness, server) == VacateState::kEmpty);
     if (withdrawn)
       harness.owner_->OnVacateRequest(harness.now_, MemberId("c"), "10.0.0.2:1",
-                                      {harness.pool_, listing.id, true},
+                                      {harness.pool_, server, true},
                                       harness.outbox_);
     harness.Run(Milliseconds(500));
-    auto is_vacating = [&harness, &listing] {
+    auto is_vacating = [&harness, &server] {
       const auto& servers = harness.owner_->state().servers.all();
-      auto found = servers.find(listing.id);
+      auto found = servers.find(server);
       return found != servers.end() && found->second.vacating;
     };
     harness.TakeOver();
@@ -153,14 +159,10 @@
   OwnerHarness harness;
   harness.TakeOver();
   harness.Run(Milliseconds(500));
-  ServerListing listing;
-  listing.id = ServerId("s");
-  listing.pool = harness.pool_;
-  listing.address = "10.0.0.1:1";
-  harness.owner_->OnServerList(harness.now_, {&listing, 1}, harness.outbox_);
-  REQUIRE(AnswerVacateRequest(harness, listing.id) == VacateState::kEmpty);
+  ServerId server = AddServer(harness);
+  REQUIRE(AnswerVacateRequest(harness, server) == VacateState::kEmpty);
   harness.now_ += kOwnerLeaseLength + Seconds(1);
-  REQUIRE(AnswerVacateRequest(harness, listing.id) == VacateState::kEmptying);
+  REQUIRE(AnswerVacateRequest(harness, server) == VacateState::kEmptying);
 }
 
 // Guards against a process that wakes without pause while it releases a pool
