--- a/radishmoor/jobs/availability_budget.h
+++ b/radishmoor/jobs/availability_budget.h
@@ -2,9 +2,9 @@
 // unavailable.
 //
 // A task is missing from the moment at which its owner decides to stop it until
-// a later run is at work. What earlier owners have decided is part of the
-// stored progress, and what the servers run is part of their lists, so that the
-// answer does not change with the owner.
+// a later run is at work. The stored progress has the decisions of earlier
+// owners, and the servers' lists have the runs that are at work. A new owner
+// counts a task as missing until a list shows its run.
 
 #ifndef RADISHMOOR_JOBS_AVAILABILITY_BUDGET_H_
 #define RADISHMOOR_JOBS_AVAILABILITY_BUDGET_H_
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -167,7 +167,7 @@
   void CutNodeFromServers(int node, Duration length);
   // Cuts the node off from the store, the servers and the other nodes.
   void CutNodeOff(int node, Duration length);
-  // Takes the node's pools from it in one of the ways above.
+  // Makes the node lose its pools and the coordination of the fleet.
   void HandOver(int node, HandoverKind kind);
   // Announces that the server drains; it leaves some seconds later.
   void DrainServer(int server);
@@ -260,6 +260,7 @@
                      const MemberId& caller,
                      FencingToken token,
                      Time sent_at);
+  // Makes the hosts of the next wave due for maintenance.
   void StartWave();
   void MaintainServer(size_t index);
   void MoveServer(size_t index, const PoolId& pool);
