Count the longest leases after a change of a pool's owner

Cause: an order that was meant for an earlier incarnation of a server grants the longest lease (6 or 10 s), since its time is on the earlier clock. The owner that notices the restart counts with that; the next owner counted with the usual 3 s, and only on servers with inherited runs. So a task started again up to 3 s (7 s) too early when the server was cut off after the pool had changed hands.

Fix: a new owner counts each server's leases for the longest time, from the first answer to its own token or, without one, from the arrival of the last order of the owner before; the lease row has what is longer. The bound of an order's arrival covers polls that are forwarded and wait for a connection, and polls are not sent after a long pause.

--- a/radishmoor/jobs/commit_chain.cc
+++ b/radishmoor/jobs/commit_chain.cc
@@ -118,9 +118,8 @@
   lease.released = commit.released;
   lease.successor = successor_;
   // The row holds whole milliseconds; adding one rounds up.
-  lease.earlier_leases_remaining =
-      std::max(Duration::zero(), options_.earlier_leases_until - now) +
-      Milliseconds(1);
+  lease.other_leases_remaining =
+      std::max(Duration::zero(), OtherLeasesUntil() - now) + Milliseconds(1);
   if (store_clock_)
     lease.store_clock = *store_clock_ + (now - store_clock_at_);
   for (const auto& [id, server] : state_.servers.all()) {
@@ -133,6 +132,15 @@
   transaction.writes.push_back({std::move(key), EncodeLease(lease)});
 }
 
+Time CommitChain::OtherLeasesUntil() const {
+  Time until = state_.earlier_leases_until;
+  for (const auto& [id, server] : state_.servers.all()) {
+    if (!server.runs.empty())
+      until = std::max(until, server.other_leases_until);
+  }
+  return until;
+}
+
 void CommitChain::AddJobs(InFlight& commit, Transaction& transaction) {
   size_t bytes = 0;
   std::vector<JobId> dirty;
--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -36,9 +36,6 @@
     MemberId node;        // Name of this scheduler process.
     std::string address;  // Address of this process for its peers.
     RowVersion lease_version = 0;
-    // The leases that earlier owners granted to backend servers have expired by
-    // this time.
-    Time earlier_leases_until;
   };
 
   // Content of a stored commit on which other actions wait.
@@ -122,6 +119,9 @@
   Duration MinCommitInterval() const;
   void Send(Time now, Outbox& outbox);
   void AddLease(Time now, InFlight& commit, Transaction& transaction);
+  // Returns the latest known end of leases that other orders than the usual
+  // ones of this owner may have granted to servers with runs.
+  Time OtherLeasesUntil() const;
   void AddJobs(InFlight& commit, Transaction& transaction);
   // Adds the rows of a changed job. Returns false, with nothing added, if the
   // commit has no room for them.
--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -58,8 +58,7 @@
                                    Outbox& outbox)
     : options_(options),
       state_(PoolId(kFleetPseudoPool), options.bounds),
-      chain_(state_,
-             {options.node, options.address, options.lease_version, kTimeZero}),
+      chain_(state_, {options.node, options.address, options.lease_version}),
       sizing_(options.first_owner, forecast) {
   state_.token = options.token;
   chain_.set_renewed(options.lease_taken_at);
--- a/radishmoor/jobs/job_rows.cc
+++ b/radishmoor/jobs/job_rows.cc
@@ -405,7 +405,7 @@
   wire.sequence = static_cast<int64_t>(lease.sequence);
   wire.released = lease.released;
   wire.successor = lease.successor.str();
-  wire.earlier_leases_ms = WholeMilliseconds(lease.earlier_leases_remaining);
+  wire.earlier_leases_ms = WholeMilliseconds(lease.other_leases_remaining);
   wire.store_clock_ms = WholeMilliseconds(lease.store_clock);
   for (const ServerId& server : lease.vacating_servers)
     wire.vacating_servers.push_back(server.str());
--- a/radishmoor/jobs/job_rows.h
+++ b/radishmoor/jobs/job_rows.h
@@ -116,9 +116,10 @@
   bool released = false;
   // If `released`: the process that should acquire the lease; empty for any.
   MemberId successor;
-  // Leases that owners before the holder granted to backend servers may last
-  // this long after the row was written.
-  Duration earlier_leases_remaining{};
+  // Leases of backend servers that earlier owners granted, or that orders
+  // granted which were meant for an earlier incarnation, may last this long
+  // after the row was written.
+  Duration other_leases_remaining{};
   // The store's clock when the holder sent the row, or somewhat earlier. Zero
   // if the holder did not know it.
   Duration store_clock{};
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -60,18 +60,13 @@
 // Time allowed for sending those last answers.
 constexpr Duration kLastAnswersTime = Milliseconds(100);
 
-// Returns the time by which all leases have expired that earlier owners of the
-// pool may have granted to backend servers.
-Time EarlierLeasesUntil(const AcquiredLease& lease) {
-  Duration length =
-      JobPoolState::kServerLease + JobPoolState::kServerLeaseSlack;
+// Returns the time after which earlier owners of the pool have sent no orders.
+Time EarlierOrdersUntil(const AcquiredLease& lease) {
   if (lease.first_owner)
     return kTimeZero;
-  Time earlier = lease.last_renewed_before + lease.earlier_leases_remaining;
-  if (lease.was_released)
-    return std::max(earlier, lease.sent_at + length);
-  return std::max(
-      earlier, lease.last_renewed_before + kUnrenewedLeaseExtension + length);
+  return lease.was_released
+             ? lease.sent_at
+             : lease.last_renewed_before + kUnrenewedLeaseExtension;
 }
 
 }  // namespace
@@ -415,7 +410,9 @@
       options.token = lease.token;
       options.lease_version = lease.version;
       options.lease_taken_at = lease.sent_at;
-      options.earlier_leases_until = EarlierLeasesUntil(lease);
+      options.earlier_orders_until = EarlierOrdersUntil(lease);
+      options.known_leases_until =
+          lease.last_renewed_before + lease.other_leases_remaining;
       options.vacating_servers = lease.vacating_servers;
       schedulers_[lease.pool] =
           std::make_unique<PoolScheduler>(options, config_, outbox_);
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -169,7 +169,7 @@
   acquired_.push_back(
       {pool, watched.acquire_token, version, watched.acquire_sent_at,
        watched.acquire_as_first_owner, watched.acquire_was_released,
-       watched.acquire_renewed_before, watched.acquire_earlier_leases_remaining,
+       watched.acquire_renewed_before, watched.acquire_other_leases_remaining,
        watched.acquire_vacating_servers});
   SetOwned(now, pool, true);
 }
@@ -314,8 +314,8 @@
   watched.acquire_as_first_owner = watched.version == 0;
   watched.acquire_was_released = watched.row && watched.row->released;
   watched.acquire_renewed_before = watched.unchanged_since;
-  watched.acquire_earlier_leases_remaining =
-      watched.row ? watched.row->earlier_leases_remaining : Duration::zero();
+  watched.acquire_other_leases_remaining =
+      watched.row ? watched.row->other_leases_remaining : Duration::zero();
   // A process that takes the lease from this one before its first commit needs
   // them too.
   if (watched.row)
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -41,9 +41,10 @@
   bool was_released = false;  // The previous owner released the lease.
   // The previous owner sent its last renewal before this time.
   Time last_renewed_before;
-  // Leases that owners before the previous one granted to backend servers may
-  // last this long after `last_renewed_before`.
-  Duration earlier_leases_remaining{};
+  // Leases of backend servers that the previous owner knew of and had not
+  // granted itself to their incarnations may last this long after
+  // `last_renewed_before`.
+  Duration other_leases_remaining{};
   // Servers that the previous owner was emptying.
   std::vector<ServerId> vacating_servers;
 };
@@ -131,7 +132,7 @@
     bool acquire_as_first_owner = false;
     bool acquire_was_released = false;
     Time acquire_renewed_before;
-    Duration acquire_earlier_leases_remaining{};
+    Duration acquire_other_leases_remaining{};
     std::vector<ServerId> acquire_vacating_servers;
     // A lease that was released or has no row yet is not acquired before this
     // time.
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -62,14 +62,18 @@
       state_(options.pool, options.bounds),
       runs_(state_),
       dispatch_(state_, runs_),
-      chain_(state_,
-             {options.node, options.address, options.lease_version,
-              options.earlier_leases_until}),
+      chain_(state_, {options.node, options.address, options.lease_version}),
       admission_(state_, chain_) {
   state_.token = options.token;
-  state_.earlier_orders_until = std::max(
-      kTimeZero, options.earlier_leases_until - JobPoolState::kServerLease -
-                     JobPoolState::kServerLeaseSlack);
+  state_.earlier_orders_until = options.earlier_orders_until;
+  if (options.earlier_orders_until > kTimeZero) {
+    // A server may have restarted under its id before the last of these orders
+    // came, and the owners that sent them may not have noticed.
+    state_.earlier_leases_until =
+        std::max(options.known_leases_until,
+                 state_.ArrivedGrantsUntil(options.earlier_orders_until));
+  }
+  state_.servers.set_earlier_leases_until(state_.earlier_leases_until);
   chain_.set_renewed(options.lease_taken_at);
   OnConfig(config);
   SendLoadScan(outbox);
@@ -226,8 +230,6 @@
         state_.servers.AddRun(run.server,
                               {job.IdOf(occurrence, task), run.number},
                               job.StepOf(task));
-        state_.servers.Find(run.server)->other_leases_until =
-            options_.earlier_leases_until;
       }
     }
   }
@@ -251,6 +253,9 @@
        {"inherited_runs", static_cast<int64_t>(inherited)},
        {"inherited_stops", static_cast<int64_t>(inherited_stops)},
        {"emptying", static_cast<int64_t>(options_.vacating_servers.size())},
+       {"earlier_leases_ms",
+        WholeMilliseconds(
+            std::max(Duration::zero(), state_.earlier_leases_until - now))},
        {"took_ms", WholeMilliseconds(now - options_.lease_taken_at)}});
   loading_.progress.clear();
   runs_.Wake(now);
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -49,9 +49,12 @@
   FencingToken token = 0;
   RowVersion lease_version = 0;
   Time lease_taken_at;
-  // All leases that earlier owners of the pool granted to backend servers have
-  // expired by this time.
-  Time earlier_leases_until;
+  // Earlier owners of the pool have sent no orders after this time; kTimeZero
+  // if there were none.
+  Time earlier_orders_until;
+  // The previous owner knew of leases of backend servers that may last until
+  // this time.
+  Time known_leases_until;
   // Servers that the previous owner was emptying.
   std::vector<ServerId> vacating_servers;
 };
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -96,8 +96,10 @@
   PoolId pool;
   PlatformBounds bounds;
   FencingToken token = 0;
-  // Earlier owners of the pool have sent no orders after this time.
+  // Earlier owners of the pool have sent no orders after this time, and all
+  // leases that they granted to backend servers have expired by the second one.
   Time earlier_orders_until;
+  Time earlier_leases_until;
   // When the stored commit that last renewed the pool's lease was sent.
   Time lease_renewed_at;
   // Time for which that renewal keeps other processes from acquiring the lease.
@@ -122,16 +124,13 @@
   // enough for runs to survive a change of the owner, and short enough that the
   // tasks of a lost server start again soon.
   static constexpr Duration kServerLease = Milliseconds(3000);
-  // A lease may end this much later than kServerLease after the owner decided
-  // to grant it: a server's clock may be slow by 2%, and an order takes time to
-  // arrive.
-  static constexpr Duration kServerLeaseSlack = Milliseconds(260);
   // An order that is not answered is not carried out later than this after it
   // was sent.
   static constexpr Duration kLateOrderLimit = Seconds(15);
-  // An order does not arrive later than this after it was sent: its connection
-  // is reset before.
-  static constexpr Duration kOrderArrivalLimit = Milliseconds(1000);
+  // An order does not arrive later than this after it was sent: 500 ms until
+  // another process forwards it, 1,100 ms until the connection of a poll is
+  // reset, and 250 ms more after a pause of that process.
+  static constexpr Duration kOrderArrivalLimit = Milliseconds(1850);
   // Bits of a server's fencing token that count its restarts.
   static constexpr unsigned kRestartBits = 20;
 
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -95,9 +95,12 @@
     return false;
   if (run.phase != RunPhase::kUncertain)
     return true;
+  Time last_grant_sent_at =
+      std::max(run.start_sent_at,
+               server.unanswered_grant_sent_at.value_or(run.start_sent_at));
   return now > (server.answered_since_restart
-                    ? state.ArrivedGrantsUntil(run.start_sent_at)
-                    : state.LateGrantsUntil(run.start_sent_at));
+                    ? state.ArrivedGrantsUntil(last_grant_sent_at)
+                    : state.LateGrantsUntil(last_grant_sent_at));
 }
 
 // Returns the time since the last order was sent that grants a lease and whose
@@ -301,8 +304,11 @@
 
 void RunControl::OnFirstAnswer(Time now, ServerState& server) const {
   server.answered_since_restart = true;
-  server.other_leases_until =
+  Time granted_until =
       now + ServerClock::LongestTimeFor(state_.bounds.max_lease);
+  server.other_leases_until =
+      server.restarts > 0 ? granted_until
+                          : std::min(server.other_leases_until, granted_until);
 }
 
 bool RunControl::OnReply(Time now, const ServerReply& reply, Outbox& outbox) {
@@ -320,7 +326,8 @@
     return true;
   if (reply.outcome == OrderOutcome::kUnanswered)
     OnOrderUnanswered(order, *server);
-  else if (!superseded && !server->answered_since_restart && reply.clock)
+  else if (!superseded && reply.clock &&
+           (!server->answered_since_restart || !server->last_answer_at))
     OnFirstAnswer(now, *server);
   if (reply.outcome == OrderOutcome::kFenced) {
     // A later order of this owner has told the server of its restart.
@@ -1096,6 +1103,7 @@
 void RunControl::CheckRuns(Time now, ServerState& server, Outbox& outbox) {
   server.needs_run_check = false;
   bool expired = server.LeasesExpired(now);
+  size_t lapsed = 0;
   std::vector<RunRef> runs = server.runs;
   for (const RunRef& ref : runs) {
     Run* run = state_.jobs.FindRun(ref);
@@ -1103,6 +1111,7 @@
       continue;
     if (expired && IsCertainlyOver(*run, server, state_, now)) {
       ++state_.counters.runs_lease_expired;
+      ++lapsed;
       RemoveRun(now, ref, "lapsed", outbox);
       continue;
     }
@@ -1127,6 +1136,18 @@
       continue;  // The answer to the start, or its timeout, decides.
     SendStop(now, ref, *run, outbox);
   }
+  if (lapsed > 0) {
+    outbox.LogDecision(
+        "server-leases-expired",
+        {{"server", server.listing.id.str()},
+         {"runs", static_cast<int64_t>(lapsed)},
+         {"restarts", static_cast<int64_t>(server.restarts)},
+         {"silent_ms", server.last_answer_at
+                           ? WholeMilliseconds(now - *server.last_answer_at)
+                           : -1},
+         {"since_other_leases_ms",
+          WholeMilliseconds(now - server.other_leases_until)}});
+  }
   Wake(now + kStopRepeat);
 }
 
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -178,7 +178,8 @@
                      Outbox& outbox);
   // Handles the loss of an order's answer: the order may be carried out later.
   void OnOrderUnanswered(const PendingOrder& order, ServerState& server) const;
-  // Handles the first answer to an order since the last restart of the server.
+  // Handles the first answer of the server to an order with the present token,
+  // which shuts out all orders that may have granted longer leases.
   void OnFirstAnswer(Time now, ServerState& server) const;
   void SendStop(Time now, const RunRef& ref, Run& run, Outbox& outbox);
   // Returns whether the run is one of a long-running step. Its job must be in
--- a/radishmoor/jobs/server_table.cc
+++ b/radishmoor/jobs/server_table.cc
@@ -79,8 +79,12 @@
 }
 
 ServerState& ServerTable::FindOrAdd(const ServerId& id) {
-  ServerState& server = servers_[id];
-  server.listing.id = id;
+  auto [it, added] = servers_.try_emplace(id);
+  ServerState& server = it->second;
+  if (added) {
+    server.listing.id = id;
+    server.other_leases_until = earlier_leases_until_;
+  }
   return server;
 }
 
--- a/radishmoor/jobs/server_table.h
+++ b/radishmoor/jobs/server_table.h
@@ -74,7 +74,8 @@
   ServerMillis lease_until = 0;
   // All leases that `lease_until` does not cover have expired by this time:
   // those that earlier owners granted, and those that this owner granted to an
-  // incarnation whose clock it did not know.
+  // incarnation whose clock it did not know. The latter may be as long as
+  // servers allow.
   Time other_leases_until;
   // When a restart of the server was last noticed.
   Time restart_noticed_at;
@@ -180,6 +181,9 @@
   // Returns the state of the server, after adding it if it is not in the table.
   ServerState& FindOrAdd(const ServerId& id);
   void Erase(const ServerId& id) { servers_.erase(id); }
+  // Sets ServerState::other_leases_until of the servers that are added from now
+  // on.
+  void set_earlier_leases_until(Time until) { earlier_leases_until_ = until; }
   std::map<ServerId, ServerState>& all() { return servers_; }
   const std::map<ServerId, ServerState>& all() const { return servers_; }
 
@@ -192,6 +196,7 @@
 
  private:
   std::map<ServerId, ServerState> servers_;
+  Time earlier_leases_until_;
 };
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/testing/job_codec_test.cc
+++ b/radishmoor/jobs/testing/job_codec_test.cc
@@ -87,7 +87,7 @@
   std::optional<LeaseRow> row = DecodeLease(EncodeLease(lease));
   REQUIRE(row);
   REQUIRE(row->token == 7);
-  REQUIRE(row->earlier_leases_remaining == Milliseconds(1234));
+  REQUIRE(row->other_leases_remaining == Milliseconds(1234));
   REQUIRE(row->vacating_servers == lease.vacating_servers);
   REQUIRE(row->released);
 }
--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -37,6 +37,8 @@
 constexpr Duration kMinHopelessRunTime = Seconds(3);
 constexpr Duration kMaxHopelessRunTime = Seconds(7);
 constexpr uint32_t kHopelessTasks = 16;
+// Run time of a long job's tasks, as a multiple of the estimate.
+constexpr double kLongJobFactor = 6;
 // Number of the tasks of a large job; a job may have up to kMaxTasksPerJob.
 constexpr uint32_t kMinLargeJobTasks = 2200;
 // Largest value of a row that the store takes.
@@ -164,6 +166,7 @@
   std::string path;
   JobSpec spec;
   bool hopeless = false;  // All runs of its tasks fail.
+  bool is_long = false;   // Its tasks take kLongJobFactor times as long.
   int submissions = 0;
   bool accepted = false;
   bool cancel_wanted = false;
@@ -874,6 +877,8 @@
       options_.late_order_share > 0
           ? random_.Between(Duration::zero(), kMaxConnectionWait)
           : Duration::zero();
+  if (options_.orders_wait_for_restart && !late)
+    connection_wait = random_.Between(Duration::zero(), timeout);
   if (!target->up)
     arrives = std::max(arrives, connection_wait);
   ScheduleAfter(arrives, [this, target, order, answered, answer, late] {
@@ -1028,6 +1033,8 @@
   double factor = 0.5 + random_.Unit();
   if (random_.Chance(0.03))
     factor *= 7;
+  if (caller.is_long)
+    factor = kLongJobFactor * (0.5 + random_.Unit());
   run.length = step.long_running
                    ? Seconds(100'000)
                    : Duration(static_cast<int64_t>(
@@ -1374,6 +1381,8 @@
     caller->hopeless = true;
     caller->cancel_wanted = false;
   }
+  if (options_.long_job_share > 0)
+    caller->is_long = random_.Chance(options_.long_job_share);
   if (NeedsAdvice(caller->pool) && random_.Chance(options_.gang_share)) {
     StepSpec step;
     step.count = 3;
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -48,6 +48,9 @@
   // Share of the restarts of servers under their ids after which the server is
   // soon cut off from all nodes for some seconds.
   double restart_cut_share = 0;
+  // An order to a server that is down waits for a connection until its timeout,
+  // so that the next incarnation may perform it.
+  bool orders_wait_for_restart = false;
   // Share of calls for the maintenance of a host that are not answered and are
   // performed at some time within their validity.
   double late_maintenance_share = 0;
@@ -62,6 +65,8 @@
   Duration queue_move_period{};
   // Share of jobs whose runs all fail, each after some seconds.
   double hopeless_job_share = 0;
+  // Share of jobs whose tasks take six times as long as estimated.
+  double long_job_share = 0;
   // Share of jobs with thousands of tasks, whose progress is larger than a row
   // of the store may be.
   double large_job_share = 0;
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -189,6 +189,27 @@
   }
 }
 
+// Guards against a next owner that does not know how long a lease is that an
+// order granted which was meant for an earlier incarnation of the server.
+TEST_CASE("no task runs twice when owners change after servers restart",
+          "[simulation]") {
+  bool orders_wait = GENERATE(false, true);
+  for (uint64_t seed : {24, 39, 47, 50, 78, 119, 122, 154}) {
+    INFO("seed " << seed << ", orders wait for restarts: " << orders_wait);
+    JobSimulation simulation({.seed = seed,
+                              .jobs_per_second = 3,
+                              .server_restart_period = Milliseconds(1000),
+                              .restart_cut_share = 0.5,
+                              .orders_wait_for_restart = orders_wait,
+                              .long_job_share = 0.35,
+                              .handover_period = Seconds(3)});
+    simulation.Run(Seconds(40));
+    simulation.FinishJobs();
+    RequireNoViolations(simulation);
+    REQUIRE(simulation.counts().handovers > 5);
+  }
+}
+
 // Guards against tasks that run twice because a start that was stopped is
 // carried out by the next incarnation before the owner's first order there.
 TEST_CASE("no task runs twice when a stopped start reaches a restarted server",
--- a/radishmoor/jobs/testing/pool_scheduler_test.cc
+++ b/radishmoor/jobs/testing/pool_scheduler_test.cc
@@ -48,6 +48,7 @@
     options.node = MemberId("n");
     options.token = ++token_;
     options.lease_taken_at = now_;
+    options.earlier_orders_until = earlier_orders_until_;
     if (std::optional<LeaseRow> before =
             DecodeLease(Read(OwnerLeaseKey(pool_)).value))
       options.vacating_servers = before->vacating_servers;
@@ -92,6 +93,7 @@
   Time now_ = kTimeZero + Seconds(100);
   std::unique_ptr<PoolScheduler> owner_;
   FencingToken token_ = 0;
+  Time earlier_orders_until_;  // PoolSchedulerOptions::earlier_orders_until.
   // Called once, before the first scan of the inbox by an owner that has loaded
   // the pool.
   std::function<void()> before_inbox_scan_;
@@ -118,6 +120,39 @@
   return VacateState::kUnknownServer;
 }
 
+// Guards against tasks that start again while a lease lasts that an order
+// granted which was meant for an earlier incarnation of their server.
+TEST_CASE("a new owner counts with the longest leases that servers allow",
+          "[scheduler]") {
+  OwnerHarness harness;
+  harness.earlier_orders_until_ = harness.now_;
+  harness.TakeOver();
+  harness.Run(Milliseconds(100));
+  ServerId id = AddServer(harness);
+  const ServerState& server = harness.owner_->state().servers.all().at(id);
+  Time orders_arrived =
+      harness.earlier_orders_until_ + JobPoolState::kOrderArrivalLimit;
+  REQUIRE_FALSE(server.LeasesExpired(orders_arrived + Seconds(6)));
+  harness.Run(Milliseconds(300));
+  std::optional<LeaseRow> row =
+      DecodeLease(harness.Read(OwnerLeaseKey(harness.pool_)).value);
+  REQUIRE(harness.now_ + row->other_leases_remaining >
+          orders_arrived + Seconds(6));
+  // The first answer to this owner shuts out all earlier orders.
+  harness.now_ += Milliseconds(1);
+  harness.owner_->OnServerList(harness.now_, {&server.listing, 1},
+                               harness.outbox_);
+  ServerReply reply;
+  reply.tag = server.poll_tag;
+  reply.server = id;
+  reply.outcome = OrderOutcome::kDone;
+  reply.clock = 50;
+  reply.incarnation_started_at = 1'800'000'000'000;
+  REQUIRE(harness.owner_->OnServerReply(harness.now_, reply, harness.outbox_));
+  REQUIRE_FALSE(server.LeasesExpired(harness.now_ + Seconds(6)));
+  REQUIRE(server.LeasesExpired(harness.now_ + Milliseconds(6200)));
+}
+
 // Guards against tasks that are started on a server that is being emptied and
 // stopped there soon after, by owner after owner; and against servers that stay
 // unused because each of several owners keeps them empty anew.
