Start no task while an unknown run of it is being stopped

What callers saw: a task runs on two servers at once for as long as a stop takes (up to stop_ms).

Cause: a late start of a task that was stopped before is carried out by the next incarnation of its server. The owner's poll lists that run; the owner stops it, and starts the task on another server at once, also one whose start was planned before.

Fix: the task does not start until its server lists the run no more, or its lease must have expired.

--- a/radishmoor/jobs/job_table.h
+++ b/radishmoor/jobs/job_table.h
@@ -80,7 +80,10 @@
   uint32_t failures = 0;
   RunNumber last_run = 0;  // Highest number given to a run.
   std::string checkpoint;  // The next run resumes from it.
-  std::vector<Run> runs;   // Runs that are not known to have ended.
+  // A server has listed a run of the task that this owner does not know. No run
+  // is started before this time, unless the server says that it is over.
+  Time unknown_run_until;
+  std::vector<Run> runs;  // Runs that are not known to have ended.
   // When the task was created or lost its last run.
   Time ready_since;
   std::vector<ServerId> failed_on;
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -120,8 +120,9 @@
     return;
   Job& job = *state_.jobs.Find(ref.task.job);
   ServerState* server = state_.servers.Find(run->server);
+  bool unknown_run = now < task->unknown_run_until && !job.StepOf(*task).gang;
   bool wanted = !run->stop_wanted && !IsFinal(job.state) && !task->done &&
-                server != nullptr && server->listed &&
+                !unknown_run && server != nullptr && server->listed &&
                 !server->listing.draining && !server->ListingIsOutdated() &&
                 server->clock.known() && server->last_listed_at &&
                 (server->used_by_unknown_runs == Resources{} ||
@@ -820,6 +821,10 @@
                               const ServerReply& reply,
                               Outbox& outbox) {
   server.used_by_unknown_runs = {};
+  for (const TaskId& id : std::exchange(server.tasks_of_unknown_runs, {})) {
+    if (Task* task = state_.jobs.FindTask(id))
+      task->unknown_run_until = kTimeZero;
+  }
   for (const RunningTask& seen : reply.running) {
     Task* task = state_.jobs.FindTask(seen.task);
     Run* run = task == nullptr ? nullptr : task->FindRun(seen.run);
@@ -832,6 +837,11 @@
       server.used_by_unknown_runs +=
           known_step ? job->spec.steps[seen.task.step].counted_request()
                      : server.listing.capacity;
+      if (task != nullptr) {
+        task->unknown_run_until =
+            now + ServerClock::LongestTimeFor(state_.bounds.max_lease);
+        server.tasks_of_unknown_runs.push_back(seen.task);
+      }
       SendOrder(now, server, OrderKind::kStop, {seen.task, seen.run}, 0,
                 StopRun{seen.task, seen.run}, outbox);
       outbox.LogDecision("unknown-run-stopped",
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -272,6 +272,8 @@
       if (!task.idle())
         continue;
       has_idle_tasks = true;
+      if (now < task.unknown_run_until)
+        continue;
       bool planned = false;
       if (blocked[task.step] || starts_left_ == 0) {
         planned = false;
--- a/radishmoor/jobs/testing/run_control_test.cc
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "radishmoor/jobs/task_dispatch.h"
+
 namespace radishmoor {
 namespace {
 
@@ -392,6 +394,34 @@
   }
 }
 
+// Guards against a second run of a task beside one that its owner does not know
+// and is stopping.
+TEST_CASE("a task does not start while an unknown run of it is stopping",
+          "[run-control]") {
+  TestServer test;
+  test.state_.jobs.Find(test.job_)->occurrences.at(0).tasks[0].last_run = 1;
+  auto poll = [&test](bool runs_task) {
+    test.now_ += Seconds(1);
+    test.server().next_poll_at = test.now_;
+    test.runs_.Wake(test.now_);
+    test.runs_.Tick(test.now_, true, test.outbox_);
+    test.AnswerPoll(test.TakeOrders().at(0).tag, 60'000, runs_task);
+  };
+  poll(false);
+  poll(true);
+  test.TakeOrders();
+  TaskDispatch dispatch(test.state_, test.runs_);
+  REQUIRE(dispatch.PlanReadyTasks(test.now_, test.outbox_, 1) == 0);
+  // A run that was planned before is not sent.
+  test.ref_.run = 2;
+  test.PlanRun();
+  test.runs_.SendStart(test.now_, test.ref_, test.outbox_);
+  REQUIRE(test.FindRun() == nullptr);
+  REQUIRE(test.TakeOrders().empty());
+  poll(false);
+  REQUIRE(dispatch.PlanReadyTasks(test.now_, test.outbox_, 1) == 1);
+}
+
 // Guards against a second run of a task whose start has reached a server that
 // had restarted and was cut off before its owner could notice.
 TEST_CASE("a start without an answer may run for the longest lease",
