--- a/radishmoor/net/http_client.cc
+++ b/radishmoor/net/http_client.cc
@@ -285,6 +285,8 @@
     Callback callback;
     TimerId timer = 0;
     Time deadline;
+    Time connect_by;
+    Time answer_by;
     Time valid_until = kTimeMax;
     bool extended = false;
     bool sent = false;
@@ -324,6 +326,10 @@
     if (loop.now() >= it->second.valid_until)
       return;
     it->second.sent = true;
+    if (it->second.connect_by < it->second.answer_by) {
+      loop.Cancel(it->second.timer);
+      ArmTimer(id, it->second.answer_by);
+    }
     const HttpRequest& request = it->second.request;
     counters.bytes_sent +=
         WireBytes(request.headers, request.body) + request.target.size();
@@ -393,7 +399,8 @@
                         HttpRequest request,
                         Duration timeout,
                         Callback callback,
-                        Time valid_until) {
+                        Time valid_until,
+                        Duration connect_timeout) {
   std::vector<ConnectionId>& idle = impl_->idle[endpoint];
   bool reuse = !idle.empty();
   ConnectionId id = reuse ? idle.back() : ConnectionId{impl_->next_id++};
@@ -402,7 +409,11 @@
   Impl::Exchange& exchange = impl_->exchanges[id];
   exchange = {endpoint, std::move(request), std::move(callback)};
   exchange.valid_until = valid_until;
-  impl_->ArmTimer(id, std::min(impl_->loop.now() + timeout, valid_until));
+  exchange.answer_by = std::min(impl_->loop.now() + timeout, valid_until);
+  exchange.connect_by =
+      reuse ? exchange.answer_by
+            : impl_->loop.now() + std::min(timeout, connect_timeout);
+  impl_->ArmTimer(id, std::min(exchange.connect_by, exchange.answer_by));
   if (reuse) {
     impl_->SendRequest(id);
   } else {
--- a/radishmoor/net/http_client.h
+++ b/radishmoor/net/http_client.h
@@ -90,12 +90,14 @@
   //
   // The request is not sent at or after `valid_until`, and its connection is
   // reset then, without the additional time: the server receives the request
-  // before that time or never.
+  // before that time or never. A new connection that is not open after
+  // `connect_timeout` is given up, and the request is not sent.
   void Fetch(const Endpoint& endpoint,
              HttpRequest request,
              Duration timeout,
              Callback callback,
-             Time valid_until = kTimeMax);
+             Time valid_until = kTimeMax,
+             Duration connect_timeout = Duration::max());
 
   // Estimated numbers of bytes, with headers. Sent bytes are counted when a
   // request is written, received bytes when a response is complete.
--- a/radishmoor/net/testing/http_test.cc
+++ b/radishmoor/net/testing/http_test.cc
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <optional>
@@ -222,6 +223,86 @@
   REQUIRE_FALSE(std::get<HttpFetcher::Failure>(result).sent);
 }
 
+// A listener whose queue of connections is full, so that no other one opens.
+class FullListener {
+ public:
+  FullListener() : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = ::inet_addr("127.0.0.1");
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    REQUIRE(::bind(listener_, generic, size) == 0);
+    REQUIRE(::listen(listener_, 0) == 0);
+    REQUIRE(::getsockname(listener_, generic, &size) == 0);
+    endpoint_ = {"127.0.0.1", ntohs(address.sin_port)};
+    for (int& connection : connections_) {
+      connection = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      ::connect(connection, generic, size);
+    }
+  }
+  ~FullListener() {
+    for (int connection : connections_)
+      ::close(connection);
+    ::close(listener_);
+  }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+
+ private:
+  int listener_;
+  Endpoint endpoint_;
+  std::array<int, 4> connections_{};
+};
+
+// Guards against a request that waits for a connection to a server that is down
+// and reaches the one that takes its place.
+TEST_CASE("a connection that does not open in time is given up") {
+  FullListener listener;
+  EventLoop loop;
+  HttpFetcher fetcher(loop);
+  HttpFetcher::Result result;
+  Time began = loop.now();
+  fetcher.Fetch(
+      listener.endpoint(), {"POST", "/", {}, "x"}, Seconds(5),
+      [&](HttpFetcher::Result r) {
+        result = std::move(r);
+        loop.Stop();
+      },
+      kTimeMax, Milliseconds(100));
+  loop.Run();
+  REQUIRE_FALSE(std::get<HttpFetcher::Failure>(result).sent);
+  REQUIRE(loop.now() - began >= Milliseconds(100));
+  REQUIRE(loop.now() - began < Seconds(4));
+}
+
+TEST_CASE("an answer may come later than the limit of the connection") {
+  EventLoop loop;
+  HttpServer* answering = nullptr;
+  HttpServer server(
+      loop, HttpServerLimits{},
+      HttpServerHandlers{.on_request =
+                             [&](ExchangeId id, const HttpRequest&) {
+                               loop.RunAfter(Milliseconds(300), [&, id] {
+                                 answering->Respond(id, {200, {}, ""});
+                               });
+                             },
+                         .on_abandoned = [](ExchangeId) {}});
+  answering = &server;
+  Endpoint endpoint = server.Listen({"127.0.0.1", 0});
+  HttpFetcher fetcher(loop);
+  HttpFetcher::Result result;
+  fetcher.Fetch(
+      endpoint, {"POST", "/", {}, "x"}, Seconds(5),
+      [&](HttpFetcher::Result r) {
+        result = std::move(r);
+        loop.Stop();
+      },
+      kTimeMax, Milliseconds(200));
+  loop.Run();
+  REQUIRE(std::holds_alternative<HttpResponse>(result));
+}
+
 // Guards against callers that stay connected to a process that cannot serve
 // them.
 TEST_CASE("a response with the close flag closes its connection") {
