Keep the time of earlier orders when a pool changes hands twice

Cause (read, not shown): the time after which earlier owners have sent no orders was that of the previous owner alone. An owner that is cut off from the store may send polls for 5 s, while two others own the pool after it. If a server's restart is noticed then, its first leases were counted from too early a time.

--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -72,6 +72,11 @@
     state_.earlier_leases_until =
         std::max(options.known_leases_until,
                  state_.ArrivedGrantsUntil(options.earlier_orders_until));
+    // An owner before the previous one may have sent orders for longer.
+    state_.earlier_orders_until =
+        std::max(options.earlier_orders_until,
+                 state_.earlier_leases_until -
+                     (state_.ArrivedGrantsUntil(kTimeZero) - kTimeZero));
   }
   state_.servers.set_earlier_leases_until(state_.earlier_leases_until);
   chain_.set_renewed(options.lease_taken_at);
