--- a/radishmoor/jobs/commit_chain.h
+++ b/radishmoor/jobs/commit_chain.h
@@ -119,8 +119,8 @@
   Duration MinCommitInterval() const;
   void Send(Time now, Outbox& outbox);
   void AddLease(Time now, InFlight& commit, Transaction& transaction);
-  // Returns the latest known end of leases that other orders than the usual
-  // ones of this owner may have granted to servers with runs.
+  // Returns the latest ServerState::other_leases_until of servers with runs, or
+  // the end of earlier owners' leases.
   Time OtherLeasesUntil() const;
   void AddJobs(InFlight& commit, Transaction& transaction);
   // Adds the rows of a changed job. Returns false, with nothing added, if the
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -41,9 +41,7 @@
   bool was_released = false;  // The previous owner released the lease.
   // The previous owner sent its last renewal before this time.
   Time last_renewed_before;
-  // Leases of backend servers that the previous owner knew of and had not
-  // granted itself to their incarnations may last this long after
-  // `last_renewed_before`.
+  // LeaseRow::other_leases_remaining, counted from `last_renewed_before`.
   Duration other_leases_remaining{};
   // Servers that the previous owner was emptying.
   std::vector<ServerId> vacating_servers;
--- a/radishmoor/jobs/pool_state.h
+++ b/radishmoor/jobs/pool_state.h
@@ -96,9 +96,10 @@
   PoolId pool;
   PlatformBounds bounds;
   FencingToken token = 0;
-  // Earlier owners of the pool have sent no orders after this time, and all
-  // leases that they granted to backend servers have expired by the second one.
+  // Earlier owners of the pool have sent no orders after this time.
   Time earlier_orders_until;
+  // All leases that these orders granted have expired by this time, also those
+  // of servers that had restarted unnoticed.
   Time earlier_leases_until;
   // When the stored commit that last renewed the pool's lease was sent.
   Time lease_renewed_at;
--- a/radishmoor/jobs/server_table.h
+++ b/radishmoor/jobs/server_table.h
@@ -94,7 +94,7 @@
   // Resources of the runs that the last poll listed and that this owner does
   // not know. They are being stopped, and use their resources until then.
   Resources used_by_unknown_runs;
-  std::vector<TaskId> tasks_of_unknown_runs;
+  std::vector<TaskId> tasks_of_unknown_runs;  // Those that this owner knows.
   // Numbers of these runs whose step has a limit on its tail latency, is
   // best-effort, or is long-running.
   uint32_t latency_sensitive_runs = 0;
