Limit the starts that wait for answers instead of the starts a second

The limiter took each late observation for too many starts, so an owner that started next to nothing was limited to 50 starts a second for a pool of 280 servers, and the limit could not end while a backlog used all that it allowed: it lasted as long as the backlog that it made.

The limit is now a window on the starts without an answer. Answers open it, so the rate of starts follows what the process and the servers handle, and no rate has to be found again. The window shrinks only if most of it is in use while the loop, or even the first answers to starts, come late twice in a row; a stall has few starts waiting. Starts on servers that do not answer stop counting once a later order of any kind has been answered.

--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -281,7 +281,7 @@
   balance_.ObserveTick(now, now - lag);
   router_.ObserveLag(lag);
   for (auto& [pool, scheduler] : schedulers_)
-    scheduler->OnLoopLag(now, lag);
+    scheduler->OnLoopLag(lag, outbox_);
   request_handler_.SetOverloaded(balance_.IsOverloaded(now));
   if (balance_.IsOverloaded(now))
     BalanceOwnership(now);
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -733,9 +733,9 @@
       plan_needed_ = false;
       has_planned_ = true;
       unplanned_advised_jobs_ = 0;
-      uint32_t planned =
-          dispatch_.PlanReadyTasks(now, outbox, start_limiter_.Budget(now));
-      start_limiter_.CountStarts(now, planned);
+      StartLimiter& limiter = runs_.start_limiter();
+      dispatch_.PlanReadyTasks(now, outbox, limiter.Budget());
+      limiter.OnHeldBack(dispatch_.held_back_tasks());
     }
     if (plan_needed_)
       Wake(chain_.earliest_commit_at());
@@ -777,6 +777,7 @@
     capacity += server.listing.capacity;
     used += server.used;
   }
+  const StartLimiter& limiter = runs_.start_limiter();
   outbox.LogDecision(
       "pool-load",
       {{"pool", state_.pool.str()},
@@ -793,12 +794,35 @@
        {"starts", static_cast<int64_t>(state_.counters.starts)},
        {"looks", static_cast<int64_t>(state_.counters.server_polls)},
        {"commits", static_cast<int64_t>(state_.counters.commits)},
-       {"starts_limited", start_limiter_.limited() ? 1 : 0},
+       {"start_window", limiter.window()},
+       {"starts_waiting", limiter.waiting()},
+       {"starts_held_back",
+        static_cast<int64_t>(
+            limiter.held_back() -
+            std::exchange(logged_held_back_, limiter.held_back()))},
        {"run_lines_omitted", static_cast<int64_t>(state_.run_log.omitted())},
        {"renewed_age_ms", WholeMilliseconds(renewed_age(now))}});
 }
 
 void PoolScheduler::Release(const MemberId& successor) {
+void PoolScheduler::OnLoopLag(Duration lag, Outbox& outbox) {
+  StartLimiter& limiter = runs_.start_limiter();
+  bool was_limited = limiter.limited();
+  limiter.ObserveLag(lag);
+  if (limiter.limited() == was_limited)
+    return;
+  // The waiting starts tell a limit that starts have caused from one that began
+  // for another reason.
+  outbox.LogDecision(
+      limiter.limited() ? "starts-limited" : "starts-not-limited",
+      {{"pool", state_.pool.str()},
+       {"lag_ms", WholeMilliseconds(lag)},
+       {"delay_ms", WholeMilliseconds(limiter.delay())},
+       {"window", limiter.window()},
+       {"waiting", limiter.waiting()},
+       {"held_back", static_cast<int64_t>(limiter.held_back())}});
+}
+
   chain_.Release(successor);
 }
 
--- a/radishmoor/jobs/pool_scheduler.h
+++ b/radishmoor/jobs/pool_scheduler.h
@@ -33,7 +33,6 @@
 #include "radishmoor/jobs/pool_state.h"
 #include "radishmoor/jobs/queue_admission.h"
 #include "radishmoor/jobs/run_control.h"
-#include "radishmoor/jobs/start_limiter.h"
 #include "radishmoor/jobs/task_dispatch.h"
 
 namespace radishmoor {
@@ -114,9 +113,7 @@
   // object.
   bool lost() const { return chain_.lost() || state_.fenced; }
   // Records how late the process's event loop runs.
-  void OnLoopLag(Time now, Duration lag) {
-    start_limiter_.ObserveLag(now, lag);
-  }
+  void OnLoopLag(Duration lag, Outbox& outbox);
   // Tells the scheduler that the process was suspended. Leases of servers are
   // not extended again before a commit has shown that this process still owns
   // the pool.
@@ -216,7 +213,6 @@
   CommitChain chain_;
   QueueAdmission admission_;
   OfferedLoad offered_load_;
-  StartLimiter start_limiter_;
   Loading loading_;
 
   uint64_t inbox_scan_tag_ = 0;  // Of the scan in flight; 0: none.
@@ -234,6 +230,7 @@
   bool has_planned_ = false;  // Since this owner took the pool over.
   Time last_reviewed_at_;
   Time next_pool_load_log_;
+  uint64_t logged_held_back_ = 0;  // Starts held back until the last line.
   Time last_purged_at_;
   Time next_wake_ = kTimeMax;
 };
--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -288,6 +288,8 @@
   orders_[tag] = {
       kind, server.listing.id, server.listing.address, run, now, lease_until,
       token};
+  if (kind == OrderKind::kStart)
+    start_limiter_.OnSent(now, tag);
   return tag;
 }
 
@@ -317,6 +319,9 @@
   if (node.empty())
     return false;
   const PendingOrder& order = node.mapped();
+  bool answered = reply.outcome != OrderOutcome::kUnanswered &&
+                  reply.outcome != OrderOutcome::kNotSent;
+  start_limiter_.OnReply(now, reply.tag, order.sent, answered);
   ServerState* server = state_.servers.Find(order.server);
   bool superseded = server != nullptr && order.token < state_.TokenFor(*server);
   if (reply.outcome == OrderOutcome::kFenced && !superseded) {
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -24,6 +24,7 @@
 #include <string>
 
 #include "radishmoor/jobs/pool_state.h"
+#include "radishmoor/jobs/start_limiter.h"
 
 namespace radishmoor {
 
@@ -81,6 +82,9 @@
   void Wake(Time at) { next_wake_ = std::min(next_wake_, at); }
 
   size_t orders_in_flight() const { return orders_.size(); }
+  // Limits the starts that are sent and not answered.
+  StartLimiter& start_limiter() { return start_limiter_; }
+  const StartLimiter& start_limiter() const { return start_limiter_; }
 
  private:
   enum class OrderKind : uint8_t { kStart, kStop, kPoll, kQuickPoll, kPace };
@@ -249,6 +253,7 @@
   std::map<uint64_t, PendingOrder> orders_;        // By tag.
   std::set<JobId> to_close_;                       // Input of CloseResolved().
   std::set<ServerId> servers_with_unstored_ends_;  // Input of OnStored().
+  StartLimiter start_limiter_;
   size_t busy_servers_ = 0;  // Servers with runs at the last tick.
   Time last_tick_at_;
   Time next_wake_ = kTimeMax;
--- a/radishmoor/jobs/start_limiter.cc
+++ b/radishmoor/jobs/start_limiter.cc
@@ -1,72 +1,69 @@
 #include "radishmoor/jobs/start_limiter.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace radishmoor {
 namespace {
 
-// The loop is late above the first lag and in time below the second one.
-constexpr Duration kLateLag = Milliseconds(60);
-constexpr Duration kInTimeLag = Milliseconds(25);
-// At each reduction the rate becomes this share of the recent one. The next
-// reduction waits until the last one can have had an effect.
-constexpr double kReduction = 0.8;
-constexpr Duration kReductionInterval = Milliseconds(200);
-// While the loop is in time, the rate grows by this share each second.
-constexpr double kGrowthPerSecond = 0.5;
-constexpr double kMaxGrowthSeconds = 0.1;  // Between two observations.
-constexpr double kMinRate = 50;
-// The limit ends once it is this many times the recent rate.
-constexpr double kEndFactor = 3;
-// Starts that were not used may be made up for within this time.
-constexpr double kBurstSeconds = 0.1;
-constexpr double kMinBurst = 8;
-constexpr Duration kRateTime = Milliseconds(300);
+// The process is late above the first delay and in time below the second one.
+constexpr Duration kLateDelay = Milliseconds(60);
+constexpr Duration kInTimeDelay = Milliseconds(25);
+// The window shrinks at the second late observation in a row: one event that
+// takes long makes one observation late.
+constexpr uint32_t kMinLateObservations = 2;
+// It shrinks only if at least this share of it was in use.
+constexpr double kMinUsedShare = 0.5;
+// Limits of the factor by which it shrinks at an observation.
+constexpr double kMinReduction = 0.5;
+constexpr double kMaxReduction = 0.8;
+// Factor by which it grows at an observation of a process in time.
+constexpr double kGrowth = 1.15;
+// Answers are handled out of order by at most this time.
+constexpr Duration kMaxAnswerDisorder = Milliseconds(150);
 
 }  // namespace
 
-void StartLimiter::CountStarts(Time now, uint32_t starts) {
-  double decay = std::exp(-ToSeconds(now - counted_at_) / ToSeconds(kRateTime));
-  recent_rate_ = recent_rate_ * decay + starts / ToSeconds(kRateTime);
-  counted_at_ = now;
-  if (rate_)
-    tokens_ -= starts;
+uint32_t StartLimiter::Budget() const {
+  return window() - std::min(window(), waiting());
 }
 
-void StartLimiter::ObserveLag(Time now, Duration lag) {
-  CountStarts(now, 0);
-  if (lag >= kLateLag) {
-    if (now - reduced_at_ < kReductionInterval)
-      return;
-    reduced_at_ = now;
-    double base = rate_ ? std::min(*rate_, recent_rate_) : recent_rate_;
-    tokens_ = rate_ ? std::min(tokens_, 0.0) : 0.0;
-    rate_ = std::max(kMinRate, kReduction * base);
-    refilled_at_ = grown_at_ = now;
-    return;
-  }
-  if (!rate_ || lag > kInTimeLag)
-    return;
-  Refill(now);
-  double seconds = std::min(ToSeconds(now - grown_at_), kMaxGrowthSeconds);
-  grown_at_ = now;
-  *rate_ *= 1 + kGrowthPerSecond * seconds;
-  if (*rate_ > kEndFactor * std::max(recent_rate_, kMinRate))
-    rate_.reset();
+void StartLimiter::OnSent(Time now, uint64_t order) {
+  waiting_.emplace(order, now);
+  most_waiting_ = std::max(most_waiting_, waiting());
 }
 
-void StartLimiter::Refill(Time now) {
-  tokens_ = std::min(tokens_ + *rate_ * ToSeconds(now - refilled_at_),
-                     std::max(kMinBurst, *rate_ * kBurstSeconds));
-  refilled_at_ = now;
+void StartLimiter::OnReply(Time now, uint64_t order, Time sent, bool answered) {
+  bool is_start = waiting_.erase(order) > 0;
+  if (!answered)
+    return;
+  if (is_start)
+    recent_round_trip_ = std::min(recent_round_trip_, now - sent);
+  answered_sent_at_ = std::max(answered_sent_at_, sent);
+  while (!waiting_.empty() &&
+         answered_sent_at_ - waiting_.begin()->second > kMaxAnswerDisorder)
+    waiting_.erase(waiting_.begin());
 }
 
-uint32_t StartLimiter::Budget(Time now) {
-  if (!rate_)
-    return UINT32_MAX;
-  Refill(now);
-  return tokens_ < 1 ? 0 : static_cast<uint32_t>(tokens_);
+void StartLimiter::ObserveLag(Duration lag) {
+  shortest_round_trip_ = std::min(shortest_round_trip_, recent_round_trip_);
+  delay_ = lag;
+  if (recent_round_trip_ != Duration::max())
+    delay_ = std::max(lag, recent_round_trip_ - shortest_round_trip_);
+  recent_round_trip_ = Duration::max();
+  bool in_use = most_waiting_ >= kMinUsedShare * window_;
+  most_waiting_ = waiting();
+  if (delay_ < kLateDelay) {
+    late_observations_ = 0;
+    if (delay_ <= kInTimeDelay)
+      window_ = std::min<double>(kMaxWindow, window_ * kGrowth);
+    return;
+  }
+  ++late_observations_;
+  if (late_observations_ < kMinLateObservations || !in_use)
+    return;
+  double factor = std::clamp(ToSeconds(kLateDelay) / ToSeconds(delay_),
+                             kMinReduction, kMaxReduction);
+  window_ = std::max<double>(kMinWindow, window_ * factor);
 }
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/start_limiter.h
+++ b/radishmoor/jobs/start_limiter.h
@@ -1,22 +1,34 @@
-// Limits the rate at which an owner starts tasks to what its process can carry.
+// Limits the starts of tasks that an owner has sent and that servers have not
+// answered, so that its process keeps up with the answers.
 //
 //   StartLimiter limiter;
-//   limiter.ObserveLag(now, lag);            // Lateness of the event loop.
-//   uint32_t budget = limiter.Budget(now);   // Starts that may be planned now.
-//   limiter.CountStarts(now, planned);
+//   uint32_t budget = limiter.Budget();     // Starts that may be planned now.
+//   limiter.OnSent(now, order);
+//   limiter.OnReply(now, order, sent_at, true);
+//   limiter.ObserveLag(lag);                // At a regular timer of the loop.
 //
 // Designed for the peak of a large pool on a host with a fraction of a core.
 // Without a limit, the answers of servers wait in the process's sockets for
 // seconds; leases of running tasks then expire, and starts seem unanswered.
 // With it, ready tasks wait in the queue, where the most urgent ones go first.
 //
-// There is no limit until the loop is late. The rate then falls below the one
-// that made it late, and rises again while the loop is in time.
+// The limit is a window. The answers of servers open it again, so the rate of
+// starts follows what the process and the servers handle, and a window that is
+// too small costs little: one round trip for each window of starts. The window
+// shrinks only if most of it is in use while, without interruption, the event
+// loop is late or even the first answers to starts come late. This is what
+// starts beyond the processor time of the process look like. After one long
+// event or a pause of the host, the next answers are in time, and a loop that
+// is late for another reason has few starts waiting.
+//
+// Starts that a server leaves unanswered do not count once a later order of any
+// kind has been answered: their answers do not wait in this process.
 
 #ifndef RADISHMOOR_JOBS_START_LIMITER_H_
 #define RADISHMOOR_JOBS_START_LIMITER_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include "radishmoor/base/time.h"
@@ -25,24 +37,42 @@
 
 class StartLimiter {
  public:
-  void ObserveLag(Time now, Duration lag);
-  // Returns the number of starts that may be planned now; UINT32_MAX if there
-  // is no limit.
-  uint32_t Budget(Time now);
-  void CountStarts(Time now, uint32_t starts);
-  bool limited() const { return rate_.has_value(); }
+  static constexpr uint32_t kMaxWindow = 256;
+  static constexpr uint32_t kMinWindow = 48;
+
+  // Returns the number of starts that may be planned now. O(1).
+  uint32_t Budget() const;
+  // A start was sent with the order `order`, whose number is larger than those
+  // of earlier orders. O(log n) for n waiting starts.
+  void OnSent(Time now, uint64_t order);
+  // An order of any kind that was sent at `sent` has been answered, or counts
+  // as unanswered. O(log n).
+  void OnReply(Time now, uint64_t order, Time sent, bool answered);
+  void ObserveLag(Duration lag);
+  // `count` tasks were ready and had room, but the budget was used up.
+  void OnHeldBack(uint32_t count) { held_back_ += count; }
+
+  uint32_t window() const { return static_cast<uint32_t>(window_); }
+  bool limited() const { return window() < kMaxWindow; }
+  uint32_t waiting() const { return static_cast<uint32_t>(waiting_.size()); }
+  // Sum of the tasks that were held back, counted at each plan.
+  uint64_t held_back() const { return held_back_; }
+  // How late the process handled answers at the last observation, at least.
+  Duration delay() const { return delay_; }
 
  private:
-  void Refill(Time now);
-
-  std::optional<double> rate_;  // Starts a second; none: no limit.
-  double tokens_ = 0;
-  Time refilled_at_;
-  Time reduced_at_;
-  Time grown_at_;
-  // Moving average of the starts a second.
-  double recent_rate_ = 0;
-  Time counted_at_;
+  double window_ = kMaxWindow;
+  std::map<uint64_t, Time> waiting_;  // When each waiting start was sent.
+  Time answered_sent_at_;  // When the latest answered order was sent.
+  // The most starts that waited at a time since the last call of ObserveLag().
+  uint32_t most_waiting_ = 0;
+  uint32_t late_observations_ = 0;  // Without interruption, until now.
+  // Shortest time from a start to its answer: ever, and since the last call of
+  // ObserveLag(). The difference is time in the process.
+  Duration shortest_round_trip_ = Duration::max();
+  Duration recent_round_trip_ = Duration::max();
+  Duration delay_{};
+  uint64_t held_back_ = 0;
 };
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -230,6 +230,7 @@
   vacating_servers_.reset();
   UpdateLargestFreeCpu(servers);
   reservations_ = 0;
+  held_back_tasks_ = 0;
   demand_cpu_millis_ = 0;
   waiting_cpu_work_ = 0;
   advice_backlog_ = Duration::zero();
@@ -299,6 +300,7 @@
       if (!can_meet_objective)
         continue;
       waiting_cpu_work_ +=
+      held_back_tasks_ += starts_left_ == 0 ? 1 : 0;
           step.request.cpu_millis * state_.ExpectedRunTime(job, step).count();
       if (first && advised &&
           state_.advice.IsWaiting({job.id, number, task.step}))
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -38,6 +38,11 @@
   // that can still meet their objective ask for. Best-effort tasks do not
   // count.
   int64_t demand_cpu_millis() const { return demand_cpu_millis_; }
+  // Thousandths of cores that run the ready tasks of all other jobs within
+  // kBacklogDrainTime. Their callers still wait for them.
+  int64_t backlog_cpu_millis() const { return backlog_cpu_millis_; }
+  // Ready tasks that the last plan did not start because of its limit.
+  uint32_t held_back_tasks() const { return held_back_tasks_; }
   // Core-seconds of all tasks of a job that has not begun, by observed run
   // times.
   double TotalWork(const Job& job) const { return RemainingWork(job); }
@@ -181,6 +186,7 @@
   int64_t demand_cpu_millis_ = 0;
   // Work of the ready tasks that fit on no server, in thousandths of a core
   // times microseconds. Only jobs that can still meet their objective count.
+  int64_t backlog_cpu_millis_ = 0;
   int64_t waiting_cpu_work_ = 0;
   Duration expected_wait_{};
   Duration advice_backlog_{};
@@ -189,6 +195,7 @@
   uint32_t planned_runs_ = 0;  // Runs that it has added.
   // Largest free CPU of any server that is not reserved.
   int64_t largest_free_cpu_millis_ = 0;
+  uint32_t held_back_tasks_ = 0;
 };
 
 }  // namespace radishmoor
