Count the work of late jobs as backlog, so that their servers stay

Jobs that can no longer meet their objective were no demand: while hundreds of them waited, their pool's servers were emptied and moved away, and the callers' jobs failed or came seconds later.

The owner announces the cores that run the ready tasks of late jobs within 2 s. This backlog keeps hosts from going to standby and takes hosts from there, but not from pools that need theirs for jobs that can be in time. Late jobs still start last.

--- a/idl/jobs.thrift
+++ b/idl/jobs.thrift
@@ -137,6 +137,8 @@
   14: i32 silent_servers
   15: list<string> silent_zones
   16: bool figures_missing
+  17: double backlog_cores
+  18: bool partial_queues
 }
 
 struct JobNotice {
--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -571,6 +571,7 @@
     if (size.figures_recent) {
       size.demand_cores = contact->second.heartbeat.demand_cores;
       size.offered_cores = contact->second.heartbeat.offered_cores;
+      size.backlog_cores = contact->second.heartbeat.backlog_cores;
       size.silent_hosts = contact->second.heartbeat.silent_servers;
       size.min_hosts = contact->second.heartbeat.min_servers;
     }
--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -79,15 +79,20 @@
                    forecast_.ExpectedCores(now, kForecastLead, pool.pool)});
 }
 
-uint32_t FleetSizing::UpdateNeededHosts(Time now, const PoolSizingInput& pool) {
+FleetSizing::Need FleetSizing::UpdateNeededHosts(Time now,
+                                                 const PoolSizingInput& pool) {
   DemandHistory& history = history_[pool.pool];
   double expected_cores = ExpectedCores(now, pool, history);
   double usable_cores_per_host =
       std::max(1.0, pool.cores_per_host * kUsableCoreShare);
-  auto needed =
-      static_cast<uint32_t>(std::ceil(expected_cores / usable_cores_per_host));
-  needed = std::max({needed, pool.min_hosts, kMinHostsPerPool});
-  history.samples.push_back({now, needed});
+  auto hosts_for = [&](double cores) {
+    auto hosts =
+        static_cast<uint32_t>(std::ceil(cores / usable_cores_per_host));
+    return std::max({hosts, pool.min_hosts, kMinHostsPerPool});
+  };
+  Need needed{hosts_for(expected_cores),
+              hosts_for(expected_cores + pool.backlog_cores)};
+  history.samples.push_back({now, needed.all});
   while (now - history.samples.front().at > kSurplusWindow)
     history.samples.pop_front();
   return needed;
@@ -120,6 +125,7 @@
   struct Balance {
     const PoolSizingInput* pool = nullptr;
     uint32_t missing_hosts = 0;
+    uint32_t missing_for_backlog = 0;  // Besides these.
     uint32_t surplus_for_pools = 0;
     uint32_t surplus_for_standby = 0;
   };
@@ -138,16 +144,20 @@
     }
     if (!pool.figures_recent)
       continue;
-    uint32_t needed = UpdateNeededHosts(now, pool);
+    Need needed = UpdateNeededHosts(now, pool);
     uint32_t recently_needed = MaxRecentlyNeededHosts(now, pool);
     uint32_t staying = pool.hosts - std::min(pool.hosts, pool.leaving_hosts +
                                                              pool.silent_hosts);
     uint32_t staying_or_arriving = staying + pool.arriving_hosts;
-    balance.missing_hosts =
-        needed > staying_or_arriving ? needed - staying_or_arriving : 0;
+    auto missing = [staying_or_arriving](uint32_t hosts) {
+      return hosts - std::min(hosts, staying_or_arriving);
+    };
+    balance.missing_hosts = missing(needed.in_time);
+    balance.missing_for_backlog = missing(needed.all) - balance.missing_hosts;
     all_missing += balance.missing_hosts;
-    if (!InStartupPeriod(now) && staying > needed)
-      balance.surplus_for_pools = std::min(staying - needed, pool.spare_hosts);
+    if (!InStartupPeriod(now) && staying > needed.in_time)
+      balance.surplus_for_pools =
+          std::min(staying - needed.in_time, pool.spare_hosts);
     if (staying > recently_needed)
       balance.surplus_for_standby =
           std::min(staying - recently_needed, pool.spare_hosts);
@@ -158,23 +168,31 @@
                      return a.missing_hosts > b.missing_hosts;
                    });
   std::vector<HostMoves> moves;
+  auto move_hosts = [&](Balance& giver, Balance& receiver, uint32_t& missing) {
+    uint32_t count = std::min({missing, giver.surplus_for_pools, limit});
+    if (count == 0)
+      return;
+    moves.push_back({giver.pool->pool, receiver.pool->pool, count});
+    missing -= count;
+    giver.surplus_for_pools -= count;
+    giver.surplus_for_standby -= std::min(giver.surplus_for_standby, count);
+    limit -= count;
+  };
   for (Balance& receiver : balances) {
     // Standby pools give hosts in the first round, other pools in the second.
-    for (int round = 0; round < 2; ++round) {
+    for (bool from_standby : {true, false}) {
       for (Balance& giver : balances) {
-        bool giver_in_round = giver.pool->standby == (round == 0);
-        uint32_t count =
-            std::min({receiver.missing_hosts, giver.surplus_for_pools, limit});
-        if (!giver_in_round || count == 0)
-          continue;
-        moves.push_back({giver.pool->pool, receiver.pool->pool, count});
-        receiver.missing_hosts -= count;
-        giver.surplus_for_pools -= count;
-        giver.surplus_for_standby -= std::min(giver.surplus_for_standby, count);
-        limit -= count;
+        if (giver.pool->standby == from_standby)
+          move_hosts(giver, receiver, receiver.missing_hosts);
       }
     }
   }
+  for (Balance& receiver : balances) {
+    for (Balance& giver : balances) {
+      if (giver.pool->standby)
+        move_hosts(giver, receiver, receiver.missing_for_backlog);
+    }
+  }
   if (all_missing >=
       std::max<double>(kMinShortageHosts, kShortageShare * all_hosts))
     last_shortage_at_ = now;
--- a/radishmoor/jobs/fleet_sizing.h
+++ b/radishmoor/jobs/fleet_sizing.h
@@ -8,6 +8,10 @@
 // pool is short of many hosts, they stay where they are: a pool in need gets
 // them with one move in place of two.
 //
+// Jobs that are late need hosts too, but not those that other pools need for
+// jobs that can still be in time: their work keeps hosts from going to standby
+// and brings hosts from there.
+//
 // A move costs about as much as a host in a pool costs in one second.
 // Therefore a pool gives hosts to standby only if it had more than it needed
 // for some time; the highest need of that time counts. On a new site nothing is
@@ -37,6 +41,8 @@
   double demand_cores = 0;
   // Cores that the arriving work keeps busy, from the owner's heartbeat.
   double offered_cores = 0;
+  // Cores that the work of late jobs needs besides, from the owner's heartbeat.
+  double backlog_cores = 0;
   double cores_per_host = 1;
   // Hosts that serve the pool or are moving to it. `silent_hosts` and
   // `leaving_hosts` are included, `arriving_hosts` are not.
@@ -75,9 +81,14 @@
                               uint32_t limit);
 
  private:
+  // Hosts that a pool needs.
+  struct Need {
+    uint32_t in_time = 0;  // For the jobs that can still be in time.
+    uint32_t all = 0;      // For all jobs.
+  };
   struct NeedSample {
     Time at;
-    uint32_t needed_hosts = 0;
+    uint32_t needed_hosts = 0;  // For all jobs.
   };
   struct DemandHistory {
     double smoothed_cores = 0;
@@ -91,7 +102,7 @@
 
   // Adds a sample to the pool's history. Returns the number of hosts that the
   // pool needs now.
-  uint32_t UpdateNeededHosts(Time now, const PoolSizingInput& pool);
+  Need UpdateNeededHosts(Time now, const PoolSizingInput& pool);
   // Returns the largest number of hosts that the pool needed within
   // kSurplusWindow; in the startup period, the number that it has.
   uint32_t MaxRecentlyNeededHosts(Time now, const PoolSizingInput& pool);
--- a/radishmoor/jobs/gen/jobs_types.cpp
+++ b/radishmoor/jobs/gen/jobs_types.cpp
@@ -2918,6 +2918,14 @@
 void OwnerBeat::__set_figures_missing(const bool val) {
   this->figures_missing = val;
 }
+
+void OwnerBeat::__set_backlog_cores(const double val) {
+  this->backlog_cores = val;
+}
+
+void OwnerBeat::__set_partial_queues(const bool val) {
+  this->partial_queues = val;
+}
 std::ostream& operator<<(std::ostream& out, const OwnerBeat& obj)
 {
   obj.printTo(out);
@@ -3110,6 +3118,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->backlog_cores);
+          this->__isset.backlog_cores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->partial_queues);
+          this->__isset.partial_queues = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3215,6 +3239,14 @@
   xfer += oprot->writeBool(this->figures_missing);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("backlog_cores", ::apache::thrift::protocol::T_DOUBLE, 17);
+  xfer += oprot->writeDouble(this->backlog_cores);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("partial_queues", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->partial_queues);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3238,6 +3270,8 @@
   swap(a.silent_servers, b.silent_servers);
   swap(a.silent_zones, b.silent_zones);
   swap(a.figures_missing, b.figures_missing);
+  swap(a.backlog_cores, b.backlog_cores);
+  swap(a.partial_queues, b.partial_queues);
   swap(a.__isset, b.__isset);
 }
 
@@ -3258,6 +3292,8 @@
   silent_servers = other124.silent_servers;
   silent_zones = other124.silent_zones;
   figures_missing = other124.figures_missing;
+  backlog_cores = other124.backlog_cores;
+  partial_queues = other124.partial_queues;
   __isset = other124.__isset;
 }
 OwnerBeat::OwnerBeat(OwnerBeat&& other125) noexcept {
@@ -3277,6 +3313,8 @@
   silent_servers = other125.silent_servers;
   silent_zones = std::move(other125.silent_zones);
   figures_missing = other125.figures_missing;
+  backlog_cores = other125.backlog_cores;
+  partial_queues = other125.partial_queues;
   __isset = other125.__isset;
 }
 OwnerBeat& OwnerBeat::operator=(const OwnerBeat& other126) {
@@ -3296,6 +3334,8 @@
   silent_servers = other126.silent_servers;
   silent_zones = other126.silent_zones;
   figures_missing = other126.figures_missing;
+  backlog_cores = other126.backlog_cores;
+  partial_queues = other126.partial_queues;
   __isset = other126.__isset;
   return *this;
 }
@@ -3316,6 +3356,8 @@
   silent_servers = other127.silent_servers;
   silent_zones = std::move(other127.silent_zones);
   figures_missing = other127.figures_missing;
+  backlog_cores = other127.backlog_cores;
+  partial_queues = other127.partial_queues;
   __isset = other127.__isset;
   return *this;
 }
@@ -3338,6 +3380,8 @@
   out << ", " << "silent_servers=" << to_string(silent_servers);
   out << ", " << "silent_zones=" << to_string(silent_zones);
   out << ", " << "figures_missing=" << to_string(figures_missing);
+  out << ", " << "backlog_cores=" << to_string(backlog_cores);
+  out << ", " << "partial_queues=" << to_string(partial_queues);
   out << ")";
 }
 
--- a/radishmoor/jobs/gen/jobs_types.h
+++ b/radishmoor/jobs/gen/jobs_types.h
@@ -1078,7 +1078,7 @@
 std::ostream& operator<<(std::ostream& out, const QueueLoad& obj);
 
 typedef struct _OwnerBeat__isset {
-  _OwnerBeat__isset() : pool(false), token(false), lease_version(false), renewed_age_ms(false), queues(false), released(false), successor(false), demand_cores(false), capacity_cores(false), servers(false), min_servers(false), spare_servers(false), offered_cores(false), silent_servers(false), silent_zones(false), figures_missing(false) {}
+  _OwnerBeat__isset() : pool(false), token(false), lease_version(false), renewed_age_ms(false), queues(false), released(false), successor(false), demand_cores(false), capacity_cores(false), servers(false), min_servers(false), spare_servers(false), offered_cores(false), silent_servers(false), silent_zones(false), figures_missing(false), backlog_cores(false), partial_queues(false) {}
   bool pool :1;
   bool token :1;
   bool lease_version :1;
@@ -1095,6 +1095,8 @@
   bool silent_servers :1;
   bool silent_zones :1;
   bool figures_missing :1;
+  bool backlog_cores :1;
+  bool partial_queues :1;
 } _OwnerBeat__isset;
 
 class OwnerBeat : public virtual ::apache::thrift::TBase {
@@ -1117,7 +1119,9 @@
               min_servers(0),
               offered_cores(0),
               silent_servers(0),
-              figures_missing(0) {
+              figures_missing(0),
+              backlog_cores(0),
+              partial_queues(0) {
   }
 
   virtual ~OwnerBeat() noexcept;
@@ -1137,6 +1141,8 @@
   int32_t silent_servers;
   std::vector<std::string>  silent_zones;
   bool figures_missing;
+  double backlog_cores;
+  bool partial_queues;
 
   _OwnerBeat__isset __isset;
 
@@ -1172,6 +1178,10 @@
 
   void __set_figures_missing(const bool val);
 
+  void __set_backlog_cores(const double val);
+
+  void __set_partial_queues(const bool val);
+
   bool operator == (const OwnerBeat & rhs) const
   {
     if (!(pool == rhs.pool))
@@ -1206,6 +1216,10 @@
       return false;
     if (!(figures_missing == rhs.figures_missing))
       return false;
+    if (!(backlog_cores == rhs.backlog_cores))
+      return false;
+    if (!(partial_queues == rhs.partial_queues))
+      return false;
     return true;
   }
   bool operator != (const OwnerBeat &rhs) const {
--- a/radishmoor/jobs/job_peer_codec.cc
+++ b/radishmoor/jobs/job_peer_codec.cc
@@ -26,11 +26,13 @@
       wire_load.earlier_pools.push_back(pool.str());
     wire.queues.push_back(std::move(wire_load));
   }
+  wire.partial_queues = message.partial_queues;
   wire.released = message.released;
   wire.successor = message.successor.str();
   wire.figures_missing = message.figures_missing;
   wire.demand_cores = message.demand_cores;
   wire.offered_cores = message.offered_cores;
+  wire.backlog_cores = message.backlog_cores;
   wire.capacity_cores = message.capacity_cores;
   wire.silent_servers = static_cast<int32_t>(message.silent_servers);
   for (const ZoneId& zone : message.silent_zones)
@@ -277,11 +279,13 @@
          static_cast<ConfigVersion>(wire_load.open_since),
          {wire_load.earlier_pools.begin(), wire_load.earlier_pools.end()}});
   }
+  message.partial_queues = wire.partial_queues;
   message.released = wire.released;
   message.successor = MemberId(wire.successor);
   message.figures_missing = wire.figures_missing;
   message.demand_cores = wire.demand_cores;
   message.offered_cores = wire.offered_cores;
+  message.backlog_cores = wire.backlog_cores;
   message.capacity_cores = wire.capacity_cores;
   message.silent_servers = static_cast<uint32_t>(wire.silent_servers);
   for (const std::string& zone : wire.silent_zones)
--- a/radishmoor/jobs/messages.h
+++ b/radishmoor/jobs/messages.h
@@ -290,7 +290,10 @@
   RowVersion lease_version = 0;
   // Time since the last stored renewal of the lease was sent.
   Duration renewed_age{};
-  std::vector<QueueLoad> queues;
+  std::vector<QueueLoad> queues;  // Ordered by queue.
+  // `queues` holds only what ChangedLoads() returns for the owner's last
+  // heartbeat with a complete list.
+  bool partial_queues = false;
   bool released = false;  // The owner has released the lease.
   // If `released`: the process that should acquire the lease.
   MemberId successor;
@@ -303,6 +306,9 @@
   // Work of the jobs that arrived recently, divided by the time in which they
   // arrived: the cores that the pool uses when it keeps up with arrivals.
   double offered_cores = 0;
+  // Cores that run the ready tasks of jobs that are late within a few seconds;
+  // not part of `demand_cores`.
+  double backlog_cores = 0;
   // Cores of the servers that `servers` counts.
   double capacity_cores = 0;
   // Servers of the pool that are listed and not draining.
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -788,6 +788,7 @@
        {"capacity_cpu", capacity.cpu_millis},
        {"demand_cpu", dispatch_.demand_cpu_millis()},
        {"offered_cpu", static_cast<int64_t>(offered_load_.Cores(now) * 1000)},
+       {"backlog_cpu", dispatch_.backlog_cpu_millis()},
        {"open_jobs", static_cast<int64_t>(state_.jobs.open().size())},
        {"wait_ms", WholeMilliseconds(dispatch_.expected_wait())},
        {"advice_wait_ms", WholeMilliseconds(dispatch_.advice_backlog())},
@@ -851,6 +852,8 @@
   heartbeat.demand_cores =
       static_cast<double>(dispatch_.demand_cpu_millis()) / 1000;
   heartbeat.offered_cores = offered_load_.Cores(now);
+  heartbeat.backlog_cores =
+      static_cast<double>(dispatch_.backlog_cpu_millis()) / 1000;
   AddServersToHeartbeat(now, heartbeat);
   return heartbeat;
 }
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -75,6 +75,10 @@
 // latency-sensitive ones, in percent.
 constexpr uint32_t kInheritedPacePercent = 50;
 
+// The time within which a pool should run the tasks of jobs that are late. Much
+// shorter than that, and servers would be moved for the work of a moment.
+constexpr Duration kBacklogDrainTime = Seconds(2);
+
 // Returns the rack with the highest count; empty if there is none.
 RackId RackWithMost(const std::map<RackId, uint32_t>& counts) {
   auto most = std::max_element(
@@ -232,6 +236,7 @@
   reservations_ = 0;
   held_back_tasks_ = 0;
   demand_cpu_millis_ = 0;
+  backlog_cpu_millis_ = 0;
   waiting_cpu_work_ = 0;
   advice_backlog_ = Duration::zero();
   for (const OrderedJob& ordered : JobsInStartOrder(now))
@@ -270,6 +275,8 @@
         continue;
       if (!step.best_effort && (can_meet_objective || !task.runs.empty()))
         demand_cpu_millis_ += step.request.cpu_millis;
+      else if (!step.best_effort)
+        backlog_cpu_millis_ += BacklogCpuMillis(job, step);
       if (!task.idle())
         continue;
       has_idle_tasks = true;
@@ -317,6 +324,14 @@
   }
 }
 
+int64_t TaskDispatch::BacklogCpuMillis(const Job& job,
+                                       const StepSpec& step) const {
+  double share = std::min(1.0, ToSeconds(state_.ExpectedRunTime(job, step)) /
+                                   ToSeconds(kBacklogDrainTime));
+  return static_cast<int64_t>(static_cast<double>(step.request.cpu_millis) *
+                              share);
+}
+
 PlacementTask TaskDispatch::DescribeTask(Time now,
                                          const Job& job,
                                          const Task& task) const {
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -69,6 +69,8 @@
                             Job& job,
                             Occurrence& occurrence,
                             Task& task);
+  // Returns by how much a ready task of a late job adds to the backlog.
+  int64_t BacklogCpuMillis(const Job& job, const StepSpec& step) const;
   struct OrderedJob {
     Job* job = nullptr;
     bool can_meet_objective = false;
@@ -184,9 +186,9 @@
   // Servers with room for copies, collected at the first one of a review.
   std::optional<std::vector<PlacementServer>> copy_servers_;
   int64_t demand_cpu_millis_ = 0;
+  int64_t backlog_cpu_millis_ = 0;
   // Work of the ready tasks that fit on no server, in thousandths of a core
   // times microseconds. Only jobs that can still meet their objective count.
-  int64_t backlog_cpu_millis_ = 0;
   int64_t waiting_cpu_work_ = 0;
   Duration expected_wait_{};
   Duration advice_backlog_{};
--- a/radishmoor/jobs/testing/owner_load_test.cc
+++ b/radishmoor/jobs/testing/owner_load_test.cc
@@ -340,5 +340,26 @@
   REQUIRE(owner.CountOpen() == 0);
 }
 
+// Guards against servers that are given away while hundreds of jobs that are
+// late wait for them.
+TEST_CASE("jobs that are late count as backlog until they have run", "[load]") {
+  LoadOptions options;
+  options.servers = 4;
+  LoadedOwner owner(options);
+  owner.Submit(100, Seconds(2));  // Ten times what the servers can run.
+  owner.Run(Seconds(4));
+  OwnerHeartbeat late = owner.owner().MakeHeartbeat(kTimeZero + Seconds(200));
+  size_t open = owner.CountOpen();
+  CAPTURE(open, late.demand_cores, late.backlog_cores);
+  REQUIRE(open > 100);
+  // Each open job asks for 8 tasks of 4 cores for 0.6 s, within 2 s.
+  REQUIRE(late.backlog_cores >
+          0.8 * static_cast<double>(open) * 8 * 4 * 0.6 / 2 - 4 * 32);
+  owner.Run(Seconds(40));
+  REQUIRE(owner.CountOpen() == 0);
+  REQUIRE(owner.owner().MakeHeartbeat(kTimeZero + Seconds(300)).backlog_cores ==
+          0);
+}
+
 }  // namespace
 }  // namespace radishmoor
