Send heartbeats with the queues that have changed, encoded once

Each heartbeat listed all of the pool's queues and was encoded for each of 41 processes, and each stored commit that opened a queue sent another one: the events took 65 to 91 ms.

A heartbeat now lists the queues with pending jobs and those that have changed since the last complete list. A complete list is sent each 1.5 s, and to a receiver that has none. The message is encoded once for all receivers but the fleet coordinator. News of admissions waits up to 50 ms for more.

--- a/radishmoor/jobs/messages.h
+++ b/radishmoor/jobs/messages.h
@@ -429,6 +429,17 @@
   JobPeerMessage message;
 };
 
+struct PeerAddress {
+  MemberId node;
+  std::string address;
+};
+
+// The same message to several processes, which is encoded once.
+struct BroadcastToPeers {
+  std::vector<PeerAddress> to;
+  JobPeerMessage message;
+};
+
 // Identifies a caller's request within one scheduler process.
 using JobCallId = uint64_t;
 
@@ -506,6 +517,7 @@
                                HostCall,
                                ReportWave,
                                SendJobPeer,
+                               BroadcastToPeers,
                                JobCallAnswer,
                                Decision,
                                EndJobProcess>;
--- a/radishmoor/jobs/node_core.cc
+++ b/radishmoor/jobs/node_core.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "radishmoor/jobs/queue_loads.h"
+
 namespace radishmoor {
 namespace {
 
@@ -16,6 +18,11 @@
 constexpr Duration kFullOperatorReadPeriod = Seconds(5);
 constexpr Duration kOperatorWatchRetryDelay = Milliseconds(150);
 constexpr Duration kOwnerHeartbeatPeriod = Milliseconds(300);
+// Minimum time between heartbeats, also if there is news for submissions.
+constexpr Duration kMinHeartbeatInterval = Milliseconds(50);
+// A heartbeat with all queues of the pool is sent at least this often. It
+// reaches processes that have lost an earlier one.
+constexpr Duration kCompleteQueuesPeriod = Milliseconds(1500);
 // An extra heartbeat of a pool is sent to the fleet coordinator if the pool's
 // demand exceeds the last announced one by this factor plus this number of
 // cores, at most once per interval.
@@ -448,18 +455,44 @@
   }
 }
 
-void NodeCore::BroadcastHeartbeat(Time now, const OwnerHeartbeat& heartbeat) {
+void NodeCore::BroadcastHeartbeat(Time now, OwnerHeartbeat heartbeat) {
   const PoolOwner* coordinator = leases_.OwnerOf(PoolId(kFleetPseudoPool));
-  OwnerHeartbeat without_spares = heartbeat;
-  without_spares.spare_servers.clear();
+  std::vector<PeerAddress> others;
+  std::optional<PeerAddress> to_coordinator;
+  std::set<NodeIncarnation> receivers;
   for (const auto& [name, node] : nodes_) {
     if (name == options_.name || node.row.leaving ||
         now - node.changed_at >= kNodeExpiry)
       continue;
-    bool is_coordinator = coordinator != nullptr && coordinator->node == name;
-    outbox_.SendToPeer(name, node.row.address,
-                       is_coordinator ? heartbeat : without_spares);
+    receivers.insert({name, node.row.incarnation});
+    if (coordinator != nullptr && coordinator->node == name)
+      to_coordinator = {name, node.row.address};
+    else
+      others.push_back({name, node.row.address});
+  }
+  LeaveOutKnownQueues(now, receivers, heartbeat);
+  if (to_coordinator)
+    outbox_.SendToPeer(to_coordinator->node, to_coordinator->address,
+                       heartbeat);
+  heartbeat.spare_servers.clear();
+  outbox_.Broadcast(std::move(others), std::move(heartbeat));
+}
+
+void NodeCore::LeaveOutKnownQueues(Time now,
+                                   const std::set<NodeIncarnation>& receivers,
+                                   OwnerHeartbeat& heartbeat) {
+  AnnouncedQueues& announced = announced_queues_[heartbeat.pool];
+  bool known =
+      announced.token == heartbeat.token &&
+      now - announced.at < kCompleteQueuesPeriod &&
+      std::includes(announced.receivers.begin(), announced.receivers.end(),
+                    receivers.begin(), receivers.end());
+  if (known) {
+    heartbeat.queues = ChangedLoads(announced.queues, heartbeat.queues);
+    heartbeat.partial_queues = true;
+    return;
   }
+  announced = {heartbeat.token, heartbeat.queues, receivers, now};
 }
 
 void NodeCore::WatchEarlierPools(Time now, const OwnerHeartbeat& heartbeat) {
@@ -488,8 +521,10 @@
     if (!rose || now - announced.at < kMinDemandRiseInterval)
       continue;
     announced = {cores, now};
+    OwnerHeartbeat heartbeat = scheduler->MakeHeartbeat(now);
+    LeaveOutKnownQueues(now, {}, heartbeat);
     outbox_.SendToPeer(coordinator->node, coordinator->address,
-                       scheduler->MakeHeartbeat(now));
+                       std::move(heartbeat));
   }
 }
 
@@ -502,11 +537,14 @@
     admission_changes += scheduler->admission_changes();
   if (std::exchange(announced_admission_changes_, admission_changes) !=
       admission_changes)
-    next_owner_heartbeat_ = now;
+    next_owner_heartbeat_ =
+        std::min(next_owner_heartbeat_,
+                 std::max(now, last_owner_heartbeat_ + kMinHeartbeatInterval));
   if (now < next_owner_heartbeat_) {
     Wake(next_owner_heartbeat_);
     return;
   }
+  last_owner_heartbeat_ = now;
   next_owner_heartbeat_ = now + kOwnerHeartbeatPeriod;
   Wake(next_owner_heartbeat_);
   for (const auto& [pool, scheduler] : schedulers_) {
--- a/radishmoor/jobs/node_core.h
+++ b/radishmoor/jobs/node_core.h
@@ -19,8 +19,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "radishmoor/jobs/adviser_queue.h"
@@ -100,6 +102,7 @@
   bool coordinates_fleet() const { return fleet_ != nullptr; }
 
  private:
+  using NodeIncarnation = std::pair<MemberId, uint64_t>;
   struct Node {
     NodeRow row;
     RowVersion version = 0;
@@ -124,7 +127,14 @@
   // fleet coordinator if the fleet lease was.
   void RemoveLostPools(Time now);
   void SendOwnerHeartbeats(Time now);
-  void BroadcastHeartbeat(Time now, const OwnerHeartbeat& heartbeat);
+  // Sends the heartbeat to all live processes. Leaves out queues that they know
+  // already.
+  void BroadcastHeartbeat(Time now, OwnerHeartbeat heartbeat);
+  // Removes from the heartbeat, which goes to `receivers`, the queues that all
+  // of them know, unless a complete list is due.
+  void LeaveOutKnownQueues(Time now,
+                           const std::set<NodeIncarnation>& receivers,
+                           OwnerHeartbeat& heartbeat);
   // Makes sure that pools that a queue has left have owners, also when the
   // configuration does not name them any more.
   void WatchEarlierPools(Time now, const OwnerHeartbeat& heartbeat);
@@ -200,6 +210,7 @@
   Time next_host_list_;
   Time last_fleet_tick_;
   Time next_owner_heartbeat_;
+  Time last_owner_heartbeat_;
   // Sum of PoolScheduler::admission_changes() at the last heartbeats.
   uint64_t announced_admission_changes_ = 0;
   // Demand of a pool in its last heartbeat to the fleet coordinator.
@@ -208,6 +219,14 @@
     Time at;
   };
   std::map<PoolId, AnnouncedDemand> announced_demand_;
+  // The queues of a pool in its last heartbeat with a complete list.
+  struct AnnouncedQueues {
+    FencingToken token = 0;
+    std::vector<QueueLoad> queues;
+    std::set<NodeIncarnation> receivers;
+    Time at;
+  };
+  std::map<PoolId, AnnouncedQueues> announced_queues_;
   std::optional<Time> shutdown_started_at_;
   bool ended_ = false;
   // When the first call failed since the store last answered.
--- a/radishmoor/jobs/outbox.cc
+++ b/radishmoor/jobs/outbox.cc
@@ -77,6 +77,11 @@
   actions_.emplace_back(SendJobPeer{to, address, std::move(message)});
 }
 
+void Outbox::Broadcast(std::vector<PeerAddress> to, JobPeerMessage message) {
+  if (!to.empty())
+    actions_.emplace_back(BroadcastToPeers{std::move(to), std::move(message)});
+}
+
 void Outbox::AnswerCaller(JobCallAnswer answer) {
   actions_.emplace_back(std::move(answer));
 }
--- a/radishmoor/jobs/outbox.h
+++ b/radishmoor/jobs/outbox.h
@@ -36,6 +36,7 @@
   void SendToPeer(const MemberId& to,
                   const std::string& address,
                   JobPeerMessage message);
+  void Broadcast(std::vector<PeerAddress> to, JobPeerMessage message);
   void AnswerCaller(JobCallAnswer answer);
   void LogDecision(std::string_view event, std::vector<DecisionField> fields);
   void EndProcess();
--- a/radishmoor/jobs/pool_leases.cc
+++ b/radishmoor/jobs/pool_leases.cc
@@ -5,6 +5,7 @@
 
 #include "radishmoor/base/hash.h"
 #include "radishmoor/jobs/pool_state.h"
+#include "radishmoor/jobs/queue_loads.h"
 
 namespace radishmoor {
 namespace {
@@ -67,7 +68,16 @@
   WatchedPool& watched = it->second;
   if (watched.owner && watched.owner->heartbeat.token > heartbeat.token)
     return;  // From an earlier owner.
-  watched.owner = PoolOwner{from, address, now, heartbeat};
+  std::vector<QueueLoad> complete_queues;
+  if (watched.owner && watched.owner->heartbeat.token == heartbeat.token)
+    complete_queues = std::move(watched.owner->complete_queues);
+  watched.owner = PoolOwner{from, address, now, heartbeat, {}};
+  if (heartbeat.partial_queues)
+    watched.owner->heartbeat.queues =
+        MergeLoads(complete_queues, heartbeat.queues);
+  else
+    complete_queues = heartbeat.queues;
+  watched.owner->complete_queues = std::move(complete_queues);
   if (heartbeat.lease_version > watched.version) {
     watched.version = heartbeat.lease_version;
     watched.unchanged_since = now - heartbeat.renewed_age;
--- a/radishmoor/jobs/pool_leases.h
+++ b/radishmoor/jobs/pool_leases.h
@@ -29,7 +29,9 @@
   MemberId node;
   std::string address;
   Time last_heartbeat_at;
-  OwnerHeartbeat heartbeat;  // The last one.
+  OwnerHeartbeat heartbeat;  // The last one, with all queues.
+  // The queues of the last heartbeat with a complete list.
+  std::vector<QueueLoad> complete_queues;
 };
 
 struct AcquiredLease {
--- a/radishmoor/jobs/pool_scheduler.cc
+++ b/radishmoor/jobs/pool_scheduler.cc
@@ -805,7 +805,6 @@
        {"renewed_age_ms", WholeMilliseconds(renewed_age(now))}});
 }
 
-void PoolScheduler::Release(const MemberId& successor) {
 void PoolScheduler::OnLoopLag(Duration lag, Outbox& outbox) {
   StartLimiter& limiter = runs_.start_limiter();
   bool was_limited = limiter.limited();
@@ -824,6 +823,7 @@
        {"held_back", static_cast<int64_t>(limiter.held_back())}});
 }
 
+void PoolScheduler::Release(const MemberId& successor) {
   chain_.Release(successor);
 }
 
--- a/radishmoor/jobs/task_dispatch.cc
+++ b/radishmoor/jobs/task_dispatch.cc
@@ -230,11 +230,11 @@
                                       uint32_t start_limit) {
   starts_left_ = start_limit;
   planned_runs_ = 0;
+  held_back_tasks_ = 0;
   std::vector<PlacementServer> servers = CollectServers(now);
   vacating_servers_.reset();
   UpdateLargestFreeCpu(servers);
   reservations_ = 0;
-  held_back_tasks_ = 0;
   demand_cpu_millis_ = 0;
   backlog_cpu_millis_ = 0;
   waiting_cpu_work_ = 0;
@@ -300,6 +300,7 @@
       }
       if (planned)
         continue;
+      held_back_tasks_ += starts_left_ == 0 ? 1 : 0;
       bool first = !blocked[task.step];
       // A task that has failed may run on fewer servers than the other tasks of
       // its step, so it does not block them.
@@ -307,7 +308,6 @@
       if (!can_meet_objective)
         continue;
       waiting_cpu_work_ +=
-      held_back_tasks_ += starts_left_ == 0 ? 1 : 0;
           step.request.cpu_millis * state_.ExpectedRunTime(job, step).count();
       if (first && advised &&
           state_.advice.IsWaiting({job.id, number, task.step}))
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -195,9 +195,9 @@
   uint32_t reservations_ = 0;  // Servers reserved by the current plan.
   uint32_t starts_left_ = 0;   // Runs that the current plan may add.
   uint32_t planned_runs_ = 0;  // Runs that it has added.
+  uint32_t held_back_tasks_ = 0;
   // Largest free CPU of any server that is not reserved.
   int64_t largest_free_cpu_millis_ = 0;
-  uint32_t held_back_tasks_ = 0;
 };
 
 }  // namespace radishmoor
--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -401,6 +401,10 @@
                       });
           });
     }
+  } else if (auto* broadcast = std::get_if<BroadcastToPeers>(&action)) {
+    for (const PeerAddress& to : broadcast->to)
+      PerformAction(index,
+                    SendJobPeer{to.node, to.address, broadcast->message});
   } else if (auto* answer = std::get_if<JobCallAnswer>(&action)) {
     OnCallAnswer(*answer);
   } else if (auto* decision = std::get_if<Decision>(&action)) {
