--- a/radishmoor/jobs/testing/job_simulation.cc
+++ b/radishmoor/jobs/testing/job_simulation.cc
@@ -1669,6 +1669,24 @@
   nodes_[static_cast<size_t>(index)]->frozen_until = now_ + length;
 }
 
+void JobSimulation::ObserveLoops(Time next_stall_at) {
+  constexpr Duration kLagPeriod = Milliseconds(50);
+  Duration lag = now_ >= next_stall_at ? options_.stall : Duration::zero();
+  for (int i = 0; i < options_.nodes; ++i) {
+    Node& node = *nodes_[static_cast<size_t>(i)];
+    if (lag > Duration::zero())
+      node.frozen_until = std::max(node.frozen_until, now_ + lag);
+    ScheduleAfter(lag, [this, i, lag, incarnation = node.incarnation_number] {
+      RunOnNode(i, incarnation,
+                [this, lag](NodeCore& core) { core.OnLoopLag(now_, lag); });
+    });
+  }
+  if (now_ >= next_stall_at)
+    next_stall_at = now_ + options_.stall_period;
+  ScheduleAfter(lag + kLagPeriod,
+                [this, next_stall_at] { ObserveLoops(next_stall_at); });
+}
+
 void JobSimulation::CutNodeFromStore(int index, Duration length) {
   nodes_[static_cast<size_t>(index)]->store_cut_until = now_ + length;
 }
@@ -1929,6 +1947,10 @@
                   &JobSimulation::DrainRandomServer);
     ScheduleFault(options_.server_cut_period, &JobSimulation::CutRandomServer);
   }
+  if (options_.stall_period > Duration::zero() && !stalls_enabled_) {
+    stalls_enabled_ = true;
+    ObserveLoops(now_);
+  }
   if (options_.queue_removal_period > Duration::zero() &&
       !queue_removals_enabled_) {
     queue_removals_enabled_ = true;
--- a/radishmoor/jobs/testing/job_simulation.h
+++ b/radishmoor/jobs/testing/job_simulation.h
@@ -90,6 +90,10 @@
   // server of its pool has room for it twice over. For sites on which nothing
   // but planned handovers, waves and moves happens.
   Duration max_lasting_wait{};
+  // The event loop of each node stands still for `stall` once in this time;
+  // zero for never. The nodes then observe how late their loops are.
+  Duration stall_period{};
+  Duration stall = Milliseconds(90);
   // How long a run goes on after the order to stop it has arrived.
   Duration run_stop_time = Milliseconds(100);
   // A run of a long-running step is at work this long after its start.
@@ -316,6 +320,9 @@
   void PollJob(const JobId& id);
   void RandomFault();
   void RestartRandomServer();
+  // Tells each node how late its event loop is, and makes all loops stall at
+  // `next_stall_at`; repeats itself.
+  void ObserveLoops(Time next_stall_at);
   void HandOverRandomly();
   void DrainRandomServer();
   void CutRandomServer();
@@ -362,6 +369,7 @@
   bool faults_enabled_ = false;
   bool server_restarts_enabled_ = false;
   bool queue_removals_enabled_ = false;
+  bool stalls_enabled_ = false;
   bool queue_moves_enabled_ = false;
   bool handovers_enabled_ = false;
   bool submissions_enabled_ = false;
--- a/radishmoor/jobs/testing/job_simulation_test.cc
+++ b/radishmoor/jobs/testing/job_simulation_test.cc
@@ -24,6 +24,26 @@
   REQUIRE(simulation.counts().refused < simulation.counts().accepted / 10);
 }
 
+// Guards against jobs that wait for their start because their owner takes the
+// stalls of its event loop for too many starts.
+TEST_CASE("jobs of a busy site start in time while event loops stall",
+          "[simulation]") {
+  for (uint64_t seed = 1; seed <= 3; ++seed) {
+    INFO("seed " << seed);
+    JobSimulation simulation({.seed = seed,
+                              .servers_per_pool = 30,
+                              .jobs_per_second = 40,
+                              .stall_period = Milliseconds(300)});
+    simulation.Run(Seconds(20));
+    CAPTURE(ToMilliseconds(simulation.longest_wait()),
+            simulation.counts().starts, simulation.counts().accepted);
+    CHECK(simulation.longest_wait() < Seconds(2));
+    simulation.FinishJobs();
+    RequireNoViolations(simulation);
+    REQUIRE(simulation.counts().starts > 1500);
+  }
+}
+
 // Guards against tasks that run twice, are lost or start out of order when
 // processes, servers and the store fail and answers are lost.
 TEST_CASE("no invariant is violated under random faults", "[simulation]") {
