--- a/radishmoor/jobs/fleet_sizing.cc
+++ b/radishmoor/jobs/fleet_sizing.cc
@@ -168,13 +168,14 @@
                      return a.missing_hosts > b.missing_hosts;
                    });
   std::vector<HostMoves> moves;
-  auto move_hosts = [&](Balance& giver, Balance& receiver, uint32_t& missing) {
-    uint32_t count = std::min({missing, giver.surplus_for_pools, limit});
+  auto move_hosts = [&](Balance& giver, Balance& receiver, uint32_t surplus,
+                        uint32_t& missing) {
+    uint32_t count = std::min({missing, surplus, limit});
     if (count == 0)
       return;
     moves.push_back({giver.pool->pool, receiver.pool->pool, count});
     missing -= count;
-    giver.surplus_for_pools -= count;
+    giver.surplus_for_pools -= std::min(giver.surplus_for_pools, count);
     giver.surplus_for_standby -= std::min(giver.surplus_for_standby, count);
     limit -= count;
   };
@@ -183,14 +184,21 @@
     for (bool from_standby : {true, false}) {
       for (Balance& giver : balances) {
         if (giver.pool->standby == from_standby)
-          move_hosts(giver, receiver, receiver.missing_hosts);
+          move_hosts(giver, receiver, giver.surplus_for_pools,
+                     receiver.missing_hosts);
       }
     }
   }
+  // Of other pools, only hosts that would go to standby are given to backlog.
   for (Balance& receiver : balances) {
-    for (Balance& giver : balances) {
-      if (giver.pool->standby)
-        move_hosts(giver, receiver, receiver.missing_for_backlog);
+    for (bool from_standby : {true, false}) {
+      for (Balance& giver : balances) {
+        if (giver.pool->standby == from_standby)
+          move_hosts(giver, receiver,
+                     from_standby ? giver.surplus_for_pools
+                                  : giver.surplus_for_standby,
+                     receiver.missing_for_backlog);
+      }
     }
   }
   if (all_missing >=
--- a/radishmoor/jobs/fleet_sizing.h
+++ b/radishmoor/jobs/fleet_sizing.h
@@ -10,7 +10,7 @@
 //
 // Jobs that are late need hosts too, but not those that other pools need for
 // jobs that can still be in time: their work keeps hosts from going to standby
-// and brings hosts from there.
+// and brings hosts that are there or would go there.
 //
 // A move costs about as much as a host in a pool costs in one second.
 // Therefore a pool gives hosts to standby only if it had more than it needed
--- a/radishmoor/jobs/testing/fleet_sizing_test.cc
+++ b/radishmoor/jobs/testing/fleet_sizing_test.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <map>
+#include <string>
 #include <vector>
 
 namespace radishmoor {
@@ -284,5 +286,65 @@
     REQUIRE(sizing.Plan(kStart + kPlanPeriod * i, pools, 8).empty());
 }
 
+// Guards against hosts that go to standby while late jobs wait for them.
+TEST_CASE("the backlog of late jobs keeps its hosts from standby", "[sizing]") {
+  PeakForecast forecast;
+  for (double backlog : {0.0, 400.0}) {
+    FleetSizing sizing(false, forecast);
+    std::vector<PoolSizingInput> pools = {Pool("a", 40, 40), Standby(4)};
+    pools[0].spare_hosts = 36;
+    pools[0].backlog_cores = backlog;
+    for (int step = 0; step < 30; ++step)
+      Apply(sizing.Plan(kStart + kPlanPeriod * step, pools, 40), pools);
+    CAPTURE(backlog);
+    // 440 cores need 35 hosts, of whose cores 0.8 can be filled.
+    if (backlog > 0)
+      REQUIRE(pools[0].hosts >= 35);
+    else
+      REQUIRE(pools[0].hosts < 10);
+  }
+}
+
+TEST_CASE("backlog takes hosts that are in standby or would go there",
+          "[sizing]") {
+  PeakForecast forecast;
+  FleetSizing sizing(false, forecast);
+  // The tasks of pool b need 8 hosts, but needed 20 a moment ago.
+  std::vector<PoolSizingInput> pools = {Pool("a", 60, 5), Pool("b", 250, 20),
+                                        Standby(6)};
+  sizing.Plan(kStart, pools, 0);
+  pools[0].backlog_cores = 600;
+  pools[1].demand_cores = 100;
+  auto moved_to_a = [&](Time now) {
+    std::map<std::string, uint32_t> from;
+    for (const HostMoves& move : sizing.Plan(now, pools, 40)) {
+      if (move.to == PoolId("a"))
+        from[move.from.str()] += move.count;
+    }
+    return from;
+  };
+  std::map<std::string, uint32_t> soon = moved_to_a(kStart + kPlanPeriod);
+  REQUIRE(soon == std::map<std::string, uint32_t>{{"standby", 6}});
+  for (int step = 2; step < 12; ++step)
+    sizing.Plan(kStart + kPlanPeriod * step, pools, 0);
+  std::map<std::string, uint32_t> later = moved_to_a(kStart + kPlanPeriod * 12);
+  REQUIRE(later["standby"] == 6);
+  REQUIRE(later["b"] == 12);
+}
+
+TEST_CASE("jobs in time get hosts before the backlog of other pools",
+          "[sizing]") {
+  PeakForecast forecast;
+  FleetSizing sizing(false, forecast);
+  std::vector<PoolSizingInput> pools = {Pool("a", 60, 5), Pool("b", 180, 10),
+                                        Standby(6)};
+  pools[0].backlog_cores = 600;
+  uint32_t to_b = 0;
+  for (const HostMoves& move : sizing.Plan(kStart, pools, 40))
+    to_b += move.to == PoolId("b") ? move.count : 0;
+  // 180 cores need 15 hosts.
+  REQUIRE(to_b == 5);
+}
+
 }  // namespace
 }  // namespace radishmoor
