--- a/radishmoor/jobs/start_limiter.h
+++ b/radishmoor/jobs/start_limiter.h
@@ -49,7 +49,7 @@
   // as unanswered. O(log n).
   void OnReply(Time now, uint64_t order, Time sent, bool answered);
   void ObserveLag(Duration lag);
-  // `count` tasks were ready and had room, but the budget was used up.
+  // A plan has not tried to start `count` ready tasks: the budget was used up.
   void OnHeldBack(uint32_t count) { held_back_ += count; }
 
   uint32_t window() const { return static_cast<uint32_t>(window_); }
--- a/radishmoor/jobs/task_dispatch.h
+++ b/radishmoor/jobs/task_dispatch.h
@@ -39,7 +39,7 @@
   // count.
   int64_t demand_cpu_millis() const { return demand_cpu_millis_; }
   // Thousandths of cores that run the ready tasks of all other jobs within
-  // kBacklogDrainTime. Their callers still wait for them.
+  // some seconds. Their callers still wait for them.
   int64_t backlog_cpu_millis() const { return backlog_cpu_millis_; }
   // Ready tasks that the last plan did not start because of its limit.
   uint32_t held_back_tasks() const { return held_back_tasks_; }
