--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p "${OUT:=target/review-3}"
-for name in wave_case restart_case rack_case; do
+for name in wave_case restart_case rack_case late_case; do
   g++ -std=c++20 -O1 -Wall -I. -o "$OUT/$name" \
     "review/stand-in-3/$name.cc" review/stand-in-3/platform.cc \
     target/libradishmoor_net.a target/libradishmoor_ops.a \
--- a/review/stand-in-3/platform.cc
+++ b/review/stand-in-3/platform.cc
@@ -31,6 +31,8 @@
 constexpr int64_t kHeartbeatMs = 1500;
 constexpr int64_t kMinLateMs = 3000;
 constexpr int64_t kMaxLateMs = 7000;
+constexpr int64_t kMinLateOrderMs = 2000;
+constexpr int64_t kMaxLateOrderMs = 12000;
 constexpr int64_t kCpu = 16000;
 constexpr int64_t kMemoryMb = 65536;
 constexpr int kWorkersPerRack = 4;
@@ -588,6 +590,8 @@
 void Platform::CheckLease(Worker& worker) {
   if (ClockMs(worker) <= worker.lease_until)
     return;
+  for (End& end : worker.ends)
+    end.lease_lapsed = true;
   std::vector<std::string> tasks;
   for (const auto& [task, run] : worker.running)
     tasks.push_back(task);
@@ -622,6 +626,16 @@
     worker.http->Abort(exchange);
     return;
   }
+  if (std::uniform_real_distribution<>()(random_) < late_order_share_) {
+    auto delay = std::uniform_int_distribution<int64_t>(
+        kMinLateOrderMs, kMaxLateOrderMs)(random_);
+    if (request.target == "/-/run-start")
+      Record("order to " + worker.id + " " + request.body +
+             " -> no answer, carried out in " + std::to_string(delay) + " ms");
+    loop_.RunAfter(Milliseconds(delay),
+                   [this, &worker, request] { CarryOutLate(worker, request); });
+    return;
+  }
   CheckLease(worker);
   if (FindHeader(request.headers, "Radishmoor-Expected-Instance") !=
       worker.id) {
@@ -646,8 +660,7 @@
   } else if (request.target == "/-/hold") {
     int64_t ack = Number(body, "ack_cursor");
     int64_t wait = Number(body, "wait_ms");
-    std::erase_if(worker.ends,
-                  [ack](const End& e) { return e.sequence <= ack; });
+    ForgetEnds(worker, ack);
     if (wait == 0 || !worker.ends.empty()) {
       worker.http->Respond(exchange, HoldAnswer(worker, ack));
       return;
@@ -679,6 +692,52 @@
          worker.held_at && *worker.held_at < told_by;
 }
 
+void Platform::CarryOutLate(Worker& worker, const HttpRequest& request) {
+  if (worker.state != "up" || worker.crashed || worker.lost ||
+      FindHeader(request.headers, "Radishmoor-Expected-Instance") != worker.id)
+    return;
+  CheckLease(worker);
+  json::value parsed = json::parse(request.body);
+  const json::object& body = parsed.as_object();
+  if (Number(body, "fencing_token") < worker.token)
+    return;
+  worker.token = Number(body, "fencing_token");
+  worker.lease_until = std::max(
+      worker.lease_until,
+      std::min(Number(body, "deadline_ms"), ClockMs(worker) + kHoldMaxMs));
+  if (request.target == "/-/run-start") {
+    HttpResponse response = RunStart(worker, body);
+    Record("late order to " + worker.id + " " + request.body + " -> " +
+           std::to_string(response.status) + " " + response.body);
+  } else if (request.target == "/-/run-stop") {
+    RunStop(worker, body);
+  } else if (request.target == "/-/hold") {
+    ForgetEnds(worker, Number(body, "ack_cursor"));
+  }
+}
+
+void Platform::ForgetEnds(Worker& worker, int64_t ack) {
+  std::erase_if(worker.ends, [this, ack](const End& e) {
+    if (e.sequence <= ack && e.how == "done" && !e.lease_lapsed)
+      noted_done_.insert(e.task);
+    return e.sequence <= ack;
+  });
+}
+
+void Platform::CheckTwice(const Worker& worker, const std::string& task) {
+  if (noted_done_.contains(task))
+    Break("TWICE", task + " starts on " + worker.id +
+                       " after it has ended done and that was taken note of");
+  for (const auto& other : workers_) {
+    if (other.get() == &worker || other->crashed || other->lost)
+      continue;
+    CheckLease(*other);
+    if (other->running.contains(task))
+      Break("TWICE", task + " starts on " + worker.id + " while it runs on " +
+                         other->id);
+  }
+}
+
 HttpResponse Platform::RunStart(Worker& worker, const json::object& body) {
   std::string task = Text(body, "task");
   int64_t number = Number(body, "run_id");
@@ -696,6 +755,7 @@
     answer["reason"] = "late";
     return Json(409, answer);
   }
+  CheckTwice(worker, task);
   int64_t length = std::stoll("0" + Text(body, "spec"));
   std::string job = task.substr(0, task.find('.'));
   int64_t cpu = task_cpu_[job];
@@ -935,7 +995,8 @@
       Milliseconds(3500),
       [this, id, name = target->name](HttpFetcher::Result result) {
         const auto* response = std::get_if<HttpResponse>(&result);
-        jobs_accepted_ += response && response->status == 200;
+        if (response && response->status == 200)
+          ++jobs_accepted_;
         Record("job " + id + " to " + name + " -> " +
                (response ? std::to_string(response->status) : "no answer"));
       });
--- a/review/stand-in-3/platform.h
+++ b/review/stand-in-3/platform.h
@@ -72,6 +72,10 @@
   // stay silent.
   void SetLostAnswers(double share) { lost_answer_share_ = share; }
 
+  // Leaves this share of the orders to workers without an answer and carries
+  // them out 2 to 12 seconds later, in the life that the worker has then.
+  void SetLateOrders(double share) { late_order_share_ = share; }
+
   // Crashes the worker. It starts again after `downtime`, under its id and at
   // its address, with `cpu` thousandths of a core.
   void CrashWorker(size_t index, Duration downtime, int64_t cpu);
@@ -130,6 +134,7 @@
     std::string task;
     int64_t run = 0;
     std::string how;
+    bool lease_lapsed = false;  // Since the end.
   };
   struct Worker {
     std::string machine;
@@ -198,6 +203,11 @@
   bool IsKnown(const Worker& worker) const;
   void Heartbeat();
   void OnWorker(Worker& worker, ExchangeId exchange, const HttpRequest& r);
+  // Forgets the ends up to `ack`.
+  void ForgetEnds(Worker& worker, int64_t ack);
+  void CarryOutLate(Worker& worker, const HttpRequest& request);
+  // Checks the rule TWICE for a start of the work item on the worker.
+  void CheckTwice(const Worker& worker, const std::string& task);
   HttpResponse RunStart(Worker& worker, const json::object& body);
   HttpResponse RunStop(Worker& worker, const json::object& body);
   HttpResponse HoldAnswer(Worker& worker, int64_t ack);
@@ -231,6 +241,8 @@
   HttpFetcher fetcher_;
   double late_upkeep_share_ = 0;
   double lost_answer_share_ = 0;
+  double late_order_share_ = 0;
+  std::set<std::string> noted_done_;  // Work items whose end `done` is noted.
   std::map<std::string, int64_t> task_cpu_;  // By job.
   // Lasting work items of accepted jobs: when each had a run the last time.
   std::map<std::string, Time> lasting_;
