--- a/review/stand-in-3/wave_case.cc
+++ b/review/stand-in-3/wave_case.cc
@@ -1,4 +1,4 @@
-// The case of review/11: a wave with max_count 1, a machine API that carries a
+// The case of review/12: a wave with max_count 1, a machine API that carries a
 // share of the calls out late and without an answer, and restarts of the
 // process whose call is not answered. Exit status: 1 if an upkeep began while
 // another machine of the wave was down for its own, 0 if not, 2 if the case
