--- a/review/stand-in-3/restart_case.cc
+++ b/review/stand-in-3/restart_case.cc
@@ -1,4 +1,4 @@
-// The case of review/12: workers crash and start again under their id as a
+// The case of review/13: workers crash and start again under their id as a
 // smaller kind, while the store leaves a share of its writes without an answer.
 // Exit status: 1 if a start brought a worker over its capacity, 0 if not, 2 if
 // the case could not run.
@@ -19,7 +19,7 @@
 using radishmoor::Milliseconds;
 
 constexpr double kLostShare = 0.1;
-constexpr int64_t kLengthMs = 90'000;
+constexpr int64_t kLengthMs = 112'000;
 constexpr int64_t kTroubleAtMs = 8'000;
 constexpr int64_t kCrashPeriodMs = 1'000;
 constexpr int64_t kDowntimeMs = 100;
