--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,9 +3,10 @@
 # deploy file. Needs nothing beyond the packages that the deploy file lists.
 set -e
 cd "$(dirname "$0")/.."
-mkdir -p "${OUT:=target/review-3}"
+out=target/review-3
+mkdir -p "$out"
 for name in wave_case restart_case rack_case late_case; do
-  g++ -std=c++20 -O1 -Wall -I. -o "$OUT/$name" \
+  g++ -std=c++20 -O1 -Wall -I. -o "$out/$name" \
     "review/stand-in-3/$name.cc" review/stand-in-3/platform.cc \
     target/libradishmoor_net.a target/libradishmoor_ops.a \
     target/libradishmoor_base.a \
--- a/review/stand-in-3/late_case.cc
+++ b/review/stand-in-3/late_case.cc
@@ -17,10 +17,10 @@
 
 using radishmoor::Milliseconds;
 
-constexpr double kLateShare = 0.2;
+constexpr double kLateShare = 0.35;
 constexpr int64_t kLengthMs = 112'000;
 constexpr int64_t kTroubleAtMs = 8'000;
-constexpr int64_t kCrashPeriodMs = 2'000;
+constexpr int64_t kCrashPeriodMs = 1'500;
 constexpr int64_t kDowntimeMs = 300;
 constexpr int64_t kCpu = 16'000;
 constexpr int64_t kTaskCpu = 4'000;
--- a/review/stand-in-3/restart_case.cc
+++ b/review/stand-in-3/restart_case.cc
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <random>
+#include <set>
 #include <string>
 
 #include "review/stand-in-3/platform.h"
@@ -18,7 +19,9 @@
 
 using radishmoor::Milliseconds;
 
-constexpr double kLostShare = 0.1;
+constexpr int kWorkers = 20;
+constexpr size_t kSmallWorkers = 3;
+constexpr double kLostShare = 0.04;
 constexpr int64_t kLengthMs = 112'000;
 constexpr int64_t kTroubleAtMs = 8'000;
 constexpr int64_t kCrashPeriodMs = 1'000;
@@ -35,21 +38,22 @@
   std::function<void(int)> submit = [&](int n) {
     char id[17];
     std::snprintf(id, sizeof(id), "%016x", 0x5eed0000 + n);
-    platform.Submit(id, 8, kTaskMs, kTaskCpu);
+    platform.Submit(id, 10, kTaskMs, kTaskCpu);
     loop.RunAfter(Milliseconds(125), [&submit, n] { submit(n + 1); });
   };
   loop.RunAfter(Milliseconds(4000), [&] { submit(0); });
   std::mt19937_64 random(options.seed);
-  // One worker at a time is small; it crashes again and is large then.
-  size_t small = platform.worker_count();
+  // A few workers at a time are small; they crash again and are large then.
+  std::set<size_t> small;
   std::function<void()> crash = [&] {
-    if (small < platform.worker_count()) {
-      platform.CrashWorker(small, Milliseconds(kDowntimeMs), kLargeCpu);
-      small = platform.worker_count();
-    } else {
-      small = random() % platform.worker_count();
-      platform.CrashWorker(small, Milliseconds(kDowntimeMs), kSmallCpu);
-    }
+    bool shrink = small.empty();
+    while (shrink && small.size() < kSmallWorkers)
+      small.insert(random() % platform.worker_count());
+    for (size_t worker : small)
+      platform.CrashWorker(worker, Milliseconds(kDowntimeMs),
+                           shrink ? kSmallCpu : kLargeCpu);
+    if (!shrink)
+      small.clear();
     loop.RunAfter(Milliseconds(kCrashPeriodMs), crash);
   };
   loop.RunAfter(Milliseconds(kTroubleAtMs), [&] {
@@ -86,6 +90,7 @@
   options.folder = argv[1];
   options.record = argv[2];
   options.program = argv[3];
+  options.workers = kWorkers;
   options.seed = std::strtoull(argv[4], nullptr, 10);
   return RunCase(options, std::string(argv[5]) != "0");
 }
