--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -139,8 +139,7 @@
                 !unknown_run && server != nullptr && server->listed &&
                 !server->listing.draining && !server->ListingIsOutdated() &&
                 server->doubt.clock.known() && server->doubt.last_listed_at &&
-                (server->doubt.used_by_unknown_runs == Resources{} ||
-                 Resources{}.Fits(server->FreeResources()));
+                StillFits(job.StepOf(*task), *server);
   if (!wanted) {
     RemoveRun(now, ref, "not-wanted", outbox);
     return;
--- a/radishmoor/jobs/testing/run_control_test.cc
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -304,6 +304,37 @@
   }
 }
 
+// Guards against a start beyond the capacity of its server, or on one without
+// the label that its step requires: the server has restarted as another kind of
+// host between the plan and the commit that stores it.
+TEST_CASE("a planned start is checked against the restarted server",
+          "[run-control]") {
+  enum class Change { kNone, kSmaller, kOtherLabel };
+  for (Change change : {Change::kNone, Change::kSmaller, Change::kOtherLabel}) {
+    StepSpec step;
+    step.request = {4000, 100, 0};
+    step.requirement = "fast";
+    TestServer test(step);
+    test.server().listing.labels = {"fast", "r1"};
+    test.PlanRun();
+    if (change == Change::kSmaller)
+      test.server().listing.capacity.cpu_millis = 2000;
+    if (change == Change::kOtherLabel)
+      test.server().listing.labels = {"slow", "r1"};
+    test.runs_.OnIncarnationListed(test.now_, test.id_, kSecondIncarnation,
+                                   test.outbox_);
+    test.server().next_poll_at = test.now_;
+    test.runs_.Wake(test.now_);
+    test.runs_.Tick(test.now_, true, test.outbox_);
+    test.AnswerPoll(test.TakeOrders().at(0).tag, 120, false);
+    test.TakeOrders();
+    test.runs_.SendStart(test.now_, test.ref_, test.outbox_);
+    bool sent = change == Change::kNone;
+    REQUIRE(test.TakeOrders().size() == (sent ? 1 : 0));
+    REQUIRE((test.FindRun() != nullptr) == sent);
+  }
+}
+
 // Guards against late starts that a restarted server carries out before its
 // owner's first order: the owner has to notice the restart, and to repeat the
 // order while the server is down or swallows it.
