--- a/radishmoor/jobs/fleet_coordinator.cc
+++ b/radishmoor/jobs/fleet_coordinator.cc
@@ -31,6 +31,9 @@
 constexpr Duration kThrottledCallRetry = Milliseconds(150);
 constexpr Duration kBusyHostRetry = Milliseconds(500);
 constexpr Duration kWaveReportRetry = Milliseconds(500);
+// The platform does not carry out a call that was not answered later than this
+// after it was sent.
+constexpr Duration kLateCallLimit = Seconds(15);
 // A host that is missing from the platform's list for this long has left the
 // fleet.
 constexpr Duration kMissingHostTimeout = Seconds(4);
@@ -42,6 +45,9 @@
 // A wave that can wait does not maintain hosts of pools with at least this
 // ratio of demand to capacity.
 constexpr double kBusyPoolShare = 0.5;
+// Rank of a host that an earlier coordinator's call may still reach, in place
+// of the demand of its pool: it comes first.
+constexpr double kLateMaintenanceShare = -2.0;
 // Time to maintain as many hosts as a wave may have down at once.
 constexpr Duration kMaintenanceRoundTime = Milliseconds(3500);
 // A wave no longer waits for busy pools when less than this is left of its time
@@ -86,7 +92,9 @@
   // The stored operation is not resumed, because its server may be in use
   // again. If its call was carried out, a repeated call has no effect.
   earlier_calls_[stored->host] = *stored;
-  RemoveRowLater(options_.lease_taken_at, stored->host);
+  // The row is kept for as long as the call may come: a further successor has
+  // to know of it, too.
+  RemoveRowLater(options_.lease_taken_at + kLateCallLimit, stored->host);
 }
 
 void FleetCoordinator::RemoveDueRows(Time now) {
@@ -157,13 +165,27 @@
       ++down;
   }
   for (const auto& [host, call] : earlier_calls_) {
-    if (call.kind == HostOperationKind::kMaintain && call.wave == wave &&
-        !IsKnownAsMaintained(host, wave) && !IsListedInMaintenance(host))
+    if (IsLateMaintenance(host, wave) && !IsListedInMaintenance(host) &&
+        !IsCalled(host))
       ++down;
   }
   return down;
 }
 
+bool FleetCoordinator::IsLateMaintenance(const HostId& host,
+                                         uint64_t wave) const {
+  auto call = earlier_calls_.find(host);
+  return call != earlier_calls_.end() &&
+         call->second.kind == HostOperationKind::kMaintain &&
+         call->second.wave == wave && !IsKnownAsMaintained(host, wave);
+}
+
+bool FleetCoordinator::IsCalled(const HostId& host) const {
+  auto operation = host_operations_.find(host);
+  return operation != host_operations_.end() &&
+         operation->second.stage != Stage::kEmptying;
+}
+
 bool FleetCoordinator::OnStoreAnswer(Time now, const StoreAnswer& answer) {
   CommitChain::Stored stored;
   if (chain_.OnAnswer(now, answer, &stored)) {
@@ -230,7 +252,10 @@
 void FleetCoordinator::OnHosts(Time sent,
                                std::span<const HostListing> hosts,
                                Outbox& outbox) {
-  if (sent - options_.lease_taken_at > options_.bounds.host_operation_lease)
+  Duration since_lease = sent - options_.lease_taken_at;
+  may_repeat_earlier_calls_ =
+      since_lease > options_.bounds.host_operation_lease;
+  if (since_lease > kLateCallLimit)
     earlier_calls_.clear();
   std::map<HostId, HostListing> before = std::exchange(hosts_, {});
   for (const HostListing& host : hosts) {
@@ -281,6 +306,8 @@
        {"emptied_ms", WholeMilliseconds(now - operation.started_at)}});
   switch (outcome) {
     case HostOutcome::kDone:
+      // The host refuses calls with earlier tokens from now on.
+      earlier_calls_.erase(host);
       if (operation.kind == HostOperationKind::kMaintain) {
         MarkMaintained(now, host, operation, outbox);
         return;
@@ -375,7 +402,7 @@
     }
     operation.reported_empty_by = answer.token;
     operation.reported_empty_at = now;
-    if (operation.stage == Stage::kEmptying && WaveAllowsCall(operation))
+    if (operation.stage == Stage::kEmptying && WaveAllowsCall(host, operation))
       StoreHostOperation(now, host, operation);
     return;
   }
@@ -406,13 +433,18 @@
   chain_.Write({HostOperationKey(state_.pool, host), EncodeHostOperation(row)});
 }
 
-bool FleetCoordinator::WaveAllowsCall(const HostOperation& operation) const {
+bool FleetCoordinator::WaveAllowsCall(const HostId& host,
+                                      const HostOperation& operation) const {
   if (operation.kind != HostOperationKind::kMaintain)
     return true;
   auto wave = waves_.find(operation.wave);
-  return wave != waves_.end() &&
-         CountHostsDown(operation.wave) <
-             std::max(1u, wave->second.plan.max_at_once);
+  if (wave == waves_.end())
+    return false;
+  uint32_t down = CountHostsDown(operation.wave);
+  // An earlier call for the host has its place in the wave already.
+  if (IsLateMaintenance(host, operation.wave) && !IsListedInMaintenance(host))
+    --down;
+  return down < std::max(1u, wave->second.plan.max_at_once);
 }
 
 void FleetCoordinator::ReportWaves(Time now, Outbox& outbox) {
@@ -468,6 +500,10 @@
                        contact->second.heartbeat.figures_missing))
         continue;
       double share = standby ? -1.0 : contact->second.demand_share();
+      // A call of this coordinator shuts out the late one of an earlier one, so
+      // that its place in the wave gets free.
+      if (IsLateMaintenance(host, number))
+        share = kLateMaintenanceShare;
       if (share < kBusyPoolShare || !can_wait)
         candidates.emplace_back(share, host);
     }
@@ -475,7 +511,8 @@
     std::sort(candidates.begin(), candidates.end());
     uint32_t limit = std::max(1u, wave.plan.max_at_once) + kHostsEmptiedAhead;
     for (const auto& [share, host] : candidates) {
-      if (open_operations >= limit)
+      // A late call has its place in the wave in any case.
+      if (open_operations >= limit && !IsLateMaintenance(host, number))
         break;
       if (!LeavesRoomForDemand(host, contacts))
         continue;
@@ -751,7 +788,7 @@
     return;
   operation.next_try_at = now + kVacateRequestPeriod;
   if (IsStandby(operation.pool)) {
-    if (WaveAllowsCall(operation))
+    if (WaveAllowsCall(host, operation))
       StoreHostOperation(now, host, operation);
     return;
   }
--- a/radishmoor/jobs/fleet_coordinator.h
+++ b/radishmoor/jobs/fleet_coordinator.h
@@ -195,7 +195,12 @@
       const std::map<PoolId, PoolOwnerContact>& contacts) const;
   // Returns false if a call for maintenance would exceed the number of hosts
   // that the wave may have down at once.
-  bool WaveAllowsCall(const HostOperation& operation) const;
+  bool WaveAllowsCall(const HostId& host, const HostOperation& operation) const;
+  // Returns whether an earlier coordinator's call to maintain the host in the
+  // wave may still be executed. It has a place in the wave.
+  bool IsLateMaintenance(const HostId& host, uint64_t wave) const;
+  // Returns whether this coordinator calls, or has called, for the host.
+  bool IsCalled(const HostId& host) const;
   // Returns true if the current owner of the pool has answered within
   // kEmptyAnswerValidity that the server is empty. Standby hosts have no
   // server.
@@ -258,10 +263,10 @@
     rows_to_remove_.emplace_back(now, host);
   }
   void RemoveDueRows(Time now);
-  // Returns whether a call of an earlier coordinator for the host may still be
-  // executed or, if it was, is missing from the list of hosts.
+  // Returns whether an earlier coordinator may still call for the host, so that
+  // this one may not yet.
   bool EarlierCallMayBeExecuted(const HostId& host) const {
-    return earlier_calls_.contains(host);
+    return !may_repeat_earlier_calls_ && earlier_calls_.contains(host);
   }
   void StoreHostOperation(Time now,
                           const HostId& host,
@@ -307,6 +312,7 @@
   // Calls that earlier coordinators have stored. Each may still be executed, or
   // may have been executed although the list of hosts does not show it yet.
   std::map<HostId, HostOperationRow> earlier_calls_;
+  bool may_repeat_earlier_calls_ = false;
   // The platform has seen a call with a higher fencing token.
   bool fenced_ = false;
   Time next_wake_ = kTimeMax;
--- a/radishmoor/jobs/testing/fleet_coordinator_test.cc
+++ b/radishmoor/jobs/testing/fleet_coordinator_test.cc
@@ -380,6 +380,36 @@
   REQUIRE(site.completed_waves_.contains(1));
 }
 
+// Guards against more hosts in maintenance than a wave allows: a call of an
+// earlier coordinator that was not answered is executed seconds later.
+TEST_CASE("an earlier call keeps its place in a wave until it cannot come",
+          "[coordinator]") {
+  FleetCoordinatorHarness site;
+  PoolId fleet(kFleetPseudoPool);
+  HostId called("h8");
+  site.PutHostOperation(
+      HostOperationKey(fleet, called),
+      {called, HostOperationKind::kMaintain, PoolId("spare"), 1});
+  site.waves_ = {{1, {HostId("h0"), HostId("h9"), called}, Seconds(25), 1}};
+  site.TakeOver();
+  SECTION("the host is called before the others") {
+    site.Run(Seconds(8));
+    REQUIRE(site.maintained_hosts_.size() == 3);
+    REQUIRE(site.maintained_hosts_[0] == called);
+  }
+  SECTION("the host cannot be called") {
+    site.down_hosts_ = {called};
+    site.Run(Seconds(14));
+    REQUIRE(site.maintained_hosts_.empty());
+    // The next coordinator knows of the call, too.
+    site.TakeOver();
+    site.Run(Seconds(14));
+    REQUIRE(site.maintained_hosts_.empty());
+    site.Run(Seconds(6));
+    REQUIRE(site.maintained_hosts_.size() == 2);
+  }
+}
+
 // Guards against waiting for calls that were answered: lists that are requested
 // later show these hosts in maintenance.
 TEST_CASE("a successor does not count answered calls as hosts that are down",
