--- a/radishmoor/jobs/run_control.cc
+++ b/radishmoor/jobs/run_control.cc
@@ -774,22 +774,25 @@
       continue;
     }
     it = provisional_tasks_.erase(it);
-    if (!open)
+    if (open) {
+      RunNumber run = std::exchange(task->provisional_success, {})->run;
+      state_.jobs.MarkChanged(*job);
+      if (!IsFinal(job->state) && !task->done)
+        OnTaskDone(now, *job, *task, {id, run}, outbox);
+      to_close_.insert(id.job);
+    }
+    ReleaseKeptEnds(id, job == nullptr ? 0 : job->changes);
+  }
+}
+
+void RunControl::ReleaseKeptEnds(const TaskId& task, uint64_t changes) {
+  for (const ServerId& id : servers_with_unstored_ends_) {
+    ServerState* server = state_.servers.Find(id);
+    if (server == nullptr)
       continue;
-    ProvisionalSuccess success =
-        *std::exchange(task->provisional_success, std::nullopt);
-    state_.jobs.MarkChanged(*job);
-    if (!IsFinal(job->state) && !task->done)
-      OnTaskDone(now, *job, *task, {id, success.run}, outbox);
-    to_close_.insert(id.job);
-    for (const ServerId& server_id : servers_with_unstored_ends_) {
-      ServerState* server = state_.servers.Find(server_id);
-      if (server == nullptr)
-        continue;
-      for (ServerState::UnstoredEnd& end : server->unstored_ends) {
-        if (end.task == id)
-          end.changes = job->changes;
-      }
+    for (ServerState::UnstoredEnd& end : server->unstored_ends) {
+      if (end.task == task)
+        end.changes = changes;
     }
   }
 }
--- a/radishmoor/jobs/run_control.h
+++ b/radishmoor/jobs/run_control.h
@@ -9,6 +9,8 @@
 // - the server refused the start, or the start was never sent,
 // - the run was running or inherited, or the server answered a stop of it, and
 //   a later poll lists neither the run nor its end,
+// - its start was not answered, and a poll with a later token, which shuts the
+//   start out, lists neither,
 // - the incarnation of the server that a poll listed it on has ended, or
 // - all leases on the server have expired.
 // Until then the run keeps its resources on the server and, unless the step
@@ -162,6 +164,9 @@
                        Outbox& outbox);
   // Counts the provisional successes that have become final.
   void FinishProvisional(Time now, Outbox& outbox);
+  // Lets servers forget the ends that were kept for a provisional success of
+  // the task, once the job's change number `changes` is stored.
+  void ReleaseKeptEnds(const TaskId& task, uint64_t changes);
   void OnTaskDone(Time now, Job& job, Task& task, const RunRef& ref, Outbox& o);
   void OnTaskFailed(Time now,
                     Job& job,
--- a/radishmoor/jobs/testing/run_control_test.cc
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -335,6 +335,34 @@
   }
 }
 
+// Guards against a server that keeps all its later ends because a job was
+// cancelled while one of its successes was provisional.
+TEST_CASE("the end of a job releases its provisional successes",
+          "[run-control]") {
+  TestServer test;
+  test.state_.AddRestart(test.now_);
+  test.LoseAnswer(test.SendStart());
+  ServerReply reply;
+  reply.tag = test.TakeOrders().at(0).tag;
+  reply.server = test.id_;
+  reply.outcome = OrderOutcome::kDone;
+  reply.clock = 50'020;
+  reply.incarnation_started_at = kFirstIncarnation;
+  reply.ended.push_back({1, test.ref_.task, test.ref_.run, RunEnd::kDone});
+  test.runs_.OnReply(test.now_, reply, test.outbox_);
+  Job& job = *test.state_.jobs.Find(test.job_);
+  test.state_.jobs.MarkEnded(job, JobState::kCancelled, test.now_);
+  test.runs_.StopJob(test.now_, job, "job-cancelled", test.outbox_);
+  for (int i = 0; i < 2; ++i) {
+    test.now_ += Seconds(1);
+    test.runs_.Wake(test.now_);
+    test.runs_.Tick(test.now_, true, test.outbox_);
+    job.stored_changes = job.changes;
+    test.runs_.OnStored(test.now_);
+  }
+  REQUIRE(test.server().last_stored_end == 1);
+}
+
 // Guards against late starts that a restarted server carries out before its
 // owner's first order: the owner has to notice the restart, and to repeat the
 // order while the server is down or swallows it.
