--- a/radishmoor/jobs/testing/run_control_test.cc
+++ b/radishmoor/jobs/testing/run_control_test.cc
@@ -350,9 +350,18 @@
   reply.incarnation_started_at = kFirstIncarnation;
   reply.ended.push_back({1, test.ref_.task, test.ref_.run, RunEnd::kDone});
   test.runs_.OnReply(test.now_, reply, test.outbox_);
+  test.now_ += Seconds(1);
+  test.server().next_poll_at = test.now_;
+  test.runs_.Wake(test.now_);
+  test.runs_.Tick(test.now_, true, test.outbox_);
+  reply.tag = test.TakeOrders().at(0).tag;
+  reply.clock = 51'020;
   Job& job = *test.state_.jobs.Find(test.job_);
   test.state_.jobs.MarkEnded(job, JobState::kCancelled, test.now_);
   test.runs_.StopJob(test.now_, job, "job-cancelled", test.outbox_);
+  // Closes the job before the next tick.
+  test.runs_.OnReply(test.now_, reply, test.outbox_);
+  REQUIRE(test.state_.jobs.FindTask(test.ref_.task) == nullptr);
   for (int i = 0; i < 2; ++i) {
     test.now_ += Seconds(1);
     test.runs_.Wake(test.now_);
